Add the kernel and a thin path from caller to target

A caller's chat and order pass one router to a stand-in engine and a plain worker over loopback TCP. Services register by name with the kernel.

--- /dev/null
+++ b/cmd/zf-lab/main.go
@@ -0,0 +1,26 @@
+// Command zf-lab runs the demo and the experiments.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/zinniafork/zinniafork/internal/cli"
+	"github.com/zinniafork/zinniafork/internal/lab"
+)
+
+type command struct {
+	Demo    demoCommand      `cmd:"" help:"Run a small fleet in one process and send it work."`
+	Version kong.VersionFlag `help:"Print the version."`
+}
+
+type demoCommand struct{}
+
+// Run runs the demo.
+func (demoCommand) Run(ctx context.Context) error { return lab.Demo(ctx, os.Stdout) }
+
+func main() {
+	cli.Main("zf-lab", "Runs small fleets in one process: demo, load and experiments.", &command{})
+}
--- /dev/null
+++ b/internal/httpserve/httpserve.go
@@ -0,0 +1,61 @@
+// Package httpserve runs an HTTP server on a kernel network.
+package httpserve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/kernel"
+)
+
+// headerTimeout limits how long a client may take to send its header.
+const headerTimeout = 10 * time.Second
+
+// Server is a running HTTP server.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	done     chan error
+}
+
+// Start listens on address and serves handler.
+func Start(ctx context.Context, network kernel.Network, address string, handler http.Handler) (*Server, error) {
+	ln, err := network.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	s := &Server{
+		http:     &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout},
+		listener: ln,
+		done:     make(chan error, 1),
+	}
+	go func() { s.done <- s.http.Serve(ln) }()
+	return s, nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// URL returns the base URL of the server.
+func (s *Server) URL() string { return "http://" + s.Addr() }
+
+// Drain stops listening and waits for running requests until ctx ends.
+func (s *Server) Drain(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return fmt.Errorf("shut down server on %s: %w", s.Addr(), err)
+	}
+	return nil
+}
+
+// Close ends the server at once.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	if serveErr := <-s.done; !errors.Is(serveErr, http.ErrServerClosed) {
+		err = errors.Join(err, serveErr)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/kernel/env.go
@@ -0,0 +1,103 @@
+package kernel
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+)
+
+// Env is the outside world of a process: clock, network, log and metrics.
+// Services use it in place of the time and net packages, so that a test can
+// delay, cut or freeze a process.
+type Env struct {
+	Clock   Clock
+	Net     Network
+	Log     *logrus.Logger
+	Metrics metrics.Registry
+	// Seed feeds the random choices of the process, such as jitter.
+	Seed uint64
+}
+
+func (e Env) withDefaults() Env {
+	if e.Clock == nil {
+		e.Clock = SystemClock{}
+	}
+	if e.Net == nil {
+		e.Net = SystemNetwork{}
+	}
+	if e.Log == nil {
+		e.Log = logrus.StandardLogger()
+	}
+	if e.Metrics == nil {
+		e.Metrics = metrics.NewRegistry()
+	}
+	if e.Seed == 0 {
+		e.Seed = uint64(e.Clock.Now().UnixNano())
+	}
+	return e
+}
+
+// Clock tells the time and waits.
+type Clock interface {
+	Now() time.Time
+	// Sleep waits for d, or returns the error of ctx when that ends first.
+	Sleep(ctx context.Context, d time.Duration) error
+	// AfterFunc calls f on its own goroutine after d. The returned function
+	// cancels the call and reports whether it did.
+	AfterFunc(d time.Duration, f func()) (cancel func() bool)
+}
+
+// SystemClock is the clock of the machine.
+type SystemClock struct{}
+
+// Now returns the current time.
+func (SystemClock) Now() time.Time { return time.Now() }
+
+// Sleep waits for d or for the end of ctx.
+func (SystemClock) Sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// AfterFunc calls f after d.
+func (SystemClock) AfterFunc(d time.Duration, f func()) func() bool {
+	return time.AfterFunc(d, f).Stop
+}
+
+// Network opens and accepts connections.
+type Network interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	Listen(ctx context.Context, network, address string) (net.Listener, error)
+}
+
+// SystemNetwork is the network of the machine.
+type SystemNetwork struct{}
+
+// DialContext opens a connection.
+func (SystemNetwork) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, network, address)
+}
+
+// Listen accepts connections on address.
+func (SystemNetwork) Listen(ctx context.Context, network, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	return lc.Listen(ctx, network, address)
+}
+
+// Every calls f each period until ctx ends. A call that takes longer than the
+// period delays the next one.
+func Every(ctx context.Context, clock Clock, period time.Duration, f func(now time.Time)) {
+	for clock.Sleep(ctx, period) == nil {
+		f(clock.Now())
+	}
+}
--- /dev/null
+++ b/internal/service/platform/platform.go
@@ -0,0 +1,85 @@
+// Package platform gives the other services the clients of the platform's
+// log service and VM list.
+package platform
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/platform/logstream"
+	"github.com/zinniafork/zinniafork/internal/platform/vmlist"
+)
+
+// Name is the service's name in the kernel.
+const Name = "platform"
+
+func init() {
+	kernel.Register(Name, func() kernel.Service { return new(Service) })
+}
+
+// Settings are the addresses of the platform's services.
+type Settings struct {
+	LogURL    string `toml:"log_url"`
+	VMListURL string `toml:"vm_list_url"`
+}
+
+// Platform gives access to the platform.
+type Platform interface {
+	Log() logstream.Log
+	VMList() vmlist.Source
+}
+
+// Service holds the platform's clients.
+type Service struct {
+	settings Settings
+	log      logstream.Log
+	vms      vmlist.Source
+}
+
+// Name returns the service's name.
+func (*Service) Name() string { return Name }
+
+// Provision reads the settings and builds the clients.
+func (s *Service) Provision(c *kernel.Context) error {
+	if err := c.Settings(&s.settings); err != nil {
+		return err
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: c.Net.DialContext}}
+	s.log = logstream.New(s.settings.LogURL, client)
+	s.vms = vmlist.New(s.settings.VMListURL, client)
+	return nil
+}
+
+// Validate checks the addresses.
+func (s *Service) Validate() error {
+	for key, value := range map[string]string{"log_url": s.settings.LogURL, "vm_list_url": s.settings.VMListURL} {
+		u, err := url.Parse(value)
+		if err != nil || u.Host == "" {
+			return fmt.Errorf("%s: want a URL such as \"http://10.0.0.5:7000\", have %q", key, value)
+		}
+	}
+	return nil
+}
+
+// Log returns the client of the log service.
+func (s *Service) Log() logstream.Log { return s.log }
+
+// VMList returns the client of the VM list.
+func (s *Service) VMList() vmlist.Source { return s.vms }
+
+// Identity says which VM this process is.
+type Identity struct {
+	VM         fleet.VM         `toml:"vm"`
+	DataCentre fleet.DataCentre `toml:"data_centre"`
+	Site       fleet.Site       `toml:"site"`
+}
+
+// Interface guards.
+var (
+	_ Platform           = (*Service)(nil)
+	_ kernel.Provisioner = (*Service)(nil)
+	_ kernel.Validator   = (*Service)(nil)
+)
