--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -102,8 +102,12 @@
 	ColdSlots int `toml:"cold_slots" json:"cold_slots"`
 	// ChecksFencing is true for a target that refuses orders, such as a model
 	// load, that carry an old fencing number.
-	ChecksFencing bool       `toml:"checks_fencing" json:"checks_fencing,omitempty"`
-	Mark          fleet.Mark `toml:"mark" json:"mark,omitempty"`
+	ChecksFencing bool `toml:"checks_fencing" json:"checks_fencing,omitempty"`
+	// Resumes is true for an engine that resumes a cut stream.
+	Resumes bool `toml:"resumes" json:"resumes,omitempty"`
+	// MovesCache is true for an engine that exports and imports KV cache.
+	MovesCache bool       `toml:"moves_cache" json:"moves_cache,omitempty"`
+	Mark       fleet.Mark `toml:"mark" json:"mark,omitempty"`
 }
 
 // IsEngine reports whether the target is a model engine.
--- a/internal/kernel/env.go
+++ b/internal/kernel/env.go
@@ -7,9 +7,12 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 )
 
-// Env is the outside world of a process: clock, network, log and metrics.
+// Env is the outside world of a process: clock, network, log,
+// metrics and traces.
 // Services use it in place of the time and net packages, so that a test can
 // delay, cut or freeze a process.
 type Env struct {
@@ -17,6 +20,7 @@
 	Net     Network
 	Log     *logrus.Logger
 	Metrics metrics.Registry
+	Tracer  trace.Tracer
 	// Seed feeds the random choices of the process, such as jitter.
 	Seed uint64
 }
@@ -34,6 +38,9 @@
 	if e.Metrics == nil {
 		e.Metrics = metrics.NewRegistry()
 	}
+	if e.Tracer == nil {
+		e.Tracer = noop.NewTracerProvider().Tracer("")
+	}
 	if e.Seed == 0 {
 		e.Seed = uint64(e.Clock.Now().UnixNano())
 	}
