--- a/internal/service/platform/platform.go
+++ b/internal/service/platform/platform.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/url"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/platform/logstream"
 	"github.com/zinniafork/zinniafork/internal/platform/vmlist"
@@ -70,13 +69,6 @@
 // VMList returns the client of the VM list.
 func (s *Service) VMList() vmlist.Source { return s.vms }
 
-// Identity says which VM this process is.
-type Identity struct {
-	VM         fleet.VM         `toml:"vm"`
-	DataCentre fleet.DataCentre `toml:"data_centre"`
-	Site       fleet.Site       `toml:"site"`
-}
-
 // Interface guards.
 var (
 	_ Platform           = (*Service)(nil)
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,125 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Errors of the codec. All mean that the connection can't go on.
+var (
+	ErrTooLarge  = errors.New("frame is larger than the limit")
+	ErrMalformed = errors.New("frame is malformed")
+	ErrVersion   = errors.New("no protocol version in common")
+)
+
+// readStep bounds how much memory a length that was not yet followed by bytes
+// can claim.
+const readStep = 64 << 10
+
+// Append encodes f behind dst, length included.
+func Append(dst []byte, f *Frame) ([]byte, error) {
+	start := len(dst)
+	out := bytes.NewBuffer(append(dst, make([]byte, HeaderBytes)...))
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(out)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(f); err != nil {
+		return dst, fmt.Errorf("encode frame: %w", err)
+	}
+	data := out.Bytes()
+	binary.BigEndian.PutUint32(data[start:], uint32(len(data)-start-HeaderBytes))
+	return data, nil
+}
+
+// Reader reads frames from a connection.
+type Reader struct {
+	in    *bufio.Reader
+	limit int
+	buf   []byte
+}
+
+// NewReader returns a reader that refuses frames of more than limit bytes.
+func NewReader(in io.Reader, limit int) *Reader {
+	return &Reader{in: bufio.NewReader(in), limit: limit}
+}
+
+// Read returns the next frame and its size on the wire. The error is io.EOF
+// only when the connection ended between two frames.
+func (r *Reader) Read() (Frame, int, error) {
+	var header [HeaderBytes]byte
+	if _, err := io.ReadFull(r.in, header[:]); err != nil {
+		return Frame{}, 0, err
+	}
+	size := int(binary.BigEndian.Uint32(header[:]))
+	if size > r.limit {
+		return Frame{}, HeaderBytes, fmt.Errorf("%w: %d bytes, limit %d", ErrTooLarge, size, r.limit)
+	}
+	if err := r.fill(size); err != nil {
+		return Frame{}, HeaderBytes, err
+	}
+	var f Frame
+	if err := Unmarshal(r.buf[:size], &f); err != nil {
+		return Frame{}, HeaderBytes + size, err
+	}
+	if !f.Type.Valid() {
+		return Frame{}, HeaderBytes + size, fmt.Errorf("%w: type %d", ErrMalformed, f.Type)
+	}
+	return f, HeaderBytes + size, nil
+}
+
+// fill reads size bytes into the buffer, which grows only as bytes arrive.
+func (r *Reader) fill(size int) error {
+	for have := 0; have < size; {
+		step := min(size-have, readStep)
+		if len(r.buf) < have+step {
+			r.buf = append(r.buf[:have], make([]byte, step)...)
+		}
+		if _, err := io.ReadFull(r.in, r.buf[have:have+step]); err != nil {
+			return fmt.Errorf("read frame: %w", err)
+		}
+		have += step
+	}
+	return nil
+}
+
+// Marshal encodes the body of a frame.
+func Marshal(v any) ([]byte, error) {
+	data, err := msgpack.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("encode frame body: %w", err)
+	}
+	return data, nil
+}
+
+// Unmarshal decodes a frame or the body of one. Bytes behind the value are an
+// error.
+func Unmarshal(data []byte, v any) error {
+	in := bytes.NewReader(data)
+	dec := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(dec)
+	dec.Reset(in)
+	if err := dec.Decode(v); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if in.Len() > 0 {
+		return fmt.Errorf("%w: %d bytes behind the value", ErrMalformed, in.Len())
+	}
+	return nil
+}
+
+// Negotiate returns the highest version that both sides speak.
+func Negotiate(a, b Hello) (int, error) {
+	version := min(a.MaxVersion, b.MaxVersion)
+	if version < max(a.MinVersion, b.MinVersion) {
+		return 0, fmt.Errorf("%w: %d to %d here, %d to %d there",
+			ErrVersion, a.MinVersion, a.MaxVersion, b.MinVersion, b.MaxVersion)
+	}
+	return version, nil
+}
