Give the lab a way to publish configuration

Cause: the demo and the stand-in append raw text to the configuration stream, so the record format could not change without breaking them. The record is still the whole text.

--- a/cmd/zf-standin/main.go
+++ b/cmd/zf-standin/main.go
@@ -47,7 +47,7 @@
 		if err != nil {
 			return fmt.Errorf("read configuration: %w", err)
 		}
-		s.Append(configsync.Stream, data)
+		s.Append(configsync.Stream, configsync.Genesis(data))
 	}
 	return serve(ctx, c.Listen, s.Handler())
 }
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -51,7 +51,7 @@
 		servers = append(servers, s)
 		urls = append(urls, s.URL())
 	}
-	log.Append(configsync.Stream, demoConfig(urls[2], urls[3]))
+	log.Append(configsync.Stream, configsync.Genesis(demoConfig(urls[2], urls[3])))
 
 	file, err := settings.Parse("demo", fmt.Appendf(nil, "[platform]\nlog_url = %q\nvm_list_url = %q\n", urls[0], urls[1]))
 	if err != nil {
