Add the transport between routers

Before: an interface alone. After: one multiplexed TCP connection for each pair with credit flow control, probes of silent connections, checked answers, mutual TLS and bytes counted by kind. Two connections of one pair are told apart by the number that the dialer last knew of. A retired connection first closed as soon as it was idle on one side; a call that was being opened on the other side was lost with it (seen in the test of simultaneous dials). Each side now tells when it opens no more streams.

--- a/internal/service/peer/peer.go
+++ b/internal/service/peer/peer.go
@@ -23,6 +23,10 @@
 	KindOrders    Kind = "orders"
 )
 
+// KindTransport counts what the connections themselves need: hello, ping and
+// frames that belong to no stream any more.
+const KindTransport Kind = "transport"
+
 // Kinds of requests that run on another router.
 const (
 	KindRun    Kind = "run"
@@ -49,7 +53,8 @@
 	HandleControl(kind Kind, h ControlHandler)
 
 	// Query sends a small request and waits for its answer. The error is a
-	// *call.Error; its Run is call.RunNot only when the query was not sent.
+	// *call.Error; its Run is call.RunNot only when the other router says so
+	// or no byte of the query was sent to it.
 	Query(ctx context.Context, to fleet.VM, kind Kind, payload []byte) ([]byte, error)
 	HandleQuery(kind Kind, h QueryHandler)
 
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -38,6 +38,9 @@
 	// TypeGoAway tells that its sender takes no new streams on the
 	// connection; its body is a GoAway.
 	TypeGoAway
+	// TypeDone tells that its sender opens no more streams on the connection
+	// and waits for none.
+	TypeDone
 	// TypeControl carries a one-way message of its Kind.
 	TypeControl
 	// TypeQuery opens a stream that is answered by TypeReply or TypeReset.
