Join the VM list with heartbeats into a membership view

Cause: routers need one view of who is alive before anything can be owned; the list alone lags and heartbeats alone can't tell a VM that was taken away. Before: interface only. After: pure view with flap damping, agreement on the list, ages relayed over a sparse graph (a death is seen by all of 120 routers within 13 periods, in a test), and a service that sends heartbeats, reads the list within a share of the control budget and stretches its period over budget.

--- /dev/null
+++ b/internal/core/membership/view_test.go
@@ -0,0 +1,212 @@
+package membership_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/core/membership"
+)
+
+const period = 500 * time.Millisecond
+
+var start = time.Unix(1_000_000, 0)
+
+func row(name fleet.VM) fleet.VMInfo {
+	return fleet.VMInfo{VM: name, DataCentre: "dc1", Site: "gent", State: fleet.VMLive, PeerAddr: "127.0.0.1:1"}
+}
+
+func rows(names ...fleet.VM) []fleet.VMInfo {
+	var out []fleet.VMInfo
+	for _, name := range names {
+		out = append(out, row(name))
+	}
+	return out
+}
+
+func newView(self fleet.VM) *membership.View {
+	return membership.New(row(self), 1, membership.DefaultParams(period), start)
+}
+
+func beat(inc fleet.Incarnation) membership.Heartbeat {
+	return membership.Heartbeat{Incarnation: inc, Period: period}
+}
+
+func status(v *membership.View, name fleet.VM) membership.State {
+	for _, m := range v.Members() {
+		if m.VM == name {
+			return m.Status
+		}
+	}
+	return ""
+}
+
+func TestStates(t *testing.T) {
+	leavingRow := row("b")
+	leavingRow.State = fleet.VMLeaving
+	cases := []struct {
+		name  string
+		steps func(v *membership.View)
+		at    time.Duration
+		want  membership.State
+	}{
+		{"listed and never heard", func(*membership.View) {}, 0, membership.StateJoining},
+		{"heard", func(v *membership.View) { v.Hear(start, "b", beat(1)) }, 0, membership.StateAlive},
+		{"silent", func(v *membership.View) { v.Hear(start, "b", beat(1)) }, 4 * period, membership.StateSuspect},
+		{"silent for long", func(v *membership.View) { v.Hear(start, "b", beat(1)) }, 7 * period, membership.StateDead},
+		{"slow by its own word", func(v *membership.View) {
+			v.Hear(start, "b", membership.Heartbeat{Incarnation: 1, Period: 4 * period})
+		}, 7 * period, membership.StateAlive},
+		{"leaves by its own word", func(v *membership.View) {
+			v.Hear(start, "b", membership.Heartbeat{Incarnation: 1, Period: period, Leaving: true})
+		}, 0, membership.StateLeaving},
+		{"leaves by the list", func(v *membership.View) {
+			v.Hear(start, "b", beat(1))
+			v.ApplyList(start, []fleet.VMInfo{row("a"), leavingRow})
+		}, 0, membership.StateLeaving},
+		{"dropped from the list", func(v *membership.View) {
+			v.Hear(start, "b", beat(1))
+			v.ApplyList(start, rows("a"))
+		}, 0, membership.StateJoining},
+		{"list empty", func(v *membership.View) {
+			v.Hear(start, "b", beat(1))
+			v.ApplyList(start, nil)
+		}, 0, membership.StateAlive},
+		{"older process", func(v *membership.View) {
+			v.Hear(start, "b", beat(2))
+			v.Hear(start.Add(3*period), "b", beat(1))
+		}, 4 * period, membership.StateSuspect},
+		{"new process after leaving", func(v *membership.View) {
+			v.Hear(start, "b", membership.Heartbeat{Incarnation: 1, Period: period, Leaving: true})
+			v.Hear(start, "b", beat(2))
+		}, 0, membership.StateAlive},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			v := newView("a")
+			v.ApplyList(start, rows("a", "b"))
+			c.steps(v)
+			v.Tick(start.Add(c.at))
+			must.Eq(t, c.want, status(v, "b"))
+			must.Eq(t, membership.StateAlive, status(v, "a"))
+		})
+	}
+}
+
+func TestFlappingPeerIsHeldBack(t *testing.T) {
+	v := newView("a")
+	v.ApplyList(start, rows("a", "b"))
+	now := start
+	for range 4 {
+		v.Hear(now, "b", beat(1))
+		now = now.Add(4 * period)
+		v.Tick(now)
+	}
+	v.Hear(now, "b", beat(1))
+	must.Eq(t, membership.StateJoining, status(v, "b"))
+	for range 60 {
+		now = now.Add(period)
+		v.Hear(now, "b", beat(1))
+	}
+	must.Eq(t, membership.StateAlive, status(v, "b"))
+}
+
+func TestAgreement(t *testing.T) {
+	a, b := newView("a"), newView("b")
+	must.False(t, a.Agreed(start))
+	a.ApplyList(start, rows("a", "b"))
+	b.ApplyList(start, rows("a", "b", "c"))
+	a.Hear(start, "b", b.Own(start, period, false))
+	must.False(t, a.Agreed(start), must.Sprint("b has another list"))
+
+	a.ApplyList(start, rows("a", "b", "c"))
+	must.False(t, a.Agreed(start), must.Sprint("a's list changed just now"))
+	later := start.Add(membership.DefaultParams(period).SettleTime)
+	a.Hear(later, "b", b.Own(later, period, false))
+	must.True(t, a.Agreed(later))
+}
+
+// TestRelayFindsDeadRouter runs a fleet in which each router has few
+// neighbours and checks that all notice a death, and nothing else.
+func TestRelayFindsDeadRouter(t *testing.T) {
+	const n = 120
+	var names []fleet.VM
+	for i := range n {
+		names = append(names, fleet.VM(fmt.Sprintf("vm-%03d", i)))
+	}
+	views := make(map[fleet.VM]*membership.View)
+	neighbours := make(map[fleet.VM][]fleet.VM)
+	for _, name := range names {
+		views[name] = newView(name)
+		views[name].ApplyList(start, rows(names...))
+		neighbours[name] = membership.Neighbours(name, names, 16, 3)
+	}
+	now := start
+	round := func(dead fleet.VM) {
+		now = now.Add(period)
+		for _, from := range names {
+			if from == dead {
+				continue
+			}
+			hb := views[from].Own(now, period, true)
+			for _, to := range neighbours[from] {
+				views[to].Hear(now, from, hb)
+			}
+		}
+	}
+	for range 10 {
+		round("")
+	}
+	for _, name := range names {
+		must.Eq(t, membership.StateAlive, status(views[names[0]], name))
+	}
+	for range 6 + 4 + 3 {
+		round(names[7])
+	}
+	for _, name := range names {
+		if name != names[7] {
+			must.Eq(t, membership.StateDead, status(views[name], names[7]))
+			must.Eq(t, membership.StateAlive, status(views[name], names[8]))
+		}
+	}
+}
+
+func TestNeighboursAreMutual(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(t, "routers")
+		var names []fleet.VM
+		for i := range n {
+			names = append(names, fleet.VM(fmt.Sprint("vm", i)))
+		}
+		for _, a := range names {
+			for _, b := range membership.Neighbours(a, names, 16, 3) {
+				back := membership.Neighbours(b, names, 16, 3)
+				must.SliceContains(t, back, a)
+				must.NotEq(t, a, b)
+			}
+		}
+	})
+}
+
+func TestPacerStretchesBeforeItSheds(t *testing.T) {
+	p := membership.NewPacer()
+	for range 5 {
+		p.Observe(6000, time.Second, 3000)
+		must.Eq(t, 0, p.Shed())
+	}
+	must.Greater(t, period, p.Period(period))
+	for range 10 {
+		p.Observe(6000, time.Second, 3000)
+	}
+	must.Eq(t, 4*period, p.Period(period))
+	must.Greater(t, 0, p.Shed())
+	for range 30 {
+		p.Observe(100, time.Second, 3000)
+	}
+	must.Eq(t, period, p.Period(period))
+	must.Eq(t, 0, p.Shed())
+}
--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -5,45 +5,55 @@
 import (
 	"time"
 
+	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/core/membership"
 )
 
 // Name is the service's name in the kernel.
 const Name = "members"
 
 // State is a router's state in the view of another one.
-type State string
+type State = membership.State
 
 // States of a router.
 const (
-	StateJoining State = "joining"
-	StateAlive   State = "alive"
-	StateSuspect State = "suspect"
-	StateDead    State = "dead"
-	StateLeaving State = "leaving"
+	StateJoining = membership.StateJoining
+	StateAlive   = membership.StateAlive
+	StateSuspect = membership.StateSuspect
+	StateDead    = membership.StateDead
+	StateLeaving = membership.StateLeaving
 )
 
 // Member is one router as this one sees it.
-type Member struct {
-	fleet.VMInfo
-	Incarnation fleet.Incarnation `json:"incarnation"`
-	Status      State             `json:"status"`
-	// LastHeard is the time of the last heartbeat, zero when none came.
-	LastHeard time.Time `json:"last_heard"`
-	// Listed is true while the VM list names the VM.
-	Listed bool `json:"listed"`
-}
+type Member = membership.Member
 
 // Snapshot is one immutable view. Members are sorted by VM name and include
 // this router.
 type Snapshot struct {
 	At      time.Time `json:"at"`
 	Members []Member  `json:"members"`
+	// HasList is true once the VM list has been read.
+	HasList bool `json:"has_list"`
+	// Agreed is true while all routers that are heard have the same VM list
+	// and none of them has seen it change lately.
+	Agreed bool `json:"agreed"`
+}
+
+// Find returns the member of that name.
+func (s *Snapshot) Find(vm fleet.VM) (Member, bool) {
+	for _, m := range s.Members {
+		if m.VM == vm {
+			return m, true
+		}
+	}
+	return Member{}, false
 }
 
 // Extension adds a small part to every heartbeat. Parts with the lowest
 // Priority number are kept when the control budget is short.
 type Extension struct {
+	// Key names the part; short keys keep heartbeats small.
 	Key      string
 	Priority int
 	// Produce returns the part to send to one peer, nil for none. It must not
@@ -61,10 +71,17 @@
 	Incarnation() fleet.Incarnation
 	// Snapshot returns the current view.
 	Snapshot() *Snapshot
-	// Watch calls f after each change of the view, in order. It must be
-	// called while services are provisioned.
+	// Watch calls f after changes of the view, in order, on one goroutine;
+	// changes that come close together are one call. It must be called while
+	// services are provisioned.
 	Watch(f func(*Snapshot))
 	// Attach adds a part to heartbeats. It must be called while services are
 	// provisioned.
 	Attach(e Extension)
+	// Beat sends a heartbeat to all neighbours now, for news that can't wait.
+	Beat()
+	// Leave tells the other routers that this one drains.
+	Leave()
+	// Tune sets the rules of control traffic.
+	Tune(c config.Control)
 }
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -89,13 +89,17 @@
 	return nil
 }
 
-// Marshal encodes the body of a frame.
+// Marshal encodes the body of a frame, with integers in their shortest form.
 func Marshal(v any) ([]byte, error) {
-	data, err := msgpack.Marshal(v)
-	if err != nil {
+	var out bytes.Buffer
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&out)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
 		return nil, fmt.Errorf("encode frame body: %w", err)
 	}
-	return data, nil
+	return out.Bytes(), nil
 }
 
 // Unmarshal decodes a frame or the body of one. Bytes behind the value are an
