--- /dev/null
+++ b/internal/service/peer/silence_test.go
@@ -0,0 +1,142 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/zinniafork/zinniafork/internal/call"
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/kernel/kerneltest"
+)
+
+// slowly answers with one part each period.
+func slowly(period time.Duration, parts int) CallHandler {
+	return func(ctx context.Context, from fleet.VM, req *call.Request, sink call.Sink) error {
+		for range parts {
+			select {
+			case <-time.After(period):
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		return echo(ctx, from, req, sink)
+	}
+}
+
+func TestSilentConnectionIsNoticedAndReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := kerneltest.NewNetwork()
+		a := startRouter(t, "a", network, "", nil)
+		b := startRouter(t, "b", network, "", func(s *Service) {
+			s.HandleCall(KindRun, slowly(time.Minute, 1))
+			s.HandleCall(KindSubmit, echo)
+		})
+		introduceAll(t, a, b)
+		answer := make(chan error, 1)
+		go func() {
+			answer <- a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r", Attempt: 1}, new(recorded))
+		}()
+		synctest.Wait()
+		start := time.Now()
+		network.SilenceOpen()
+		var e *call.Error
+		must.True(t, errors.As(<-answer, &e))
+		must.Eq(t, call.RunUnknown, e.Run)
+		must.ErrorIs(t, e, errSilent)
+		limit := a.settings.Ping.Std() + a.settings.Silence.Std() + 2*tickPeriod
+		must.Between(t, a.settings.Silence.Std(), time.Since(start), limit)
+
+		must.NoError(t, a.Call(t.Context(), "b", KindSubmit, &call.Request{ID: "r2"}, new(recorded)))
+	})
+}
+
+func TestSlowButAliveAnswerIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := kerneltest.NewNetwork()
+		a := startRouter(t, "a", network, "", nil)
+		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, slowly(time.Second, 100)) })
+		introduceAll(t, a, b)
+		must.NoError(t, a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r", Attempt: 1}, new(recorded)))
+		must.Eq(t, 0, a.count("connections_silent")+b.count("connections_silent"))
+	})
+}
+
+func TestIdleConnectionCostsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := kerneltest.NewNetwork()
+		a := startRouter(t, "a", network, "", nil)
+		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, echo) })
+		introduceAll(t, a, b)
+		must.NoError(t, a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r"}, new(recorded)))
+		time.Sleep(10 * time.Second)
+		before := a.total()
+		time.Sleep(time.Hour)
+		must.Eq(t, before, a.total())
+	})
+}
+
+func TestIdleSilentConnectionIsProbedBeforeUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := kerneltest.NewNetwork()
+		a := startRouter(t, "a", network, "", nil)
+		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, echo) })
+		introduceAll(t, a, b)
+		must.NoError(t, a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r"}, new(recorded)))
+		time.Sleep(time.Hour)
+		network.SilenceOpen()
+		start := time.Now()
+		err := a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r2"}, new(recorded))
+		must.ErrorIs(t, err, errSilent)
+		must.Between(t, 0, time.Since(start), a.settings.Silence.Std()+2*tickPeriod)
+	})
+}
+
+func TestDeadlineTravelsAsTimeLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := kerneltest.NewNetwork()
+		left := make(chan time.Duration, 1)
+		a := startRouter(t, "a", network, "", nil)
+		b := startRouter(t, "b", network, "", func(s *Service) {
+			s.HandleCall(KindRun, func(ctx context.Context, _ fleet.VM, req *call.Request, _ call.Sink) error {
+				left <- time.Until(req.Deadline)
+				<-ctx.Done()
+				return &call.Error{Code: call.CodeDeadline, Step: "queue", Run: call.RunNot, Message: "deadline passed in the queue"}
+			})
+		})
+		introduceAll(t, a, b)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		req := &call.Request{ID: "r", Deadline: time.Now().Add(3 * time.Second)}
+		err := a.Call(ctx, "b", KindRun, req, new(recorded))
+		must.Eq(t, 3*time.Second, <-left)
+		var e *call.Error
+		must.True(t, errors.As(err, &e))
+		must.Eq(t, call.RunNot, e.Run, must.Sprint("the other router's word counts, also at the deadline"))
+	})
+}
+
+func TestUnlistedRouterIsLeftAfterTheGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := kerneltest.NewNetwork()
+		a := startRouter(t, "a", network, "", nil)
+		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, slowly(time.Minute, 1)) })
+		introduceAll(t, a, b)
+		answer := make(chan error, 1)
+		go func() {
+			answer <- a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r"}, new(recorded))
+		}()
+		synctest.Wait()
+		a.SetPeers(nil)
+		time.Sleep(40 * time.Second)
+		must.Eq(t, 1, len(a.links.all()), must.Sprint("the running answer keeps its connection"))
+		must.NoError(t, <-answer)
+		time.Sleep(time.Second)
+		must.Eq(t, 0, len(a.links.all()))
+		must.Eq(t, 0, len(b.links.all()))
+	})
+}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -9,6 +9,8 @@
 	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/zinniafork/zinniafork/internal/call"
 )
 
 // Errors of the codec. All mean that the connection can't go on.
@@ -38,6 +40,58 @@
 	return data, nil
 }
 
+// frameFields is the length of the array that a frame is encoded as.
+const frameFields = 7
+
+// EncodeMsgpack writes the frame as an array.
+func (f *Frame) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return errors.Join(
+		enc.EncodeArrayLen(frameFields),
+		enc.EncodeUint8(uint8(f.Type)),
+		enc.EncodeUint(f.Stream),
+		enc.EncodeString(f.Kind),
+		enc.EncodeString(string(f.Request)),
+		enc.EncodeUint(uint64(f.Attempt)),
+		enc.EncodeUint(f.Offset),
+		enc.EncodeBytes(f.Body),
+	)
+}
+
+// DecodeMsgpack reads the frame from an array, which may be longer than this
+// version knows.
+func (f *Frame) DecodeMsgpack(dec *msgpack.Decoder) error {
+	n, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n < frameFields {
+		return fmt.Errorf("%d fields, want at least %d", n, frameFields)
+	}
+	f.Type = Type(decodeField(&err, dec.DecodeUint8))
+	f.Stream = decodeField(&err, dec.DecodeUint64)
+	f.Kind = decodeField(&err, dec.DecodeString)
+	f.Request = call.ID(decodeField(&err, dec.DecodeString))
+	f.Attempt = call.Attempt(decodeField(&err, dec.DecodeUint32))
+	f.Offset = decodeField(&err, dec.DecodeUint64)
+	f.Body = decodeField(&err, dec.DecodeBytes)
+	for range n - frameFields {
+		if err != nil {
+			return err
+		}
+		err = dec.Skip()
+	}
+	return err
+}
+
+// decodeField decodes one field unless an earlier one failed.
+func decodeField[T any](err *error, decode func() (T, error)) T {
+	var v T
+	if *err == nil {
+		v, *err = decode()
+	}
+	return v
+}
+
 // Reader reads frames from a connection.
 type Reader struct {
 	in    *bufio.Reader
@@ -82,6 +136,9 @@
 			r.buf = append(r.buf[:have], make([]byte, step)...)
 		}
 		if _, err := io.ReadFull(r.in, r.buf[have:have+step]); err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
 			return fmt.Errorf("read frame: %w", err)
 		}
 		have += step
@@ -102,6 +159,12 @@
 	return out.Bytes(), nil
 }
 
+// Interface guards.
+var (
+	_ msgpack.CustomEncoder = (*Frame)(nil)
+	_ msgpack.CustomDecoder = (*Frame)(nil)
+)
+
 // Unmarshal decodes a frame or the body of one. Bytes behind the value are an
 // error.
 func Unmarshal(data []byte, v any) error {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -68,8 +68,6 @@
 // Frame is one message on a connection. Request and Attempt name the call that
 // a frame belongs to, on every frame of a call.
 type Frame struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
-
 	Type Type
 	// Stream is odd for streams that the dialer opened and even for those of
 	// the acceptor; zero for frames of no stream.
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,187 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/zinniafork/zinniafork/internal/call"
+)
+
+func TestFramesComeBackAsSent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		frames := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Frame {
+			return Frame{
+				Type:    Type(rapid.IntRange(1, int(typeLimit)-1).Draw(t, "type")),
+				Stream:  rapid.Uint64().Draw(t, "stream"),
+				Kind:    rapid.String().Draw(t, "kind"),
+				Request: call.ID(rapid.String().Draw(t, "request")),
+				Attempt: call.Attempt(rapid.Uint32().Draw(t, "attempt")),
+				Offset:  rapid.Uint64().Draw(t, "offset"),
+				Body:    rapid.SliceOfN(rapid.Byte(), 1, 300_000).Draw(t, "body"),
+			}
+		}), 1, 4).Draw(t, "frames")
+		var data []byte
+		var err error
+		for i := range frames {
+			data, err = Append(data, &frames[i])
+			must.NoError(t, err)
+		}
+		in := NewReader(bytes.NewReader(data), DefaultMaxFrameBytes)
+		total := 0
+		for _, want := range frames {
+			got, size, err := in.Read()
+			must.NoError(t, err)
+			must.Eq(t, want, got)
+			total += size
+		}
+		must.Eq(t, len(data), total)
+		_, _, err = in.Read()
+		must.ErrorIs(t, err, io.EOF)
+	})
+}
+
+func TestCutFrameIsAnError(t *testing.T) {
+	data, err := Append(nil, &Frame{Type: TypeControl, Kind: "k", Body: []byte("abc")})
+	must.NoError(t, err)
+	for n := 1; n < len(data); n++ {
+		_, _, err := NewReader(bytes.NewReader(data[:n]), DefaultMaxFrameBytes).Read()
+		must.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	}
+}
+
+func TestLaterVersionsMayAddFields(t *testing.T) {
+	data, err := Marshal([]any{TypePing, 0, "", "", 0, 0, nil, "a later field", 7})
+	must.NoError(t, err)
+	var f Frame
+	must.NoError(t, Unmarshal(data, &f))
+	must.Eq(t, TypePing, f.Type)
+}
+
+func FuzzRead(f *testing.F) {
+	good, _ := Append(nil, &Frame{Type: TypeChunk, Stream: 1, Request: "r", Offset: 7, Body: []byte("abc")})
+	f.Add(good)
+	f.Add([]byte{0, 0, 0, 3, 0xc1, 0xc1, 0xc1})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		in := NewReader(bytes.NewReader(data), 1<<16)
+		for {
+			frame, size, err := in.Read()
+			if err != nil {
+				return
+			}
+			if !frame.Type.Valid() || size > HeaderBytes+1<<16 {
+				t.Fatalf("frame of type %d and %d bytes", frame.Type, size)
+			}
+			if _, err := Append(nil, &frame); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
+
+func TestNegotiate(t *testing.T) {
+	cases := []struct {
+		name       string
+		a, b       Hello
+		version    int
+		compatible bool
+	}{
+		{"same", Hello{MinVersion: 1, MaxVersion: 1}, Hello{MinVersion: 1, MaxVersion: 1}, 1, true},
+		{"newer and older", Hello{MinVersion: 1, MaxVersion: 3}, Hello{MinVersion: 1, MaxVersion: 2}, 2, true},
+		{"touching", Hello{MinVersion: 2, MaxVersion: 3}, Hello{MinVersion: 1, MaxVersion: 2}, 2, true},
+		{"apart", Hello{MinVersion: 3, MaxVersion: 4}, Hello{MinVersion: 1, MaxVersion: 2}, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, pair := range [][2]Hello{{c.a, c.b}, {c.b, c.a}} {
+				version, err := Negotiate(pair[0], pair[1])
+				must.Eq(t, c.version, version)
+				must.Eq(t, c.compatible, err == nil)
+			}
+		})
+	}
+}
+
+func TestWindowTakesEachNumberOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var w Window
+		taken := make(map[uint64]bool)
+		var highest uint64
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			base := highest
+			low := uint64(0)
+			if base > 2*replayWindow {
+				low = base - 2*replayWindow
+			}
+			n := rapid.Uint64Range(low/2, base/2+2*replayWindow).Draw(t, "n") * 2
+			old := n/2+replayWindow <= highest/2
+			must.Eq(t, !old && !taken[n], w.Take(n))
+			taken[n] = true
+			highest = max(highest, n)
+		}
+	})
+}
+
+func TestAnswerTable(t *testing.T) {
+	body := []byte("abcdef")
+	head := &Frame{Type: TypeHead, Request: "r", Attempt: 1}
+	chunk := func(offset, end uint64) *Frame {
+		return &Frame{Type: TypeChunk, Request: "r", Attempt: 1, Offset: offset, Body: body[offset:end]}
+	}
+	last := &Frame{Type: TypeEnd, Request: "r", Attempt: 1}
+	cases := []struct {
+		name   string
+		resume uint64
+		frames []*Frame
+		want   []Verdict
+	}{
+		{"whole", 0, []*Frame{head, chunk(0, 3), chunk(3, 6), last}, []Verdict{Accept, Accept, Accept, Accept}},
+		{"resumed", 3, []*Frame{head, chunk(3, 6), last}, []Verdict{Accept, Accept, Accept}},
+		{"resumed at the end", 6, []*Frame{head, last}, []Verdict{Accept, Accept}},
+		{"resumed from the start", 3, []*Frame{head, chunk(0, 6), last}, []Verdict{Accept, Accept, Accept}},
+		{"resumed elsewhere", 2, []*Frame{head, chunk(3, 6)}, []Verdict{Accept, Broken}},
+		{"repeated chunk", 0, []*Frame{head, chunk(0, 3), chunk(0, 3), chunk(3, 6), last}, []Verdict{Accept, Accept, DropRepeated, Accept, Accept}},
+		{"repeated head", 0, []*Frame{head, head}, []Verdict{Accept, DropRepeated}},
+		{"repeated end", 0, []*Frame{head, chunk(0, 6), last, last}, []Verdict{Accept, Accept, Accept, DropRepeated}},
+		{"gap", 0, []*Frame{head, chunk(0, 2), chunk(3, 6)}, []Verdict{Accept, Accept, Broken}},
+		{"short", 0, []*Frame{head, chunk(0, 3), last}, []Verdict{Accept, Accept, Broken}},
+		{"chunk before the head", 0, []*Frame{chunk(0, 3)}, []Verdict{Broken}},
+		{"end before the head", 0, []*Frame{last}, []Verdict{Broken}},
+		{"chunk after the end", 0, []*Frame{head, chunk(0, 6), last, chunk(0, 3)}, []Verdict{Accept, Accept, Accept, Broken}},
+		{"other request", 0, []*Frame{{Type: TypeHead, Request: "s", Attempt: 1}, head}, []Verdict{DropCrossed, Accept}},
+		{"other attempt", 0, []*Frame{head, {Type: TypeChunk, Request: "r", Attempt: 2, Body: body}}, []Verdict{Accept, DropCrossed}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := NewAnswer("r", c.resume)
+			end := call.End{Length: 6, Digest: xxhash.Sum64(body)}
+			for i, f := range c.frames {
+				var got Verdict
+				switch f.Type {
+				case TypeHead:
+					got = a.Head(f)
+				case TypeChunk:
+					got = a.Chunk(f)
+				default:
+					got, _ = a.End(f, end)
+				}
+				must.Eq(t, c.want[i], got, must.Sprintf("frame %d", i))
+			}
+		})
+	}
+}
+
+func TestWrongDigestBreaksTheAnswer(t *testing.T) {
+	a := NewAnswer("r", 0)
+	must.Eq(t, Accept, a.Head(&Frame{Request: "r"}))
+	must.Eq(t, Accept, a.Chunk(&Frame{Request: "r", Body: []byte("abc")}))
+	v, err := a.End(&Frame{Request: "r"}, call.End{Length: 3, Digest: 1})
+	must.Eq(t, Broken, v)
+	must.True(t, errors.Is(err, ErrMalformed))
+}
