Add the state machine of configuration versions

Cause: configsync took every record as a whole configuration, so racing operators overwrote each other and a late record went back. Not on the running path yet.

--- /dev/null
+++ b/internal/core/configstate/state_test.go
@@ -0,0 +1,436 @@
+package configstate
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+)
+
+func kinds(events []Event) []EventKind {
+	out := make([]EventKind, 0, len(events))
+	for _, e := range events {
+		out = append(out, e.Kind)
+	}
+	return out
+}
+
+func text(s *State, scope Scope) string {
+	_, docs := s.Current()
+	out, _ := docs.Text(scope)
+	return out
+}
+
+func TestFirstChildWins(t *testing.T) {
+	log, ada, bo := newFakeLog(), New(), New()
+	mustPublish(log, ada, Base, "a = 0\n", "genesis")
+	log.catchUp(bo)
+	first, err := log.publish(ada, Base, "a = 1\n", "first")
+	must.NoError(t, err)
+	second, err := log.publish(bo, Overlay("gent"), "a = 2\n", "second")
+	must.NoError(t, err)
+	for _, s := range []*State{ada, bo} {
+		must.Eq(t, []EventKind{EventAccepted, EventRejected}, kinds(log.catchUp(s)))
+		must.Eq(t, "a = 1\n", text(s, Base))
+		step, fate := first.Next(s, log.now())
+		must.Eq(t, StepAccepted, step)
+		must.Eq(t, uint64(1), fate.Entry.Version.Offset)
+		step, fate = second.Next(s, log.now())
+		must.Eq(t, StepLost, step)
+		must.ErrorIs(t, fate.Err, ErrLost)
+		must.Eq(t, "first", fate.Entry.Nonce)
+	}
+}
+
+func TestProposals(t *testing.T) {
+	log, s := newFakeLog(), New()
+	mustPublish(log, s, Base, "a = 0\n", "genesis")
+	old, _ := s.Current()
+	mustPublish(log, s, Base, "a = 1\n", "one")
+	cases := []struct {
+		name string
+		p    Proposal
+		want error
+	}{
+		{"stale parent", Proposal{Scope: Base, Text: "a = 2\n", Nonce: "n", Parent: &old.Version}, ErrStale},
+		{"no change", Proposal{Scope: Base, Text: "a = 1\n", Nonce: "n"}, ErrUnchanged},
+		{"no nonce", Proposal{Scope: Base, Text: "a = 2\n"}, ErrContent},
+		{"unknown scope", Proposal{Scope: "site/", Text: "a = 2\n", Nonce: "n"}, ErrContent},
+		{"too large", Proposal{Scope: Base, Text: string(make([]byte, MaxDocument+1)), Nonce: "n"}, ErrContent},
+		{"long comment", Proposal{Scope: Base, Text: "a = 2\n", Nonce: "n", Comment: string(make([]byte, maxNote+1))}, ErrContent},
+	}
+	for _, c := range cases {
+		_, err := s.Propose(c.p)
+		must.ErrorIs(t, err, c.want, must.Sprint(c.name))
+	}
+}
+
+// TestLostAppendAnswer covers an append whose answer was lost, with and
+// without effect, and an outage that another operator's change follows.
+func TestLostAppendAnswer(t *testing.T) {
+	cases := []struct {
+		name     string
+		effect   bool
+		rival    bool
+		want     Step
+		accepted int
+	}{
+		{"effect", true, false, StepAccepted, 2},
+		{"no effect", false, false, StepAccepted, 2},
+		{"effect, then a rival", true, true, StepAccepted, 2},
+		{"no effect, a rival first", false, true, StepLost, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			log, s, other := newFakeLog(), New(), New()
+			mustPublish(log, s, Base, "a = 0\n", "genesis")
+			log.catchUp(other)
+			p, err := s.Propose(Proposal{Scope: Base, Text: "a = 1\n", Author: "ada", Nonce: "mine"})
+			must.NoError(t, err)
+			if c.effect {
+				log.append(p.Record())
+			}
+			p.Unanswered(log.now())
+			step, _ := p.Next(s, log.now())
+			must.Eq(t, StepWait, step)
+			if c.rival {
+				_, err := log.publish(other, Base, "a = 9\n", "rival")
+				must.NoError(t, err)
+			}
+			// The record is appended again while nothing is known of it.
+			later := log.now().Add(maxRetry)
+			if step, _ := p.Next(s, later); step == StepAppend {
+				log.append(p.Record())
+			}
+			log.catchUp(s)
+			step, _ = p.Next(s, later)
+			must.Eq(t, c.want, step)
+			must.Eq(t, c.accepted, len(s.History()))
+		})
+	}
+}
+
+func TestDamagedRecordsChangeNothing(t *testing.T) {
+	log, s := newFakeLog(), New()
+	mustPublish(log, s, Base, "a = 0\n", "genesis")
+	p, err := s.Propose(Proposal{Scope: Base, Text: "a = 1\n", Author: "ada", Nonce: "n"})
+	must.NoError(t, err)
+	for i := range p.Record() {
+		flipped := slices.Clone(p.Record())
+		flipped[i] ^= 0x40
+		log.append(flipped)
+		log.append(p.Record()[:i])
+	}
+	log.append([]byte("a = 1\n"))
+	for _, e := range log.catchUp(s) {
+		must.Eq(t, EventRejected, e.Kind)
+		must.ErrorIs(t, e.Err, ErrFormat)
+	}
+	must.Eq(t, 1, len(s.History()))
+}
+
+// TestInvalidChildren gives the head children that decode and do not fit.
+func TestInvalidChildren(t *testing.T) {
+	cases := map[string]func(p *Publish){
+		"splice beyond the end": func(p *Publish) { p.Change.End = 100 },
+		"negative splice":       func(p *Publish) { p.Change.Start = -1 },
+		"other root":            func(p *Publish) { p.Change.Text = "a = 7\n" },
+		"scope":                 func(p *Publish) { p.Scope = "else" },
+		"nonce":                 func(p *Publish) { p.Nonce = "" },
+		"parent hash":           func(p *Publish) { p.Parent.Hash = "00" },
+		"parent in the future":  func(p *Publish) { p.Parent.Offset = 50 },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			log, s := newFakeLog(), New()
+			mustPublish(log, s, Base, "a = 0\n", "genesis")
+			head, docs := s.Current()
+			p := &Publish{
+				Scope: Base, Parent: head.Version, Nonce: "n",
+				Change: Difference("a = 0\n", "a = 1\n"), Root: docs.With(Base, "a = 1\n").Root(),
+			}
+			spoil(p)
+			data, err := EncodePublish(p)
+			must.NoError(t, err)
+			log.append(data)
+			must.Eq(t, []EventKind{EventRejected}, kinds(log.catchUp(s)))
+			mustPublish(log, s, Base, "a = 1\n", "good")
+			must.Eq(t, "a = 1\n", text(s, Base))
+		})
+	}
+}
+
+func TestPageOutOfOrder(t *testing.T) {
+	log, s := newFakeLog(), New()
+	writer := New()
+	for _, v := range []string{"a = 0\n", "a = 1\n", "a = 2\n"} {
+		mustPublish(log, writer, Base, v, v)
+	}
+	page := log.page(0, 10)
+	page.Records = slices.Clone(page.Records)
+	slices.Reverse(page.Records)
+	s.Log(page, log.now(), log.now())
+	must.Eq(t, uint64(0), s.Position())
+	log.catchUp(s)
+	must.Eq(t, "a = 2\n", text(s, Base))
+}
+
+// TestRetention keeps the version's identity through snapshots while the log
+// drops every record below them.
+func TestRetention(t *testing.T) {
+	const retention = 24 * time.Hour
+	log, s := newFakeLog(), New()
+	mustPublish(log, s, Base, "a = 0\n", "genesis")
+	mustPublish(log, s, Overlay("gent"), "b = 1\n", "overlay")
+	want, _ := s.Current()
+	published := log.now()
+	must.False(t, s.SnapshotDue(published.Add(retention/4-time.Minute), retention, 0))
+	must.True(t, s.SnapshotDue(published.Add(retention/4), retention, 0))
+	must.False(t, s.SnapshotDue(published.Add(retention/4), retention, 3))
+	must.True(t, s.SnapshotDue(published.Add(retention*3/4), retention, 100))
+
+	offset := mustSnapshot(log, s)
+	log.catchUp(s)
+	must.False(t, s.SnapshotDue(log.now(), retention, 0))
+	log.earliest = offset
+	fresh := New()
+	must.Eq(t, []EventKind{EventGap, EventAnchored, EventAnchored}, kinds(log.catchUp(fresh)))
+	got, _ := fresh.Current()
+	must.Eq(t, want.Version, got.Version)
+	must.Eq(t, 2, len(fresh.History()))
+	must.Eq(t, "b = 1\n", text(fresh, Overlay("gent")))
+	mustPublish(log, fresh, Base, "a = 5\n", "next")
+	log.catchUp(s)
+	must.Eq(t, "a = 5\n", text(s, Base))
+}
+
+// TestSnapshotLandsLate lets a snapshot of an old state land after a newer
+// version: it must not bring the old state back to a reader that starts there.
+func TestSnapshotLandsLate(t *testing.T) {
+	log, s := newFakeLog(), New()
+	mustPublish(log, s, Base, "a = 0\n", "genesis")
+	late, err := s.Snapshot("late")
+	must.NoError(t, err)
+	mustPublish(log, s, Base, "a = 1\n", "one")
+	log.earliest = log.append(late)
+	fresh := New()
+	log.catchUp(fresh)
+	must.False(t, fresh.Anchored())
+	head, _ := fresh.Current()
+	must.Eq(t, "", head.Version.Hash)
+	log.catchUp(s)
+	mustSnapshot(log, s)
+	log.catchUp(fresh)
+	must.Eq(t, "a = 1\n", text(fresh, Base))
+}
+
+func TestDivergedSnapshotIsNoticed(t *testing.T) {
+	log, s := newFakeLog(), New()
+	mustPublish(log, s, Base, "a = 0\n", "genesis")
+	other := newFakeLog()
+	o := New()
+	mustPublish(other, o, Base, "a = 9\n", "other")
+	data, err := o.Snapshot("")
+	must.NoError(t, err)
+	log.append(data)
+	must.Eq(t, []EventKind{EventDiverged}, kinds(log.catchUp(s)))
+	must.Eq(t, "a = 0\n", text(s, Base))
+}
+
+// TestBootWhileLogIsDown starts a reader from peers and lets the log confirm
+// it, also when the log has lost every record meanwhile.
+func TestBootWhileLogIsDown(t *testing.T) {
+	log, s := newFakeLog(), New()
+	mustPublish(log, s, Base, "a = 0\n", "genesis")
+	mustPublish(log, s, Base, "a = 1\n", "one")
+	fresh, second := New(), New()
+	relay(t, s, fresh, log.now())
+	relay(t, fresh, second, log.now())
+	must.Eq(t, "a = 1\n", text(second, Base))
+	must.Eq(t, Version{}, second.Confirmed())
+
+	log.earliest = log.next()
+	log.catchUp(second)
+	must.True(t, second.Anchored())
+	must.True(t, second.SnapshotDue(log.now(), time.Hour, 8))
+	mustPublish(log, second, Base, "a = 2\n", "two")
+	log.catchUp(s)
+	must.Eq(t, "a = 2\n", text(s, Base))
+}
+
+func relay(t *testing.T, from, to *State, now time.Time) {
+	t.Helper()
+	have, _ := to.Current()
+	o, err := from.OfferTo(have.Version)
+	must.NoError(t, err)
+	_, err = to.Offer(o, now)
+	must.NoError(t, err)
+}
+
+// TestBadOffers gives a reader offers that are old, damaged, or do not follow
+// its version.
+func TestBadOffers(t *testing.T) {
+	log, s := newFakeLog(), New()
+	mustPublish(log, s, Base, "a = 0\n", "genesis")
+	older := New()
+	log.catchUp(older)
+	olderOffer, err := older.OfferTo(Version{})
+	must.NoError(t, err)
+	mustPublish(log, s, Base, "a = 1\n", "one")
+	head, _ := s.Current()
+
+	stranger, private := New(), newFakeLog()
+	for _, v := range []string{"a = 7\n", "a = 8\n", "a = 9\n"} {
+		mustPublish(private, stranger, Base, v, v)
+	}
+	chain := Offer{Records: private.records}
+	spoiled := snapshotOf(t, stranger, func(s *Snapshot) { s.Documents[0].Text = "a = 6\n" })
+	renumbered := snapshotOf(t, stranger, func(s *Snapshot) { s.Head.Version.Offset = 1000 })
+	cases := []struct {
+		name  string
+		offer Offer
+		want  error
+	}{
+		{"nothing", Offer{}, ErrOld},
+		{"older snapshot", olderOffer, ErrOld},
+		{"chain from another parent", chain, ErrLost},
+		{"snapshot that its hashes contradict", spoiled, ErrContent},
+		{"snapshot with another offset", renumbered, ErrContent},
+		{"garbage", Offer{Snapshot: []byte("zfc1s12345678")}, ErrFormat},
+		{"snapshot as record", Offer{Records: []Record{{Offset: 9, Data: olderOffer.Snapshot}}}, ErrFormat},
+	}
+	for _, c := range cases {
+		_, err := s.Offer(c.offer, log.now())
+		must.ErrorIs(t, err, c.want, must.Sprint(c.name))
+		got, _ := s.Current()
+		must.Eq(t, head.Version, got.Version)
+	}
+}
+
+func snapshotOf(t *testing.T, s *State, spoil func(*Snapshot)) Offer {
+	t.Helper()
+	snapshot := s.current().snapshot(100, "")
+	spoil(snapshot)
+	data, err := EncodeSnapshot(snapshot)
+	must.NoError(t, err)
+	return Offer{Snapshot: data}
+}
+
+// TestForgedVersion covers the ways in which the log corrects an invented
+// version that agrees with its own hashes.
+func TestForgedVersion(t *testing.T) {
+	cases := []struct {
+		name     string
+		snapshot bool
+		honest   int
+	}{
+		{"chain, another first child", false, 1},
+		{"snapshot, its offset holds another record", true, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			log, victim := newFakeLog(), New()
+			mustPublish(log, victim, Base, "a = 0\n", "genesis")
+			private, forger := newFakeLog(), New()
+			private.records = slices.Clone(log.records)
+			private.catchUp(forger)
+			mustPublish(private, forger, Base, "forged = 1\n", "f1")
+			mustPublish(private, forger, Base, "forged = 2\n", "f2")
+			offer := snapshotOf(t, forger, func(*Snapshot) {})
+			if !c.snapshot {
+				offer = Offer{Records: private.records[1:]}
+			}
+			events, err := victim.Offer(offer, log.now())
+			must.NoError(t, err)
+			must.Eq(t, []EventKind{EventAhead}, kinds(events))
+			must.Eq(t, "forged = 2\n", text(victim, Base))
+
+			honest := New()
+			log.catchUp(honest)
+			for i := range c.honest {
+				mustPublish(log, honest, Base, "honest = "+string(rune('0'+i)), string(rune('0'+i)))
+			}
+			must.SliceContains(t, kinds(log.catchUp(victim)), EventCorrected)
+			must.Eq(t, text(honest, Base), text(victim, Base))
+			_, err = victim.Offer(offer, log.now())
+			must.Error(t, err)
+		})
+	}
+}
+
+func TestAheadIsConfirmedByTheLog(t *testing.T) {
+	log, s := newFakeLog(), New()
+	mustPublish(log, s, Base, "a = 0\n", "genesis")
+	slow := New()
+	log.catchUp(slow)
+	mustPublish(log, s, Base, "a = 1\n", "one")
+	mustPublish(log, s, Base, "a = 2\n", "two")
+	relay(t, s, slow, log.now())
+	must.Eq(t, "a = 2\n", text(slow, Base))
+	must.Eq(t, uint64(0), slow.Confirmed().Offset)
+	// A replica of the log that lags shows neither; that alone proves nothing.
+	now := log.now().Add(time.Second)
+	stale := Page{Next: 1}
+	must.SliceEmpty(t, slow.Log(stale, now, now))
+	must.Eq(t, []EventKind{EventAccepted}, kinds(log.read(slow, 1)))
+	must.Eq(t, "a = 2\n", text(slow, Base))
+	log.catchUp(slow)
+	must.Eq(t, uint64(2), slow.Confirmed().Offset)
+	must.Nil(t, slow.ahead)
+}
+
+func TestVersionsBefore(t *testing.T) {
+	log, s := newFakeLog(), New()
+	for _, v := range []string{"a = 0\n", "a = 1\nb = 1\n", "b = 1\n"} {
+		mustPublish(log, s, Base, v, v)
+	}
+	mustPublish(log, s, Overlay("gent"), "c = 1\n", "gent")
+	for offset, want := range []string{"a = 0\n", "a = 1\nb = 1\n", "b = 1\n", "b = 1\n"} {
+		entry, docs, err := s.At(uint64(offset))
+		must.NoError(t, err)
+		got, _ := docs.Text(Base)
+		must.Eq(t, want, got)
+		must.Eq(t, entry.Root, docs.Root())
+	}
+	_, _, err := s.At(17)
+	must.Error(t, err)
+}
+
+func TestSpread(t *testing.T) {
+	at := time.Unix(1_800_000_000, 0)
+	own := Version{Offset: 5, Hash: sum("own")}
+	newer := DigestOf(Version{Offset: 7, Hash: sum("newer")}, 5)
+	s := NewSpread()
+	s.Heard("vm-1", DigestOf(own, 5), at)
+	s.Heard("vm-2", newer, at)
+	_, ok := s.Ask(own, at)
+	must.False(t, ok, must.Sprint("the log has the first chance"))
+	vm, ok := s.Ask(own, at.Add(FetchDelay))
+	must.True(t, ok)
+	must.Eq(t, fleet.VM("vm-2"), vm)
+	_, ok = s.Ask(own, at.Add(FetchDelay))
+	must.False(t, ok, must.Sprint("one peer at a time"))
+	s.Done("vm-2", false, at.Add(FetchDelay))
+	_, ok = s.Ask(own, at.Add(FetchDelay))
+	must.False(t, ok, must.Sprint("not the same peer at once"))
+	_, ok = s.Ask(own, at.Add(FetchDelay+fetchBackoff))
+	must.True(t, ok)
+	_, ok = NewSpread().Ask(Version{}, at)
+	must.False(t, ok)
+
+	_, ok = s.Diverged(own)
+	must.False(t, ok)
+	s.Heard("vm-3", DigestOf(Version{Offset: 5, Hash: sum("other")}, 5), at)
+	vm, ok = s.Diverged(own)
+	must.True(t, ok)
+	must.Eq(t, fleet.VM("vm-3"), vm)
+
+	decoded, err := DecodeDigest(newer.Encode())
+	must.NoError(t, err)
+	must.Eq(t, newer, decoded)
+	_, err = DecodeDigest([]byte("short"))
+	must.ErrorIs(t, err, ErrDigest)
+}
