Add the testbed, callers and checkers of the experiments

An experiment runs a whole site in one process, plays its callers and judges from the stand-ins' records and what callers received alone.

--- /dev/null
+++ b/internal/lab/caller/attempt.go
@@ -0,0 +1,92 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/lab/history"
+)
+
+// call is one HTTP request with a watch on its progress.
+type call struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	watch  *time.Timer
+}
+
+func newCall(ctx context.Context) *call {
+	ctx, cancel := context.WithCancel(ctx)
+	return &call{ctx: ctx, cancel: cancel, watch: time.AfterFunc(progressLimit, cancel)}
+}
+
+// progress starts the wait for the next byte.
+func (c *call) progress() { c.watch.Reset(progressLimit) }
+
+func (c *call) end() {
+	c.watch.Stop()
+	c.cancel()
+}
+
+// post sends a body. A body that can't be read again keeps the HTTP client
+// from repeating the request by itself.
+func (c *Client) post(ctx context.Context, url string, body []byte, header map[string]string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.GetBody = nil
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set("Authorization", "Bearer "+c.opt.Account.Key)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	return c.http.Do(r)
+}
+
+// failed ends an attempt that the caller's own side saw fail.
+func failed(a history.Attempt, err error) (history.Attempt, verdict) {
+	a.End = time.Now()
+	a.Err = err.Error()
+	a.Cut = !a.FirstByte.IsZero()
+	return a, verdict{avoid: true}
+}
+
+// refused reads an error answer.
+func refused(a history.Attempt, resp *http.Response) (history.Attempt, verdict) {
+	a.Status = resp.StatusCode
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return failed(a, err)
+	}
+	a.End = time.Now()
+	var out struct {
+		Error struct {
+			Code string      `json:"code"`
+			Step string      `json:"step"`
+			Run  history.Run `json:"run"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(data, &out) != nil {
+		a.Err = string(data[:min(len(data), maxErrorBytes)])
+	}
+	a.Code, a.Step, a.Run = out.Error.Code, out.Error.Step, out.Error.Run
+	v := verdict{after: retryAfter(resp)}
+	v.stop = resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests
+	return a, v
+}
+
+// maxErrorBytes is how much of an unreadable error answer is kept.
+const maxErrorBytes = 200
+
+func retryAfter(resp *http.Response) time.Duration {
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/lab/caller/load.go
@@ -0,0 +1,51 @@
+package caller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/lab/history"
+	"github.com/zinniafork/zinniafork/internal/lab/workload"
+)
+
+// Load sends planned requests at their times, whether or not earlier ones
+// have been answered.
+type Load struct {
+	Clients map[fleet.Account]*Client
+	Plan    []workload.Arrival
+}
+
+// Results are the requests of a load as their callers saw them.
+type Results struct {
+	Requests []history.Request
+	Direct   []history.Request
+}
+
+// Run sends the plan from start on and waits for all answers.
+func (l *Load) Run(ctx context.Context, start time.Time) Results {
+	var (
+		wg  sync.WaitGroup
+		mu  sync.Mutex
+		out Results
+	)
+	for _, a := range l.Plan {
+		intended := start.Add(a.At)
+		if !sleep(ctx, time.Until(intended)) {
+			break
+		}
+		wg.Go(func() {
+			r := l.Clients[a.Account.Name].Do(ctx, a, intended)
+			mu.Lock()
+			defer mu.Unlock()
+			if a.Direct {
+				out.Direct = append(out.Direct, r)
+				return
+			}
+			out.Requests = append(out.Requests, r)
+		})
+	}
+	wg.Wait()
+	return out
+}
--- /dev/null
+++ b/internal/lab/check/service/service.go
@@ -0,0 +1,101 @@
+// Package service measures service: the share of requests that were completed
+// once and in time, overall and by client account.
+package service
+
+import (
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/lab/check"
+	"github.com/zinniafork/zinniafork/internal/lab/history"
+)
+
+// Rules of this checker.
+const (
+	Rule        = "service"
+	RuleAccount = "service_min_account"
+)
+
+// Limits are the least service that an experiment must show. A zero limit is
+// not judged.
+type Limits struct {
+	// Overall is the least share over all requests that count.
+	Overall float64
+	// AccountGap is the most by which the worst account may be below the
+	// share over all.
+	AccountGap float64
+	// Without names accounts that don't count, such as one that surges.
+	Without map[fleet.Account]bool
+}
+
+// Result holds the shares.
+type Result struct {
+	Service    float64
+	MinAccount float64
+	// Worst is the account with the least service.
+	Worst fleet.Account
+	// Served and All count requests.
+	Served, All int
+}
+
+type tally struct{ served, all int }
+
+func (t tally) share() float64 {
+	if t.all == 0 {
+		return 1
+	}
+	return float64(t.served) / float64(t.all)
+}
+
+// Check measures a history and compares it with limits.
+func Check(h *history.History, limits Limits) (Result, []check.Violation) {
+	runs := make(map[string]int)
+	for _, r := range h.WorkerRuns {
+		runs[r.Key]++
+	}
+	var total tally
+	accounts := make(map[fleet.Account]tally)
+	for i := range h.Requests {
+		r := &h.Requests[i]
+		if limits.Without[r.Account] {
+			continue
+		}
+		t := accounts[r.Account]
+		t.all++
+		total.all++
+		if served(r, runs) {
+			t.served++
+			total.served++
+		}
+		accounts[r.Account] = t
+	}
+	out := Result{Service: total.share(), MinAccount: 1, Served: total.served, All: total.all}
+	for name, t := range accounts {
+		if share := t.share(); share < out.MinAccount || share == out.MinAccount && name < out.Worst {
+			out.MinAccount, out.Worst = share, name
+		}
+	}
+	return out, out.judge(limits)
+}
+
+// served reports whether a request was completed once and in time.
+func served(r *history.Request, runs map[string]int) bool {
+	if !r.Whole() || r.Answer != r.Want || r.Latency() > r.Limit {
+		return false
+	}
+	return r.Kind != history.KindOrder || runs[r.Key] == 1
+}
+
+func (out Result) judge(limits Limits) []check.Violation {
+	var log check.Log
+	if out.All == 0 {
+		log.Add(Rule, "no request was sent")
+	}
+	if out.Service < limits.Overall {
+		log.Add(Rule, "%d of %d requests completed once and in time, %.4f, want %.4f",
+			out.Served, out.All, out.Service, limits.Overall)
+	}
+	if limits.AccountGap > 0 && out.MinAccount < out.Service-limits.AccountGap {
+		log.Add(RuleAccount, "%s got %.4f, all together %.4f, allowed gap %.4f",
+			out.Worst, out.MinAccount, out.Service, limits.AccountGap)
+	}
+	return log.Violations
+}
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -69,6 +69,8 @@
 	Want   string
 	// Prompt is the chain of the chat's prompt, for the reuse oracle.
 	Prompt []Block
+	// Reply is the block that the right answer adds to the chat's prompt.
+	Reply Block
 }
 
 // Block is one part of a prompt: the hash of the prompt up to its end and its
@@ -114,6 +116,8 @@
 	FirstToken time.Time
 	Ended      time.Time
 	Whole      bool
+	// Refused is true when the engine ran nothing.
+	Refused bool
 	// PromptTokens counts the prompt, CachedTokens its part found in cache.
 	PromptTokens int
 	CachedTokens int
@@ -154,6 +158,14 @@
 	Err string
 }
 
+// Covers reports whether the mark was on the target at time t.
+func (m Mark) Covers(t fleet.Target, dc fleet.DataCentre, at time.Time) bool {
+	if m.Target != t && (m.DataCentre == "" || m.DataCentre != dc) {
+		return false
+	}
+	return Span{From: m.Accepted, To: m.Lifted}.Covers(at)
+}
+
 // Span is a time in which something was the case.
 type Span struct{ From, To time.Time }
 
@@ -168,7 +180,10 @@
 	Target     fleet.Target
 	DataCentre fleet.DataCentre
 	Slots      int
+	ColdSlots  int
 	Up         []Span
+	// TurnedCold holds the times at which it turned cold without warning.
+	TurnedCold []time.Time
 }
 
 // ConfigView is the version of the configuration that a router reported.
--- a/internal/standin/engined/server.go
+++ b/internal/standin/engined/server.go
@@ -79,3 +79,10 @@
 	s.cache = newPrefixCache(s.opt.CacheTokens)
 	s.batch.turnCold()
 }
+
+// WarmUp makes the engine bear its full load at once.
+func (s *Server) WarmUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.batch.limit = s.batch.slots
+}
