--- a/cmd/zf-lab/main.go
+++ b/cmd/zf-lab/main.go
@@ -13,6 +13,7 @@
 
 type command struct {
 	Demo    demoCommand      `cmd:"" help:"Run a small fleet in one process and send it work."`
+	Run     runCommand       `cmd:"" help:"Run one experiment and judge it."`
 	Version kong.VersionFlag `help:"Print the version."`
 }
 
--- a/internal/lab/check/overhead/overhead.go
+++ b/internal/lab/check/overhead/overhead.go
@@ -64,3 +64,16 @@
 	}
 	return out
 }
+
+// FirstToken returns a quantile, in percent, of the time from the intended
+// start of a chat request to its first token.
+func FirstToken(h *history.History, quantile float64) time.Duration {
+	out := hdrhistogram.New(lowest, highest, precision)
+	for i := range h.Requests {
+		r := &h.Requests[i]
+		if took := r.FirstByte(); r.Kind == history.KindChat && took > 0 {
+			_ = out.RecordValue(max(lowest, int64(took)))
+		}
+	}
+	return time.Duration(out.ValueAtQuantile(quantile))
+}
--- a/internal/lab/testbed/config.go
+++ b/internal/lab/testbed/config.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -127,6 +128,8 @@
 // change edits the rules and publishes them. The edit stays in the rules only
 // when it was accepted.
 func (b *Testbed) change(ctx context.Context, edit func(*rules)) error {
+	b.publishing.Lock()
+	defer b.publishing.Unlock()
 	b.mu.Lock()
 	next := b.rules.clone()
 	b.mu.Unlock()
@@ -161,18 +164,36 @@
 
 func (b *Testbed) logURL() string { return "http://" + b.fabric.Get(LogHost).Addr(platformPort) }
 
-// SetQueueLength publishes a change of a harmless rule under an author's
-// name, on top of the newest version.
-func (b *Testbed) SetQueueLength(ctx context.Context, author string, n int) error {
+// Race lets authors publish a change of a harmless rule at the same time and
+// returns how many were told that theirs was accepted.
+func (b *Testbed) Race(ctx context.Context, authors int) (accepted int, err error) {
+	b.publishing.Lock()
+	defer b.publishing.Unlock()
 	b.mu.Lock()
-	next := b.rules.clone()
+	base := b.rules.clone()
 	b.mu.Unlock()
-	next.queueLength = n
-	text, err := b.document(next)
-	if err != nil {
-		return err
+	var (
+		wg sync.WaitGroup
+		mu sync.Mutex
+	)
+	for i := range authors {
+		next := base.clone()
+		next.queueLength += i
+		text, err := b.document(next)
+		if err != nil {
+			return 0, err
+		}
+		wg.Go(func() {
+			if b.publish(ctx, fmt.Sprintf("%s-%d", Operator, i), text) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			accepted++
+		})
 	}
-	return b.publish(ctx, author, text)
+	wg.Wait()
+	return accepted, nil
 }
 
 // Lift takes a drain mark away again.
--- a/internal/lab/testbed/targets.go
+++ b/internal/lab/testbed/targets.go
@@ -18,7 +18,7 @@
 const (
 	prefill         = 20 * time.Millisecond
 	prefillPerToken = 100 * time.Microsecond
-	perToken        = 20 * time.Millisecond
+	perToken        = 25 * time.Millisecond
 	cacheTokens     = 24_000
 )
 
@@ -196,3 +196,6 @@
 	defer b.direct.mu.Unlock()
 	return "http://" + b.direct.host.Addr(targetPort)
 }
+
+// CacheTokens returns the prompt tokens that all engines together can cache.
+func (b *Testbed) CacheTokens() int { return cacheTokens * len(b.engines) }
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -54,6 +54,10 @@
 	log    *logd.Server
 	began  time.Time
 
+	logFaults *logFaults
+	// publishing lets one operator change the configuration at a time.
+	publishing sync.Mutex
+
 	mu      sync.Mutex
 	routers map[fleet.VM]*router
 	engines map[fleet.Target]*engine
@@ -95,7 +99,8 @@
 
 func (b *Testbed) start(ctx context.Context) error {
 	log := b.fabric.Host(LogHost, site.ZonePlatform)
-	if err := b.serve(ctx, log, platformPort, b.log.Handler()); err != nil {
+	b.logFaults = newLogFaults(b.log.Handler(), b.opt.Seed)
+	if err := b.serve(ctx, log, platformPort, b.logFaults); err != nil {
 		return err
 	}
 	b.fabric.Host(OperatorHost, site.ZonePlatform)
--- a/internal/lab/workload/workload.go
+++ b/internal/lab/workload/workload.go
@@ -59,14 +59,14 @@
 	minPause      = 500 * time.Millisecond
 	// answerTime stands for the time that an answer takes when the next turn
 	// is planned.
-	answerTime = 1200 * time.Millisecond
+	answerTime = 1500 * time.Millisecond
 	// systemPrompts is the number of different prompt prefixes of an account.
 	systemPrompts = 2
 	bytesPerToken = 4
 )
 
 // answerTokens are the lengths of answers: label checks, blurbs, long copy.
-var answerTokens = []int{6, 24, 24, 60}
+var answerTokens = []int{8, 32, 48, 96}
 
 // Plan returns the arrivals in order of time.
 func Plan(opt Options) []Arrival {
