--- a/internal/core/configstate/publication.go
+++ b/internal/core/configstate/publication.go
@@ -125,5 +125,8 @@
 	p.attempts++
 }
 
+// InDoubt reports whether an earlier append got no answer.
+func (p *Publication) InDoubt() bool { return p.attempts > 0 }
+
 // RetryAt returns the time before which Next will not append again.
 func (p *Publication) RetryAt() time.Time { return p.retryAt }
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -32,6 +32,17 @@
 
 const readyLimit = 5 * time.Second
 
+const demoSettings = `
+[vm]
+name = "demo-1"
+data_centre = "demo-dc1"
+site = "demo"
+
+[platform]
+log_url = %q
+vm_list_url = %q
+`
+
 // Demo starts one router with an engine and a print queue, sends a chat and
 // an order, and writes what happened to out.
 func Demo(ctx context.Context, out io.Writer) (err error) {
@@ -53,7 +64,7 @@
 	}
 	log.Append(configsync.Stream, configsync.Genesis(demoConfig(urls[2], urls[3])))
 
-	file, err := settings.Parse("demo", fmt.Appendf(nil, "[platform]\nlog_url = %q\nvm_list_url = %q\n", urls[0], urls[1]))
+	file, err := settings.Parse("demo", fmt.Appendf(nil, demoSettings, urls[0], urls[1]))
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/service/configsync/fakes_test.go
@@ -0,0 +1,280 @@
+package configsync_test
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/zinniafork/zinniafork/internal/call"
+	"github.com/zinniafork/zinniafork/internal/config"
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/platform/logstream"
+	"github.com/zinniafork/zinniafork/internal/platform/vmlist"
+	"github.com/zinniafork/zinniafork/internal/service/configsync"
+	"github.com/zinniafork/zinniafork/internal/service/members"
+	"github.com/zinniafork/zinniafork/internal/service/peer"
+	"github.com/zinniafork/zinniafork/internal/service/platform"
+)
+
+// stream is the log service with one stream and retention.
+type stream struct {
+	mu       sync.Mutex
+	records  []logstream.Record
+	earliest uint64
+	changed  chan struct{}
+}
+
+func newStream() *stream { return &stream{changed: make(chan struct{})} }
+
+func (s *stream) append(data []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	offset := uint64(len(s.records))
+	s.records = append(s.records, logstream.Record{Offset: offset, Time: time.Now(), Data: data})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return offset
+}
+
+// expire drops the records that are older than retention.
+func (s *stream) expire(retention time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.earliest < uint64(len(s.records)) && time.Since(s.records[s.earliest].Time) > retention {
+		s.earliest++
+	}
+}
+
+func (s *stream) snapshot(from uint64) (logstream.Page, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := uint64(len(s.records))
+	page := logstream.Page{Earliest: s.earliest, Next: next}
+	page.Records = append(page.Records, s.records[min(max(from, s.earliest), next):]...)
+	return page, s.changed
+}
+
+// client is one router's way to the log, with faults.
+type client struct {
+	stream *stream
+	mu     sync.Mutex
+	// down refuses every call; silent lets reads hang; lose drops the answers
+	// of that many appends after their effect.
+	down, silent bool
+	lose         int
+}
+
+func (c *client) set(change func(c *client)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(c)
+}
+
+func (c *client) faults() (down, silent, lose bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lose > 0 {
+		c.lose--
+		lose = true
+	}
+	return c.down, c.silent, lose
+}
+
+func (c *client) Append(_ context.Context, _ string, records ...[]byte) (uint64, error) {
+	down, _, lose := c.faults()
+	if down {
+		return 0, logstream.ErrUnavailable
+	}
+	offset := c.stream.append(records[0])
+	if lose {
+		return 0, logstream.ErrUnavailable
+	}
+	return offset, nil
+}
+
+func (c *client) Read(ctx context.Context, _ string, from uint64, _ int, wait time.Duration) (logstream.Page, error) {
+	c.mu.Lock()
+	down, silent := c.down, c.silent
+	c.mu.Unlock()
+	if down {
+		return logstream.Page{}, logstream.ErrUnavailable
+	}
+	if silent {
+		<-ctx.Done()
+		return logstream.Page{}, ctx.Err()
+	}
+	over := time.After(wait)
+	for {
+		page, changed := c.stream.snapshot(from)
+		if len(page.Records) > 0 {
+			return page, nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return page, nil
+		case <-ctx.Done():
+			return logstream.Page{}, ctx.Err()
+		}
+	}
+}
+
+func (c *client) Name() string          { return platform.Name }
+func (c *client) Log() logstream.Log    { return c }
+func (c *client) VMList() vmlist.Source { return nil }
+
+// node is one router with its configuration service and fake neighbours.
+type node struct {
+	*configsync.Service
+	vm     fleet.VM
+	net    *network
+	log    *client
+	ext    members.Extension
+	answer peer.QueryHandler
+	seenMu sync.Mutex
+	seen   []uint64
+	stop   context.CancelFunc
+}
+
+// network holds the nodes and carries their heartbeats and queries.
+type network struct {
+	t      *testing.T
+	stream *stream
+	ctx    context.Context
+	mu     sync.Mutex
+	nodes  []*node
+}
+
+const testRetention = 8 * time.Minute
+
+type fixedSettings struct{}
+
+func (fixedSettings) Section(name string, dst any) error {
+	if s, ok := dst.(*configsync.Settings); ok && name == configsync.Name {
+		s.Retention = config.Duration(testRetention)
+	}
+	return nil
+}
+
+func newNetwork(t *testing.T) *network {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	n := &network{t: t, stream: newStream(), ctx: ctx}
+	go kernel.Every(ctx, kernel.SystemClock{}, 500*time.Millisecond, func(time.Time) { n.heartbeats() })
+	return n
+}
+
+// boot starts a router whose log client has the given faults.
+func (n *network) boot(vm fleet.VM, faults func(*client)) *node {
+	nd := &node{vm: vm, net: n, log: &client{stream: n.stream}}
+	if faults != nil {
+		faults(nd.log)
+	}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	k := kernel.New(kernel.Env{Log: quiet}, fixedSettings{}, nil)
+	for _, s := range []kernel.Service{nd.log, fakeMembers{nd}, fakePeers{nd}} {
+		must.NoError(n.t, k.Use(s))
+	}
+	must.NoError(n.t, k.Provision(configsync.Name))
+	var err error
+	nd.Service, err = kernel.Find[*configsync.Service](k, configsync.Name)
+	must.NoError(n.t, err)
+	nd.Watch(nd.note)
+	ctx, cancel := context.WithCancel(n.ctx)
+	nd.stop = cancel
+	must.NoError(n.t, k.Start(ctx))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes = append(n.nodes, nd)
+	return nd
+}
+
+// note records what a watcher was told.
+func (nd *node) note(e *config.Effective) {
+	nd.seenMu.Lock()
+	defer nd.seenMu.Unlock()
+	nd.seen = append(nd.seen, e.Offset)
+}
+
+func (nd *node) wentBack() bool {
+	nd.seenMu.Lock()
+	defer nd.seenMu.Unlock()
+	return !slices.IsSorted(nd.seen)
+}
+
+func (n *network) all() []*node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append([]*node(nil), n.nodes...)
+}
+
+// stopAll ends all routers and forgets them.
+func (n *network) stopAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, nd := range n.nodes {
+		nd.stop()
+	}
+	n.nodes = nil
+}
+
+func (n *network) heartbeats() {
+	for _, from := range n.all() {
+		for _, to := range n.all() {
+			if part := from.ext.Produce(to.vm); from != to && part != nil {
+				to.ext.Consume(from.vm, part)
+			}
+		}
+	}
+}
+
+type fakeMembers struct{ nd *node }
+
+func (f fakeMembers) Name() string                   { return members.Name }
+func (f fakeMembers) Self() fleet.VMInfo             { return fleet.VMInfo{VM: f.nd.vm, Site: "gent"} }
+func (f fakeMembers) Incarnation() fleet.Incarnation { return 1 }
+func (f fakeMembers) Watch(func(*members.Snapshot))  {}
+func (f fakeMembers) Attach(e members.Extension)     { f.nd.ext = e }
+func (f fakeMembers) Beat()                          {}
+func (f fakeMembers) Leave()                         {}
+func (f fakeMembers) Tune(config.Control)            {}
+
+func (f fakeMembers) Snapshot() *members.Snapshot {
+	out := &members.Snapshot{}
+	for _, nd := range f.nd.net.all() {
+		m := members.Member{Status: members.StateAlive}
+		m.VM = nd.vm
+		out.Members = append(out.Members, m)
+	}
+	return out
+}
+
+type fakePeers struct{ nd *node }
+
+func (f fakePeers) Name() string                                 { return peer.Name }
+func (f fakePeers) Send(fleet.VM, peer.Kind, []byte) error       { return nil }
+func (f fakePeers) HandleControl(peer.Kind, peer.ControlHandler) {}
+func (f fakePeers) HandleCall(peer.Kind, peer.CallHandler)       {}
+func (f fakePeers) SetPeers([]fleet.VMInfo)                      {}
+func (f fakePeers) Traffic() map[peer.Kind]peer.Traffic          { return nil }
+func (f fakePeers) HandleQuery(_ peer.Kind, h peer.QueryHandler) { f.nd.answer = h }
+func (f fakePeers) Call(context.Context, fleet.VM, peer.Kind, *call.Request, call.Sink) error {
+	return &call.Error{Code: call.CodeUnavailable, Run: call.RunNot}
+}
+
+func (f fakePeers) Query(ctx context.Context, to fleet.VM, _ peer.Kind, payload []byte) ([]byte, error) {
+	for _, nd := range f.nd.net.all() {
+		if nd.vm == to {
+			return nd.answer(ctx, f.nd.vm, payload)
+		}
+	}
+	return nil, &call.Error{Code: call.CodeUnavailable, Run: call.RunNot, Peer: string(to)}
+}
--- a/internal/service/configsync/publisher.go
+++ b/internal/service/configsync/publisher.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
 
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
 	"github.com/zinniafork/zinniafork/internal/kernel"
@@ -10,8 +14,17 @@
 )
 
 // Genesis returns the first record of a configuration stream: text as the
-// shared base. It is meant for stand-ins that hold the log in memory.
-func Genesis(text []byte) []byte { return text }
+// shared base. It is meant for stand-ins that hold the log in memory. Text
+// that is too large gives an empty record, which every reader refuses.
+func Genesis(text []byte) []byte {
+	p, err := configstate.New().Propose(configstate.Proposal{
+		Scope: configstate.Base, Text: string(text), Author: "genesis", Nonce: uuid.NewString(),
+	})
+	if err != nil {
+		return nil
+	}
+	return p.Record()
+}
 
 // Publisher publishes configuration straight on the log. It is meant for
 // programs that run without the administration API.
@@ -19,22 +32,76 @@
 	log    logstream.Log
 	clock  kernel.Clock
 	author string
+
+	mu    sync.Mutex
+	state *configstate.State
 }
 
 // NewPublisher returns a publisher that names author in its records.
 func NewPublisher(log logstream.Log, clock kernel.Clock, author string) *Publisher {
-	return &Publisher{log: log, clock: clock, author: author}
+	return &Publisher{log: log, clock: clock, author: author, state: configstate.New()}
 }
 
 // Publish replaces the document of scope by text on top of the newest version
 // and returns the new version once the log shows that it was accepted.
 func (p *Publisher) Publish(ctx context.Context, scope configstate.Scope, text []byte) (configstate.Version, error) {
-	if scope != configstate.Base {
-		return configstate.Version{}, fmt.Errorf("publish %s: only the base can be published yet", scope)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.catchUp(ctx); err != nil {
+		return configstate.Version{}, fmt.Errorf("publish %s: %w", scope, err)
 	}
-	offset, err := p.log.Append(ctx, Stream, text)
+	publication, err := p.state.Propose(configstate.Proposal{
+		Scope: scope, Text: string(text), Author: p.author, Nonce: uuid.NewString(), At: p.clock.Now(),
+	})
 	if err != nil {
 		return configstate.Version{}, fmt.Errorf("publish %s: %w", scope, err)
 	}
-	return configstate.Version{Offset: offset}, nil
+	entry, err := carry(ctx, p, publication)
+	if err != nil {
+		return configstate.Version{}, fmt.Errorf("publish %s: %w", scope, err)
+	}
+	return entry.Version, nil
+}
+
+// catchUp reads to the end of the log.
+func (p *Publisher) catchUp(ctx context.Context) error {
+	for {
+		next, err := p.read(ctx, 0)
+		if err != nil {
+			return err
+		}
+		if p.state.Position() >= next {
+			return nil
+		}
+	}
 }
+
+func (p *Publisher) read(ctx context.Context, wait time.Duration) (next uint64, err error) {
+	began := p.clock.Now()
+	page, err := readPage(ctx, p.clock, p.log, p.state.Position(), readLimit, wait)
+	if err != nil {
+		return 0, err
+	}
+	p.state.Log(page, began, p.clock.Now())
+	return page.Next, nil
+}
+
+func (p *Publisher) next(publication *configstate.Publication) (configstate.Step, configstate.Fate) {
+	return publication.Next(p.state, p.clock.Now())
+}
+
+func (p *Publisher) append(ctx context.Context, record []byte) error {
+	return appendRecord(ctx, p.clock, p.log, record)
+}
+
+// wait reads more of the log. A failed read is tried again.
+func (p *Publisher) wait(ctx context.Context, _ time.Time) error {
+	if _, err := p.read(ctx, waitStep); err != nil {
+		return p.clock.Sleep(ctx, retryMin)
+	}
+	return ctx.Err()
+}
+
+func (p *Publisher) now() time.Time { return p.clock.Now() }
+
+var _ host = (*Publisher)(nil)
--- /dev/null
+++ b/internal/service/configsync/refresh.go
@@ -0,0 +1,59 @@
+package configsync
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/members"
+)
+
+const (
+	snapshotPeriod = 5 * time.Second
+	// snapshotWait is the time that one snapshot gets to show in the log
+	// before the next one is appended.
+	snapshotWait = 30 * time.Second
+)
+
+// refresh appends a snapshot of the configuration when the log would
+// otherwise drop what a new reader needs.
+func (s *Service) refresh(ctx context.Context, now time.Time) {
+	rank := snapshotRank(s.members.Self().VM, s.members.Snapshot())
+	s.mu.Lock()
+	due := now.Sub(s.snapshots) >= snapshotWait && s.state.SnapshotDue(now, s.settings.Retention.Std(), rank)
+	var data []byte
+	var err error
+	if due {
+		s.snapshots = now
+		data, err = s.state.Snapshot(uuid.NewString())
+	}
+	s.mu.Unlock()
+	if !due || err != nil {
+		return
+	}
+	if err := appendRecord(ctx, s.clock, s.log, data); err != nil {
+		s.logger.WithError(err).Warn("Cannot append a configuration snapshot.")
+		return
+	}
+	s.logger.WithField("bytes", len(data)).Info("Configuration snapshot appended.")
+}
+
+// snapshotRank returns this router's place among the live ones, in an order
+// that all of them derive alike.
+func snapshotRank(self fleet.VM, view *members.Snapshot) int {
+	var live []fleet.VM
+	for _, m := range view.Members {
+		if m.Status == members.StateAlive || m.VM == self {
+			live = append(live, m.VM)
+		}
+	}
+	slices.SortFunc(live, func(a, b fleet.VM) int {
+		return cmp.Compare(xxhash.Sum64String(string(a)+Stream), xxhash.Sum64String(string(b)+Stream))
+	})
+	return slices.Index(live, self)
+}
