--- a/cmd/zf-lab/main.go
+++ b/cmd/zf-lab/main.go
@@ -2,13 +2,9 @@
 package main
 
 import (
-	"context"
-	"os"
-
 	"github.com/alecthomas/kong"
 
 	"github.com/zinniafork/zinniafork/internal/cli"
-	"github.com/zinniafork/zinniafork/internal/lab"
 )
 
 type command struct {
@@ -17,11 +13,6 @@
 	Version kong.VersionFlag `help:"Print the version."`
 }
 
-type demoCommand struct{}
-
-// Run runs the demo.
-func (demoCommand) Run(ctx context.Context) error { return lab.Demo(ctx, os.Stdout) }
-
 func main() {
 	cli.Main("zf-lab", "Runs small fleets in one process: demo, load and experiments.", &command{})
 }
--- a/internal/lab/caller/load.go
+++ b/internal/lab/caller/load.go
@@ -7,6 +7,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
+	"github.com/zinniafork/zinniafork/internal/lab/testbed"
 	"github.com/zinniafork/zinniafork/internal/lab/workload"
 )
 
@@ -17,6 +18,30 @@
 	Plan    []workload.Arrival
 }
 
+// NewLoad returns a load on a testbed with one client for each account.
+func NewLoad(bed *testbed.Testbed, plan []workload.Arrival, seed uint64) *Load {
+	shape := bed.Shape()
+	l := &Load{Clients: make(map[fleet.Account]*Client), Plan: plan}
+	for i, a := range shape.Accounts {
+		l.Clients[a.Name] = New(Options{
+			Account:   a,
+			Dial:      bed.CallerHost(a.Name).DialContext,
+			Addresses: bed.Addresses(),
+			Service:   shape.Services[0],
+			DirectURL: bed.DirectURL(),
+			Seed:      seed + uint64(i),
+		})
+	}
+	return l
+}
+
+// Close drops the clients' idle connections.
+func (l *Load) Close() {
+	for _, c := range l.Clients {
+		c.Close()
+	}
+}
+
 // Results are the requests of a load as their callers saw them.
 type Results struct {
 	Requests []history.Request
--- a/internal/lab/scenario/run.go
+++ b/internal/lab/scenario/run.go
@@ -10,7 +10,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/caller"
 	"github.com/zinniafork/zinniafork/internal/lab/check/service"
 	"github.com/zinniafork/zinniafork/internal/lab/fault"
@@ -119,9 +118,7 @@
 	wg.Go(func() { results = load.Run(ctx, start) })
 	wg.Go(func() { r.steps(ctx, start) })
 	wg.Wait()
-	for _, c := range load.Clients {
-		c.Close()
-	}
+	load.Close()
 	if err := sleep(ctx, settleTime); err != nil {
 		return nil, err
 	}
@@ -133,27 +130,14 @@
 }
 
 func (r *run) load() *caller.Load {
-	out := &caller.Load{
-		Clients: make(map[fleet.Account]*caller.Client),
-		Plan: workload.Plan(workload.Options{
-			Shape:      r.shape,
-			Seed:       r.opt.Seed,
-			Duration:   r.opt.Duration,
-			Surges:     r.plan.Surges(),
-			DirectRate: directRate,
-		}),
-	}
-	for i, a := range r.shape.Accounts {
-		out.Clients[a.Name] = caller.New(caller.Options{
-			Account:   a,
-			Dial:      r.bed.CallerHost(a.Name).DialContext,
-			Addresses: r.bed.Addresses(),
-			Service:   r.shape.Service,
-			DirectURL: r.bed.DirectURL(),
-			Seed:      r.opt.Seed + uint64(i),
-		})
-	}
-	return out
+	plan := workload.Plan(workload.Options{
+		Shape:      r.shape,
+		Seed:       r.opt.Seed,
+		Duration:   r.opt.Duration,
+		Surges:     r.plan.Surges(),
+		DirectRate: directRate,
+	})
+	return caller.NewLoad(r.bed, plan, r.opt.Seed)
 }
 
 // steps does each planned step at its time, on its own goroutine.
@@ -221,3 +205,22 @@
 		return ctx.Err()
 	}
 }
+
+// Preview lists what a scenario would do and when, without running it.
+func Preview(name, siteName string, seed uint64, duration time.Duration) ([]string, error) {
+	s, err := ByName(name)
+	if err != nil {
+		return nil, err
+	}
+	shape, err := site.ByName(siteName, 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	plan := fault.NewPlan(shape, seed, duration)
+	s.plan(plan)
+	var out []string
+	for _, step := range plan.Steps() {
+		out = append(out, fmt.Sprintf("%s %s", step.At.Round(time.Millisecond), step.Name))
+	}
+	return out, nil
+}
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -25,8 +25,9 @@
 type Target struct {
 	Name       fleet.Target
 	DataCentre fleet.DataCentre
-	// Model is empty for a worker.
+	// Model is empty for a worker, Service for an engine.
 	Model     fleet.Model
+	Service   fleet.Service
 	Slots     int
 	ColdSlots int
 }
@@ -51,7 +52,8 @@
 	Targets     []Target
 	Accounts    []Account
 	Model       fleet.Model
-	Service     fleet.Service
+	// Services are the plain services; callers send orders to the first.
+	Services []fleet.Service
 	// ClientDelay and DataCentreDelay are one-way delays from callers and
 	// between data centres.
 	ClientDelay     time.Duration
@@ -67,7 +69,7 @@
 	member   fleet.Member
 	region   string
 	model    fleet.Model
-	service  fleet.Service
+	services []fleet.Service
 	routers  int
 	engines  int
 	workers  int
@@ -94,7 +96,7 @@
 	member:   "signage-authority",
 	region:   "port-of-spain",
 	model:    "copydesk",
-	service:  "print",
+	services: []fleet.Service{"print"},
 	routers:  9,
 	engines:  12,
 	workers:  3,
@@ -109,7 +111,7 @@
 	member:   "taartdecor",
 	region:   "gent",
 	model:    "design",
-	service:  "desk",
+	services: []fleet.Service{"desk"},
 	routers:  8,
 	engines:  9,
 	workers:  3,
@@ -161,7 +163,7 @@
 		Member:          p.member,
 		Region:          p.region,
 		Model:           p.model,
-		Service:         p.service,
+		Services:        p.services,
 		ClientDelay:     p.delay,
 		DataCentreDelay: dataCentreDelay,
 		ChatRate:        p.chats,
@@ -183,13 +185,8 @@
 			ColdSlots:  engineColdSlots,
 		})
 	}
-	for i := range p.workers {
-		s.Targets = append(s.Targets, Target{
-			Name:       fleet.Target(fmt.Sprintf("%s-%d", p.service, i+1)),
-			DataCentre: s.DataCentres[i%dataCentres],
-			Slots:      workerSlots,
-			ColdSlots:  workerColdSlots,
-		})
+	for _, service := range p.services {
+		s.Targets = append(s.Targets, p.workersOf(service, s.DataCentres)...)
 	}
 	for i := range p.accounts {
 		a := Account{Name: fleet.Account(fmt.Sprintf("%s-account%d", p.name, i+1)), Share: 1}
@@ -202,6 +199,29 @@
 	return s
 }
 
+func (p *plan) workersOf(service fleet.Service, dataCentres []fleet.DataCentre) []Target {
+	var out []Target
+	for i := range p.workers {
+		out = append(out, Target{
+			Name:       fleet.Target(fmt.Sprintf("%s-%d", service, i+1)),
+			DataCentre: dataCentres[i%len(dataCentres)],
+			Service:    service,
+			Slots:      workerSlots,
+			ColdSlots:  workerColdSlots,
+		})
+	}
+	return out
+}
+
+// Demo returns the site that the demo runs: 8 routers, engines, a print queue
+// and an order desk.
+func Demo() Shape {
+	p := gent
+	p.name = "demo"
+	p.services = []fleet.Service{"print", "desk"}
+	return p.shape()
+}
+
 // Delay returns the one-way delay between two zones.
 func (s Shape) Delay(from, to string) time.Duration {
 	switch {
--- a/internal/lab/testbed/config.go
+++ b/internal/lab/testbed/config.go
@@ -67,7 +67,9 @@
 	c.Site = shape.Name
 	c.Members = []config.Member{{Name: shape.Member, Weight: 1}}
 	c.Models = []config.Model{{Name: shape.Model}}
-	c.Services = []config.Service{{Name: shape.Service, OrderMethods: []string{http.MethodPost}}}
+	for _, name := range shape.Services {
+		c.Services = append(c.Services, config.Service{Name: name, OrderMethods: []string{http.MethodPost}})
+	}
 	c.Load.QueueLength = r.queueLength
 	for _, dc := range shape.DataCentres {
 		row := config.DataCentre{Name: dc, Region: shape.Region, Mark: r.dataCentres[dc]}
@@ -88,7 +90,7 @@
 		if t.IsEngine() {
 			row.Models = []fleet.Model{t.Model}
 		} else {
-			row.Service = shape.Service
+			row.Service = t.Service
 		}
 		c.Targets = append(c.Targets, row)
 	}
