Add leases from a majority of voters as pure state machines

A model with random schedules (delay, loss, cuts, pauses with a hidden clock, restarts, VM-list lag) found three holes in the first form: a holder that re-acquired got no word of its own earlier work; a holder that woke could renew past another's tenure when a voter had restarted; work that was confirmed but not yet sent is not shown by the target's report.

--- /dev/null
+++ b/internal/core/ownership/exchange.go
@@ -0,0 +1,206 @@
+package ownership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+)
+
+// claim queues a claim for one voter; flush sends all claims for the same
+// voter in one request.
+func (n *Node) claim(to fleet.VM, h *holder, kind ClaimKind) {
+	n.pending[to] = append(n.pending[to], Claim{
+		ID:      h.id,
+		Kind:    kind,
+		Ceiling: h.ceiling,
+		Pending: h.pending,
+		Term:    h.term,
+		Sets:    h.sets.hash(),
+	})
+}
+
+// flush sends what is queued and returns the actions so far.
+func (n *Node) flush(now time.Time) Actions {
+	n.flushTo(now)
+	out := n.out
+	n.out = Actions{}
+	return out
+}
+
+// flushTo turns queued claims into requests. This router's own vote is taken
+// on the spot.
+func (n *Node) flushTo(now time.Time) {
+	for len(n.pending) > 0 {
+		to := n.nextPending()
+		claims := n.pending[to]
+		delete(n.pending, to)
+		n.seq++
+		req := &Request{Seq: n.seq, Incarnation: n.incarnation, Claims: claims}
+		n.sent[req.Seq] = sentRequest{to: to, at: now, claims: claims}
+		if to == n.self {
+			n.replied(now, n.self, n.vote(now, n.self, req))
+			continue
+		}
+		n.out.Sends = append(n.out.Sends, Send{To: to, Request: req})
+	}
+}
+
+func (n *Node) nextPending() fleet.VM {
+	vms := make([]fleet.VM, 0, len(n.pending))
+	for vm := range n.pending {
+		vms = append(vms, vm)
+	}
+	return slices.Min(vms)
+}
+
+// Request answers the claims of another router.
+func (n *Node) Request(now time.Time, from fleet.VM, req *Request) Actions {
+	reply := n.vote(now, from, req)
+	n.out.Sends = append(n.out.Sends, Send{To: from, Reply: reply})
+	return n.flush(now)
+}
+
+func (n *Node) vote(now time.Time, from fleet.VM, req *Request) *Reply {
+	reply := &Reply{Seq: req.Seq, Verdicts: make([]Verdict, len(req.Claims))}
+	for i, c := range req.Claims {
+		if c.Kind == ClaimHandOver {
+			n.invited(now, from, c)
+			reply.Verdicts[i] = Verdict{Code: Granted}
+			continue
+		}
+		reply.Verdicts[i] = n.voter.handle(now, from, req, c, n.electorate(c.ID))
+	}
+	return reply
+}
+
+func (n *Node) electorate(id ID) electorate {
+	e := electorate{hasList: n.view.HasList, agreed: n.view.Agreed}
+	if h, ok := n.holders[id]; ok {
+		e.sets = &h.sets
+	}
+	return e
+}
+
+// invited tries at once to acquire a resource that its holder hands over.
+func (n *Node) invited(now time.Time, from fleet.VM, c Claim) {
+	h, ok := n.holders[c.ID]
+	if !ok || h.phase != idle || from == n.self {
+		return
+	}
+	h.eagerUntil = now.Add(n.params.Lease / 4)
+	h.renewAt = now
+	h.tries = 0
+}
+
+// Reply takes a voter's answer.
+func (n *Node) Reply(now time.Time, from fleet.VM, reply *Reply) Actions {
+	n.replied(now, from, reply)
+	return n.flush(now)
+}
+
+func (n *Node) replied(now time.Time, from fleet.VM, reply *Reply) {
+	s, ok := n.sent[reply.Seq]
+	if !ok || s.to != from || len(s.claims) != len(reply.Verdicts) {
+		return
+	}
+	delete(n.sent, reply.Seq)
+	for i, c := range s.claims {
+		if h, ok := n.holders[c.ID]; ok {
+			n.judged(now, from, h, c, reply.Seq, s.at, reply.Verdicts[i])
+		}
+	}
+}
+
+// judged takes the verdict on one claim.
+func (n *Node) judged(now time.Time, from fleet.VM, h *holder, c Claim, seq uint64, sentAt time.Time, v Verdict) {
+	for _, set := range v.Sets {
+		h.sets.learn(set, now.Add(n.params.Remember))
+	}
+	if c.Kind == ClaimRelease || c.Kind == ClaimHandOver || !h.current(c) {
+		return
+	}
+	if v.Code == Granted {
+		h.granted(from, seq, sentAt, c.Kind, n.seq, v)
+	} else if v.Code != Stale {
+		delete(h.acks, from)
+	}
+	switch h.phase {
+	case acquiring:
+		n.judgedAcquiring(now, h, v)
+	case held:
+		n.judgedHeld(now, h, v)
+	case idle, leaving:
+	}
+}
+
+// current reports whether a claim belongs to the present phase of the holder.
+func (h *holder) current(c Claim) bool {
+	switch h.phase {
+	case acquiring:
+		return c.Kind == ClaimAcquire && c.Term == 0
+	case held:
+		return c.Term == h.term
+	default:
+		return false
+	}
+}
+
+func (n *Node) judgedAcquiring(now time.Time, h *holder, v Verdict) {
+	if h.acquired() && now.Before(h.leaseEnd(n.params)) {
+		n.gain(now, h)
+		return
+	}
+	if v.Code != Held {
+		return
+	}
+	if v.Holder != n.self && v.Term >= h.ownerTerm {
+		h.owner, h.ownerTerm, h.ownerAt = v.Holder, v.Term, now
+	}
+	if n.hopeless(h) {
+		wait := duration(v.RetryMS)
+		if now.Before(h.eagerUntil) {
+			wait = min(wait, n.params.Lease/64)
+		}
+		n.giveUp(now, h)
+		h.renewAt = now.Add(wait)
+	}
+}
+
+// hopeless reports whether the voters that have not answered yet and those
+// that granted can't make a majority any more.
+func (n *Node) hopeless(h *holder) bool {
+	waiting := make(map[fleet.VM]bool)
+	for _, s := range n.sent {
+		for _, c := range s.claims {
+			if c.ID == h.id && c.Kind == ClaimAcquire && !s.at.Before(h.since) {
+				waiting[s.to] = true
+			}
+		}
+	}
+	return !h.sets.majority(func(vm fleet.VM) bool {
+		_, granted := h.acks[vm]
+		return granted || waiting[vm]
+	})
+}
+
+func (n *Node) gain(now time.Time, h *holder) {
+	residual := h.residual(now, n.params)
+	h.term = h.lastTerm() + 1
+	h.phase, h.since = held, now
+	h.tries = 0
+	h.eagerUntil = time.Time{}
+	h.ceiling, h.pending = uint32(residual.Count), uint32(residual.Pending)
+	if !residual.Known {
+		h.ceiling = unknownAmount
+	}
+	n.emit(Event{Kind: Gained, ID: h.id, Residual: residual, Term: h.term})
+}
+
+func (n *Node) judgedHeld(now time.Time, h *holder, v Verdict) {
+	if v.Code == Held && !h.holds(now, n.params) {
+		n.lose(now, h)
+		return
+	}
+	n.advance(now, h)
+}
--- /dev/null
+++ b/internal/core/ownership/message.go
@@ -0,0 +1,121 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+)
+
+// ClaimKind tells what a router asks of a voter.
+type ClaimKind uint8
+
+// Kinds of claim.
+const (
+	// ClaimAcquire asks for a grant to a router that does not hold the
+	// resource yet.
+	ClaimAcquire ClaimKind = iota + 1
+	// ClaimRenew renews the grant of the holder.
+	ClaimRenew
+	// ClaimRelease gives a grant back.
+	ClaimRelease
+	// ClaimHandOver invites a router to acquire the resource.
+	ClaimHandOver
+)
+
+// Claim is what a router asks for one resource.
+type Claim struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	ID   ID
+	Kind ClaimKind
+	// Ceiling is the number of requests that the sender's work for the
+	// resource may amount to, work of earlier owners included.
+	Ceiling uint32
+	// Pending is the part of Ceiling that may not have reached the target.
+	Pending uint32
+	// Term numbers the tenures of owners; zero while acquiring.
+	Term uint64
+	// Sets is the hash of the voter sets that the sender counts.
+	Sets uint32
+}
+
+// Request carries the claims of one router to one voter.
+type Request struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	// Seq rises with each request of a process.
+	Seq         uint64
+	Incarnation fleet.Incarnation
+	Claims      []Claim
+}
+
+// VerdictCode is a voter's answer to one claim.
+type VerdictCode uint8
+
+// Codes of verdicts.
+const (
+	// Granted: the voter has promised the resource to the sender.
+	Granted VerdictCode = iota + 1
+	// Held: the voter has promised it to another router.
+	Held
+	// Abstained: the voter may have forgotten a promise.
+	Abstained
+	// Stale: the voter has seen a later request of the sender.
+	Stale
+)
+
+// Memory tells how far back a voter remembers. Grants and work that it was
+// told of before it started are forgotten.
+type Memory uint8
+
+// Reaches of a voter's memory.
+const (
+	// MemoryShort: work that was confirmed earlier may not even have reached
+	// the target yet.
+	MemoryShort Memory = iota
+	// MemoryDispatched: all forgotten work has reached the target.
+	MemoryDispatched
+	// MemoryFull: all forgotten work has ended.
+	MemoryFull
+)
+
+// Verdict is the answer to one claim.
+type Verdict struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	Code   VerdictCode
+	Memory Memory
+	// Term is the last term that the voter knows.
+	Term uint64
+	// Released is true when the owner of that term gave the resource back to
+	// this voter, which has promised it to nobody else since.
+	Released bool
+	// Residual is the work of earlier owners and ResidualMS the time in
+	// milliseconds until its deadline.
+	Residual   uint32
+	ResidualMS uint32
+	// Pending is the part of Residual that may not have reached the target,
+	// and PendingMS the time in milliseconds for which that is so.
+	Pending   uint32
+	PendingMS uint32
+	// Holder and RetryMS tell who holds the resource, and after how many
+	// milliseconds the grant has lapsed.
+	Holder  fleet.VM
+	RetryMS uint32
+	// Sets are the voter sets that the voter counts, when the claim's differ.
+	Sets [][]fleet.VM
+}
+
+// Reply answers a request; its verdicts are in the order of the claims.
+type Reply struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	Seq      uint64
+	Verdicts []Verdict
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32(max(d+time.Millisecond-1, 0) / time.Millisecond)
+}
+
+func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/internal/core/ownership/node.go
@@ -0,0 +1,418 @@
+package ownership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+)
+
+// Node is one router's part in the ownership of all resources: the holder of
+// some and a voter of others. It is not safe for concurrent use.
+type Node struct {
+	params      Params
+	self        fleet.VM
+	incarnation fleet.Incarnation
+	random      *rand.Rand
+
+	view    View
+	voter   *voter
+	holders map[ID]*holder
+	// order holds the IDs in the order of declaration, so that steps don't
+	// depend on the order of a map.
+	order []ID
+
+	seq     uint64
+	ticket  Ticket
+	sent    map[uint64]sentRequest
+	pending map[fleet.VM][]Claim
+	out     Actions
+	// renewAt is the time of the next renewal of everything that is held.
+	renewAt time.Time
+	pruneAt time.Time
+}
+
+// sentRequest remembers a request until its reply may no longer come.
+type sentRequest struct {
+	to     fleet.VM
+	at     time.Time
+	claims []Claim
+}
+
+// NewNode returns a node that holds nothing. Now is the time at which the
+// process started.
+func NewNode(self fleet.VM, incarnation fleet.Incarnation, params Params, now time.Time, random *rand.Rand) *Node {
+	return &Node{
+		params:      params,
+		self:        self,
+		incarnation: incarnation,
+		random:      random,
+		voter:       newVoter(params, now),
+		holders:     make(map[ID]*holder),
+		sent:        make(map[uint64]sentRequest),
+		pending:     make(map[fleet.VM][]Claim),
+	}
+}
+
+// SetParams replaces the rules.
+func (n *Node) SetParams(p Params) {
+	n.params = p
+	n.voter.params = p
+}
+
+// SetView takes a new view of the site.
+func (n *Node) SetView(now time.Time, v View) Actions {
+	keep := n.view.sameOrder(&v)
+	n.view = v
+	n.view.Index()
+	for _, id := range n.order {
+		n.holders[id].setView(now, n.self, &n.view, n.params, keep)
+	}
+	return n.Tick(now)
+}
+
+// SetResources replaces the resources that exist. One that is held and no
+// longer exists is lost.
+func (n *Node) SetResources(now time.Time, resources []Resource) Actions {
+	keep := make(map[ID]bool, len(resources))
+	n.order = n.order[:0]
+	for _, r := range resources {
+		id := IDOf(r.Name)
+		if keep[id] {
+			continue
+		}
+		keep[id] = true
+		n.order = append(n.order, id)
+		h, ok := n.holders[id]
+		if !ok {
+			h = newHolder(r, now)
+			n.holders[id] = h
+		}
+		keepRanking := ok && h.resource == r
+		h.resource = r
+		h.setView(now, n.self, &n.view, n.params, keepRanking)
+	}
+	for id, h := range n.holders {
+		if !keep[id] {
+			n.lose(now, h)
+			delete(n.holders, id)
+		}
+	}
+	return n.Tick(now)
+}
+
+// Holds reports whether this router holds an unlapsed lease.
+func (n *Node) Holds(now time.Time, id ID) bool {
+	h, ok := n.holders[id]
+	return ok && h.holds(now, n.params)
+}
+
+// Term returns the number of this router's tenure, zero when it holds nothing.
+func (n *Node) Term(id ID) uint64 {
+	if h, ok := n.holders[id]; ok && h.phase == held {
+		return h.term
+	}
+	return 0
+}
+
+// Owner returns the router that this one believes to own the resource: itself,
+// the last one that it was told of, or else the candidate.
+func (n *Node) Owner(now time.Time, id ID) (fleet.VM, bool) {
+	h, ok := n.holders[id]
+	switch {
+	case !ok:
+		return "", false
+	case h.holds(now, n.params):
+		return n.self, true
+	case h.owner != n.self && n.view.eligible(h.owner) && now.Sub(h.ownerAt) < ownerBelief*n.ownerTrust():
+		return h.owner, true
+	}
+	return Candidate(&n.view, h.ranking)
+}
+
+// ownerBelief is the number of lease times for which word of an owner that is
+// alive is believed.
+const ownerBelief = 4
+
+// ownerTrust is the time in which an owner that is not heard of loses its
+// lease.
+func (n *Node) ownerTrust() time.Duration { return n.params.Lease + n.params.Margin }
+
+// NoteOwner takes word of a resource's owner, such as from its digest.
+func (n *Node) NoteOwner(now time.Time, id ID, owner fleet.VM, term uint64) {
+	h, ok := n.holders[id]
+	if !ok || owner == n.self {
+		return
+	}
+	if term < h.ownerTerm && now.Sub(h.ownerAt) < n.ownerTrust() {
+		return
+	}
+	h.owner, h.ownerTerm, h.ownerAt = owner, term, now
+}
+
+// SetCeiling tells the number of requests that this router's work for a held
+// resource may amount to, work of earlier owners included, and the part of it
+// that may not have reached the target yet. A higher number counts for the
+// voters once a confirmation that was asked for later is given.
+func (n *Node) SetCeiling(id ID, ceiling, pending int) {
+	if h, ok := n.holders[id]; ok {
+		h.ceiling = uint32(max(ceiling, 0))
+		h.pending = uint32(max(pending, 0))
+	}
+}
+
+// Confirm asks a majority of the voters whether this router still holds the
+// resource. The answer comes as an event with the returned ticket. One round
+// serves all confirmations that wait when it begins.
+func (n *Node) Confirm(now time.Time, id ID) (Ticket, Actions) {
+	n.ticket++
+	t := n.ticket
+	h, ok := n.holders[id]
+	if !ok || !h.holds(now, n.params) {
+		n.emit(Event{Kind: Refused, ID: id, Tickets: []Ticket{t}})
+		return t, n.flush(now)
+	}
+	h.waiting = append(h.waiting, t)
+	n.advance(now, h)
+	return t, n.flush(now)
+}
+
+// Release gives a resource back after a HandOver event. Ceiling is the number
+// of requests that still run.
+func (n *Node) Release(now time.Time, id ID, ceiling, pending int) Actions {
+	h, ok := n.holders[id]
+	if !ok || h.phase != leaving {
+		return n.flush(now)
+	}
+	n.SetCeiling(id, ceiling, pending)
+	for _, vm := range h.sets.all() {
+		n.claim(vm, h, ClaimRelease)
+	}
+	if h.preferred != "" && h.preferred != n.self {
+		n.claim(h.preferred, h, ClaimHandOver)
+		h.owner, h.ownerTerm, h.ownerAt = h.preferred, h.term, now
+	}
+	n.toIdle(now, h, n.ownerTrust())
+	return n.flush(now)
+}
+
+// Tick moves the node on as time passes.
+func (n *Node) Tick(now time.Time) Actions {
+	renew := !now.Before(n.renewAt)
+	if renew {
+		n.renewAt = now.Add(n.params.Lease / 3)
+	}
+	for _, id := range n.order {
+		h := n.holders[id]
+		h.sets.prune(now)
+		n.step(now, h, renew)
+	}
+	if !now.Before(n.pruneAt) {
+		n.prune(now)
+	}
+	return n.flush(now)
+}
+
+func (n *Node) prune(now time.Time) {
+	n.pruneAt = now.Add(n.params.Lease)
+	n.voter.prune(now)
+	for seq, s := range n.sent {
+		if now.Sub(s.at) > 2*n.params.Lease {
+			delete(n.sent, seq)
+		}
+	}
+}
+
+func (n *Node) step(now time.Time, h *holder, renew bool) {
+	switch h.phase {
+	case idle:
+		if n.mayTry(now, h) {
+			n.acquire(now, h)
+		}
+	case acquiring:
+		if now.Sub(h.since) > n.params.Lease/2 {
+			n.giveUp(now, h)
+		}
+	case held:
+		n.stepHeld(now, h, renew)
+	case leaving:
+	}
+}
+
+func (n *Node) stepHeld(now time.Time, h *holder, renew bool) {
+	if !h.holds(now, n.params) {
+		n.lose(now, h)
+		return
+	}
+	if n.shouldHandOver(now, h) {
+		n.leave(h)
+		return
+	}
+	if renew {
+		for _, vm := range h.sets.all() {
+			n.claim(vm, h, n.renewKind(h, vm))
+		}
+	}
+	n.advance(now, h)
+}
+
+// renewKind returns the claim that renews a grant of vm, or asks for one when
+// vm has given none yet.
+func (n *Node) renewKind(h *holder, vm fleet.VM) ClaimKind {
+	if a, ok := h.acks[vm]; ok && a.introduced == 0 {
+		return ClaimRenew
+	}
+	return ClaimAcquire
+}
+
+// mayTry reports whether this router should try to acquire: it ranks first, or
+// those before it have had their time and nobody was seen to own the resource.
+func (n *Node) mayTry(now time.Time, h *holder) bool {
+	if h.rank < 0 || !n.view.HasList || now.Before(h.renewAt) {
+		return false
+	}
+	wait := time.Duration(h.rank) * 2 * n.ownerTrust()
+	return h.rank == 0 || now.Sub(h.ownerAt) > wait
+}
+
+func (n *Node) acquire(now time.Time, h *holder) {
+	h.phase, h.since = acquiring, now
+	h.ceiling, h.pending = 0, 0
+	clear(h.acks)
+	for _, vm := range h.sets.all() {
+		n.claim(vm, h, ClaimAcquire)
+	}
+}
+
+// giveUp returns partial grants, so that another candidate may win.
+func (n *Node) giveUp(now time.Time, h *holder) {
+	for _, vm := range h.sets.all() {
+		n.claim(vm, h, ClaimRelease)
+	}
+	n.toIdle(now, h, n.backoff(h))
+}
+
+// backoff grows with each try and is spread by chance, so that candidates with
+// different views don't meet again and again.
+func (n *Node) backoff(h *holder) time.Duration {
+	h.tries = min(h.tries+1, 5)
+	limit := n.params.Lease / 8 * time.Duration(h.tries)
+	return time.Duration(n.random.Int64N(int64(limit) + 1))
+}
+
+func (n *Node) toIdle(now time.Time, h *holder, wait time.Duration) {
+	h.phase, h.since = idle, now
+	h.term = 0
+	h.renewAt = now.Add(wait)
+	clear(h.acks)
+}
+
+func (n *Node) lose(now time.Time, h *holder) {
+	if h.phase != held {
+		return
+	}
+	n.emit(Event{Kind: Lost, ID: h.id})
+	if tickets := h.takeTickets(); len(tickets) > 0 {
+		n.emit(Event{Kind: Refused, ID: h.id, Tickets: tickets})
+	}
+	n.toIdle(now, h, n.params.Lease/8)
+}
+
+// shouldHandOver reports whether another router should hold the resource: at
+// once when this one may not, else after the other has ranked first for long.
+func (n *Node) shouldHandOver(now time.Time, h *holder) bool {
+	if h.preferred == "" || h.preferred == n.self {
+		return false
+	}
+	if h.rank < 0 {
+		return true
+	}
+	wait := n.params.RebalanceAfter << min(h.handOvers, 6)
+	return now.Sub(h.preferredAt) > wait && now.Sub(h.since) > wait
+}
+
+func (n *Node) leave(h *holder) {
+	h.phase = leaving
+	h.handOvers++
+	if tickets := h.takeTickets(); len(tickets) > 0 {
+		n.emit(Event{Kind: Refused, ID: h.id, Tickets: tickets})
+	}
+	n.emit(Event{Kind: HandOver, ID: h.id})
+
+}
+
+// advance begins, widens and ends confirmation rounds.
+func (n *Node) advance(now time.Time, h *holder) {
+	for {
+		if h.confirmed() && h.holds(now, n.params) {
+			n.emit(Event{Kind: Confirmed, ID: h.id, Term: h.term, Tickets: h.round.tickets})
+			h.round = round{}
+		}
+		if h.round.active() {
+			if !now.Before(h.round.askAt) {
+				n.askAgain(now, h)
+			}
+			return
+		}
+		if len(h.waiting) == 0 {
+			return
+		}
+		n.beginRound(now, h)
+		if h.round.active() {
+			return
+		}
+	}
+}
+
+// beginRound asks the nearest voters that make a majority with this router.
+func (n *Node) beginRound(now time.Time, h *holder) {
+	n.flushTo(now)
+	h.round = round{tickets: h.waiting, after: n.seq, askAt: now.Add(n.params.ConfirmRetry)}
+	h.waiting = nil
+	for _, vm := range n.nearestMajority(h) {
+		n.claim(vm, h, ClaimRenew)
+	}
+	n.flushTo(now)
+}
+
+func (n *Node) askAgain(now time.Time, h *holder) {
+	h.round.askAt = now.Add(n.params.ConfirmRetry)
+	for _, vm := range h.sets.all() {
+		if a := h.acks[vm]; a.seq <= h.round.after {
+			n.claim(vm, h, n.renewKind(h, vm))
+		}
+	}
+}
+
+// nearestMajority returns voters that have granted lately and suffice for a
+// majority, this router first; all voters when several sets count.
+func (n *Node) nearestMajority(h *holder) []fleet.VM {
+	all := h.sets.all()
+	if len(h.sets.sets) > 1 {
+		return slices.DeleteFunc(all, func(vm fleet.VM) bool { return n.renewKind(h, vm) != ClaimRenew })
+	}
+	slices.SortStableFunc(all, func(a, b fleet.VM) int { return n.askOrder(h, a) - n.askOrder(h, b) })
+	return all[:quorum(len(all))]
+}
+
+// askOrder sorts voters: this router, then those with fresh grants.
+func (n *Node) askOrder(h *holder, vm fleet.VM) int {
+	a, ok := h.acks[vm]
+	switch {
+	case vm == n.self && ok && a.introduced == 0:
+		return 0
+	case ok && a.introduced == 0 && n.seq-a.seq < staleAfter:
+		return 1
+	case ok && a.introduced == 0:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// staleAfter is the number of later requests after which a voter that has not
+// granted any of them is asked last.
+const staleAfter = 64
+
+func (n *Node) emit(e Event) { n.out.Events = append(n.out.Events, e) }
--- /dev/null
+++ b/internal/core/ownership/voter.go
@@ -0,0 +1,222 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+)
+
+// voter grants resources to holders.
+//
+//	none   -> granted   a claim arrives and the voter doesn't abstain
+//	granted -> granted  its holder renews
+//	granted -> released its holder gives it back
+//	granted -> granted  another claims after lapse and margin, or a newer
+//	                    process of the holder claims
+type voter struct {
+	params Params
+	booted time.Time
+	grants map[ID]*grant
+}
+
+type grant struct {
+	holder      fleet.VM
+	incarnation fleet.Incarnation
+	seq         uint64
+	term        uint64
+	released    bool
+	// exact is true when the owner of the last term gave the resource back.
+	exact   bool
+	expires time.Time
+	// work is what the holder's own work may amount to, inherited that of
+	// earlier holders while this one has not said that its own includes it.
+	work      backlog
+	inherited backlog
+}
+
+// backlog is an amount of work that may run until a deadline.
+type backlog struct {
+	count   uint32
+	until   time.Time
+	pending uint32
+	settled time.Time
+}
+
+// join returns the larger count of two backlogs that still matter at now, with
+// the later deadline.
+func (b backlog) join(other backlog, now time.Time) backlog {
+	switch {
+	case b.over(now):
+		return other
+	case other.over(now):
+		return b
+	}
+	return backlog{
+		count:   max(b.count, other.count),
+		until:   later(b.until, other.until),
+		pending: max(b.pending, other.pending),
+		settled: later(b.settled, other.settled),
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// over reports whether all of the work has ended by now.
+func (b backlog) over(now time.Time) bool { return b.count == 0 || !now.Before(b.until) }
+
+func newVoter(params Params, booted time.Time) *voter {
+	return &voter{params: params, booted: booted, grants: make(map[ID]*grant)}
+}
+
+// electorate is what the voter knows of the site when a claim arrives.
+type electorate struct {
+	hasList bool
+	agreed  bool
+	sets    *voterSets
+}
+
+// handle answers one claim.
+func (v *voter) handle(now time.Time, from fleet.VM, req *Request, c Claim, e electorate) Verdict {
+	out := v.decide(now, from, req, c, e)
+	out.Memory = v.memory(now)
+	if e.sets != nil && e.sets.hash() != c.Sets {
+		out.Sets = e.sets.lists()
+	}
+	return out
+}
+
+func (v *voter) decide(now time.Time, from fleet.VM, req *Request, c Claim, e electorate) Verdict {
+	g := v.grants[c.ID]
+	own := g != nil && g.holder == from && g.incarnation == req.Incarnation
+	if own && req.Seq <= g.seq {
+		return Verdict{Code: Stale}
+	}
+	switch {
+	case c.Kind == ClaimRelease:
+		return v.release(now, g, own, req, c)
+	case own && !g.released:
+		return v.renew(now, g, req, c)
+	case v.abstains(now, e), c.Kind == ClaimRenew && !v.witnessed(now, g, c):
+		return Verdict{Code: Abstained}
+	case g != nil && !v.free(now, g, from, req):
+		wait := g.expires.Add(v.params.Margin).Sub(now)
+		return Verdict{Code: Held, Holder: g.holder, RetryMS: milliseconds(wait), Term: g.term}
+	}
+	return v.renew(now, v.switchTo(now, g, from, req, c.ID), req, c)
+}
+
+// witnessed reports whether the voter can tell that the tenure which a claim
+// renews was not interrupted by another holder. A holder that was paused may
+// believe in a tenure that ended long ago.
+func (v *voter) witnessed(now time.Time, g *grant, c Claim) bool {
+	if g == nil {
+		return v.memory(now) == MemoryFull
+	}
+	return c.Term > g.term
+}
+
+func (v *voter) memory(now time.Time) Memory {
+	age := now.Sub(v.booted) - v.params.Lease - v.params.Margin
+	switch {
+	case age > v.params.WorkLimit:
+		return MemoryFull
+	case age > v.params.PauseLimit:
+		return MemoryDispatched
+	default:
+		return MemoryShort
+	}
+}
+
+// abstains reports whether the voter may have forgotten a grant, or may be the
+// voter of a set that others don't know yet.
+func (v *voter) abstains(now time.Time, e electorate) bool {
+	age := now.Sub(v.booted)
+	if !e.hasList || age < v.params.Lease+v.params.Margin {
+		return true
+	}
+	return age < v.params.Remember && !e.agreed
+}
+
+// free reports whether a grant no longer binds the voter.
+func (v *voter) free(now time.Time, g *grant, from fleet.VM, req *Request) bool {
+	if g.released || (g.holder == from && req.Incarnation > g.incarnation) {
+		return true
+	}
+	return now.After(g.expires.Add(v.params.Margin))
+}
+
+func (v *voter) switchTo(now time.Time, old *grant, from fleet.VM, req *Request, id ID) *grant {
+	g := &grant{holder: from, incarnation: req.Incarnation}
+	if old != nil {
+		g.term = old.term
+		g.exact = old.released && old.exact
+		g.inherited = old.work.join(old.inherited, now)
+	}
+	v.grants[id] = g
+	return g
+}
+
+func (v *voter) renew(now time.Time, g *grant, req *Request, c Claim) Verdict {
+	g.seq = req.Seq
+	g.expires = now.Add(v.params.Lease)
+	if c.Kind == ClaimRenew {
+		g.work = v.backlog(now.Add(v.params.Lease+v.params.Margin), c)
+		g.inherited = backlog{}
+		g.term = max(g.term, c.Term)
+		g.exact = false
+	} else {
+		// The sender does not know what it or others admitted before.
+		g.inherited = g.work.join(g.inherited, now)
+		g.work = backlog{}
+	}
+	out := Verdict{Code: Granted, Term: g.term, Released: g.exact}
+	if !g.inherited.over(now) {
+		out.Residual = g.inherited.count
+		out.ResidualMS = milliseconds(g.inherited.until.Sub(now))
+		if g.inherited.settled.After(now) {
+			out.Pending = g.inherited.pending
+			out.PendingMS = milliseconds(g.inherited.settled.Sub(now))
+		}
+	}
+	return out
+}
+
+// backlog returns the work of a claim whose sender admits no more from end on.
+func (v *voter) backlog(end time.Time, c Claim) backlog {
+	return backlog{
+		count:   c.Ceiling,
+		until:   end.Add(v.params.WorkLimit),
+		pending: c.Pending,
+		settled: end.Add(v.params.PauseLimit),
+	}
+}
+
+func (v *voter) release(now time.Time, g *grant, own bool, req *Request, c Claim) Verdict {
+	if !own {
+		return Verdict{Code: Stale}
+	}
+	g.seq = req.Seq
+	g.released = true
+	if c.Term > 0 {
+		g.exact = true
+		g.term = max(g.term, c.Term)
+		g.work = v.backlog(now, c)
+		g.inherited = backlog{}
+	}
+	return Verdict{Code: Granted, Term: g.term}
+}
+
+// prune forgets grants that can no longer matter.
+func (v *voter) prune(now time.Time) {
+	for id, g := range v.grants {
+		over := g.released || now.After(g.expires.Add(v.params.Margin))
+		if over && g.work.over(now) && g.inherited.over(now) {
+			delete(v.grants, id)
+		}
+	}
+}
