Run ownership on the transport between routers

Cause: order partitions and targets need their owner on the running path. Before: state machines alone.

--- /dev/null
+++ b/internal/service/owner/codec.go
@@ -0,0 +1,24 @@
+package owner
+
+import (
+	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/wire"
+)
+
+// leaseMessage is a lease message on the wire; one of its parts is set.
+type leaseMessage struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	Request *ownership.Request
+	Reply   *ownership.Reply
+}
+
+func encodeLease(s ownership.Send) ([]byte, error) {
+	return wire.Marshal(&leaseMessage{Request: s.Request, Reply: s.Reply})
+}
+
+func decodeLease(data []byte) (leaseMessage, error) {
+	var m leaseMessage
+	err := wire.Unmarshal(data, &m)
+	return m, err
+}
--- /dev/null
+++ b/internal/service/owner/service.go
@@ -0,0 +1,282 @@
+package owner
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/zinniafork/zinniafork/internal/call"
+	"github.com/zinniafork/zinniafork/internal/config"
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/service/configsync"
+	"github.com/zinniafork/zinniafork/internal/service/identity"
+	"github.com/zinniafork/zinniafork/internal/service/members"
+	"github.com/zinniafork/zinniafork/internal/service/peer"
+)
+
+const (
+	// tickPeriod is the time between steps of the lease state machines.
+	tickPeriod = 25 * time.Millisecond
+	// eventQueue is the number of changes that may wait for the watchers.
+	eventQueue = 4096
+)
+
+func init() {
+	kernel.Register(Name, func() kernel.Service { return new(Service) })
+}
+
+// Service takes part in the ownership of all resources of the site.
+type Service struct {
+	config  configsync.Source
+	members members.Membership
+	peers   peer.Peers
+	clock   kernel.Clock
+	logger  *logrus.Entry
+	self    fleet.VM
+	seed    uint64
+
+	watchers []func(Resource, bool)
+	changes  chan change
+
+	mu       sync.Mutex
+	node     *ownership.Node
+	declared map[Resource]fleet.DataCentre
+	names    map[ownership.ID]Resource
+	tickets  map[ownership.Ticket]chan bool
+	current  *config.Effective
+}
+
+// change is a resource that was gained or lost.
+type change struct {
+	resource Resource
+	id       ownership.ID
+	held     bool
+	handOver bool
+}
+
+// Name returns the service's name.
+func (*Service) Name() string { return Name }
+
+// Provision looks up what ownership depends on.
+func (s *Service) Provision(c *kernel.Context) error {
+	var err error
+	if s.config, err = kernel.Lookup[configsync.Source](c, configsync.Name); err != nil {
+		return err
+	}
+	if s.members, err = kernel.Lookup[members.Membership](c, members.Name); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Lookup[peer.Peers](c, peer.Name); err != nil {
+		return err
+	}
+	id, err := kernel.Lookup[identity.Identity](c, identity.Name)
+	if err != nil {
+		return err
+	}
+	s.self = id.Self().VM
+	s.clock, s.logger, s.seed = c.Clock, c.Logger(), c.Seed
+	s.changes = make(chan change, eventQueue)
+	s.declared = make(map[Resource]fleet.DataCentre)
+	s.names = make(map[ownership.ID]Resource)
+	s.tickets = make(map[ownership.Ticket]chan bool)
+	params := leaseParams(config.Defaults())
+	random := rand.New(rand.NewPCG(c.Seed, uint64(id.Incarnation())))
+	s.node = ownership.NewNode(s.self, id.Incarnation(), params, c.Clock.Now(), random)
+	s.config.Watch(s.configure)
+	s.members.Watch(func(*members.Snapshot) { s.look() })
+	s.peers.HandleControl(peer.KindLease, s.receive)
+	return nil
+}
+
+// Start begins to claim and to vote.
+func (s *Service) Start(ctx context.Context) error {
+	go s.notify(ctx)
+	go kernel.Every(ctx, s.clock, tickPeriod, func(now time.Time) {
+		s.step(func() ownership.Actions { return s.node.Tick(now) })
+	})
+	return nil
+}
+
+// leaseParams returns the lease rules of a configuration.
+func leaseParams(c *config.Config) ownership.Params {
+	p := ownership.DefaultParams(c.Control.Lease.Std())
+	p.WorkLimit = max(c.Deadlines.Chat.Std(), c.Deadlines.Service.Std())
+	return p
+}
+
+// Declare adds a resource that is not a target.
+func (s *Service) Declare(r Resource, home fleet.DataCentre) {
+	s.mu.Lock()
+	s.declared[r] = home
+	s.mu.Unlock()
+	s.step(s.setResources)
+}
+
+// Owner returns the router that this one believes to own the resource.
+func (s *Service) Owner(r Resource) (fleet.VM, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.Owner(s.clock.Now(), ownership.IDOf(string(r)))
+}
+
+// Holds reports whether this router holds an unlapsed lease.
+func (s *Service) Holds(r Resource) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.Holds(s.clock.Now(), ownership.IDOf(string(r)))
+}
+
+// Confirm waits for fresh acknowledgements of a majority.
+func (s *Service) Confirm(ctx context.Context, r Resource) error {
+	answer := make(chan bool, 1)
+	s.step(func() ownership.Actions {
+		ticket, actions := s.node.Confirm(s.clock.Now(), ownership.IDOf(string(r)))
+		s.tickets[ticket] = answer
+		return actions
+	})
+	select {
+	case ok := <-answer:
+		if ok {
+			return nil
+		}
+		return &call.Error{Code: call.CodeNotOwner, Step: "owner", Peer: string(s.self), Run: call.RunNot, Message: "lease of " + string(r) + " is lost"}
+	case <-ctx.Done():
+		return &call.Error{Code: call.CodeDeadline, Step: "owner", Peer: string(s.self), Run: call.RunNot, Message: "no majority confirmed the lease of " + string(r), Cause: ctx.Err()}
+	}
+}
+
+// Watch calls f when this router gains or loses a resource.
+func (s *Service) Watch(f func(Resource, bool)) { s.watchers = append(s.watchers, f) }
+
+// step runs one step of the node and carries out its actions.
+func (s *Service) step(f func() ownership.Actions) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.act(f())
+}
+
+// act carries out actions. The caller holds the lock.
+func (s *Service) act(a ownership.Actions) {
+	for _, e := range a.Events {
+		s.event(e)
+	}
+	for _, m := range a.Sends {
+		data, err := encodeLease(m)
+		if err != nil {
+			s.logger.WithError(err).Error("Cannot encode a lease message.")
+			continue
+		}
+		if err := s.peers.Send(m.To, peer.KindLease, data); err != nil {
+			s.logger.WithError(err).WithField("peer", m.To).Debug("Lease message not sent.")
+		}
+	}
+}
+
+func (s *Service) event(e ownership.Event) {
+	switch e.Kind {
+	case ownership.Gained, ownership.Lost, ownership.HandOver:
+		s.queue(change{
+			resource: s.names[e.ID],
+			id:       e.ID,
+			held:     e.Kind == ownership.Gained,
+			handOver: e.Kind == ownership.HandOver,
+		})
+	case ownership.Confirmed, ownership.Refused:
+		for _, t := range e.Tickets {
+			if answer, ok := s.tickets[t]; ok {
+				delete(s.tickets, t)
+				answer <- e.Kind == ownership.Confirmed
+			}
+		}
+	}
+}
+
+func (s *Service) queue(c change) {
+	select {
+	case s.changes <- c:
+	default:
+		s.logger.WithField("resource", c.resource).Error("Change of ownership dropped, watchers are too slow.")
+	}
+}
+
+// notify tells watchers of changes and gives back what is handed over once
+// they know.
+func (s *Service) notify(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-s.changes:
+			s.logger.WithFields(logrus.Fields{"resource": c.resource, "held": c.held}).Info("Ownership changed.")
+			for _, f := range s.watchers {
+				f(c.resource, c.held)
+			}
+			if c.handOver {
+				s.step(func() ownership.Actions { return s.node.Release(s.clock.Now(), c.id, 0, 0) })
+			}
+		}
+	}
+}
+
+// receive takes a lease message from another router.
+func (s *Service) receive(from fleet.VM, payload []byte) {
+	m, err := decodeLease(payload)
+	if err != nil {
+		s.logger.WithError(err).WithField("peer", from).Warn("Lease message dropped.")
+		return
+	}
+	s.step(func() ownership.Actions {
+		now := s.clock.Now()
+		switch {
+		case m.Request != nil:
+			return s.node.Request(now, from, m.Request)
+		case m.Reply != nil:
+			return s.node.Reply(now, from, m.Reply)
+		}
+		return ownership.Actions{}
+	})
+}
+
+// configure takes a new configuration.
+func (s *Service) configure(c *config.Effective) {
+	s.members.Tune(c.Control)
+	s.mu.Lock()
+	s.current = c
+	s.node.SetParams(leaseParams(c.Config))
+	s.mu.Unlock()
+	s.step(s.setResources)
+	s.look()
+}
+
+// setResources tells the node what exists. The caller holds the lock.
+func (s *Service) setResources() ownership.Actions {
+	var resources []ownership.Resource
+	add := func(r Resource, home fleet.DataCentre) {
+		resources = append(resources, ownership.Resource{Name: string(r), Home: home})
+		s.names[ownership.IDOf(string(r))] = r
+	}
+	for r, home := range s.declared {
+		add(r, home)
+	}
+	if s.current != nil {
+		for i := range s.current.Targets {
+			t := &s.current.Targets[i]
+			add(TargetResource(t.Name), t.DataCentre)
+		}
+	}
+	sortResources(resources)
+	return s.node.SetResources(s.clock.Now(), resources)
+}
+
+// look gives the node a new view of the site.
+func (s *Service) look() {
+	snapshot := s.members.Snapshot()
+	s.step(func() ownership.Actions {
+		return s.node.SetView(s.clock.Now(), viewOf(snapshot, s.current))
+	})
+}
--- /dev/null
+++ b/internal/service/owner/view.go
@@ -0,0 +1,62 @@
+package owner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/zinniafork/zinniafork/internal/config"
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/service/members"
+)
+
+// viewOf joins the membership with the marks of a configuration, which may be
+// nil.
+func viewOf(snapshot *members.Snapshot, c *config.Effective) ownership.View {
+	v := ownership.View{HasList: snapshot.HasList, Agreed: snapshot.Agreed}
+	marks := marksOf(c)
+	for i := range snapshot.Members {
+		m := &snapshot.Members[i]
+		if !m.Listed {
+			continue
+		}
+		v.Routers = append(v.Routers, ownership.Router{
+			VM:         m.VM,
+			DataCentre: m.DataCentre,
+			Eligible:   m.Status == members.StateAlive && !marks.drained(m.VM, m.DataCentre),
+		})
+	}
+	if c != nil {
+		v.Nearest = make(map[fleet.DataCentre][]fleet.DataCentre, len(c.DataCentres))
+		for _, dc := range c.DataCentres {
+			v.Nearest[dc.Name] = dc.Nearest
+		}
+	}
+	return v
+}
+
+// marks are the data centres and VMs that operators drain.
+type marks struct {
+	dcs map[fleet.DataCentre]bool
+	vms map[fleet.VM]bool
+}
+
+func marksOf(c *config.Effective) marks {
+	m := marks{dcs: make(map[fleet.DataCentre]bool), vms: make(map[fleet.VM]bool)}
+	if c == nil {
+		return m
+	}
+	for _, dc := range c.DataCentres {
+		m.dcs[dc.Name] = dc.Mark == fleet.MarkDrain
+	}
+	for _, vm := range c.VMs {
+		m.vms[vm.Name] = vm.Mark == fleet.MarkDrain
+	}
+	return m
+}
+
+func (m marks) drained(vm fleet.VM, dc fleet.DataCentre) bool { return m.vms[vm] || m.dcs[dc] }
+
+func sortResources(resources []ownership.Resource) {
+	slices.SortFunc(resources, func(a, b ownership.Resource) int { return cmp.Compare(a.Name, b.Name) })
+}
