Merge overlays over the base and check every rule

Cause: a version was one document, so sites could not differ and nothing kept a site from loosening what the consortium agreed. Change: config merges base and overlay with the origin of each value, refuses by name what an overlay may not change, and checks every rule with file, line, key and next step, before publishing and in each router. Integers for time spans are refused: TOML took 60 as 60 ns.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,9 +31,11 @@
 // Std returns the span as a time.Duration.
 func (d Duration) Std() time.Duration { return time.Duration(d) }
 
-// Config is the effective configuration of one site.
+// Config is the content of a document, and of the effective configuration of
+// one site.
 type Config struct {
 	Site        fleet.Site   `toml:"site" json:"site"`
+	Sites       []SiteRow    `toml:"sites" json:"sites,omitempty"`
 	Members     []Member     `toml:"members" json:"members"`
 	DataCentres []DataCentre `toml:"data_centres" json:"data_centres"`
 	VMs         []VM         `toml:"vms" json:"vms"`
@@ -56,6 +58,12 @@
 	Weight float64 `toml:"weight" json:"weight"`
 }
 
+// SiteRow names one site and the member that runs it. Only the base holds it.
+type SiteRow struct {
+	Name   fleet.Site   `toml:"name" json:"name"`
+	Member fleet.Member `toml:"member" json:"member"`
+}
+
 // DataCentre is one data centre of the site.
 type DataCentre struct {
 	Name   fleet.DataCentre `toml:"name" json:"name"`
@@ -213,12 +221,3 @@
 		},
 	}
 }
-
-// Effective is a configuration in force, with the version it came from.
-type Effective struct {
-	*Config
-	// Offset is the log offset of the newest record that it includes.
-	Offset uint64
-	// Hash identifies the content.
-	Hash string
-}
--- a/internal/config/decode.go
+++ b/internal/config/decode.go
@@ -3,34 +3,87 @@
 import (
 	"bytes"
 	"errors"
-	"fmt"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
 
-// Decode parses TOML over the defaults. Unknown keys and wrong values are
-// errors that name line and key; name is the file or origin shown in them.
+// Document is one TOML document: the base or an overlay.
+type Document struct {
+	// Name is the file or version shown in errors.
+	Name string
+	Text []byte
+}
+
+// parsed is a decoded document with the places of its keys.
+type parsed struct {
+	name    string
+	content *Config
+	at      *positions
+}
+
+// parse decodes a document over dst. Unknown keys and wrong values are
+// Problems that name line and key.
+func (d Document) parse(dst *Config) (*parsed, error) {
+	decoder := toml.NewDecoder(bytes.NewReader(d.Text))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(dst); err != nil {
+		return nil, d.explain(err)
+	}
+	p := &parsed{name: d.Name, content: dst, at: locate(d.Text)}
+	return p, p.units().err()
+}
+
+// units refuses time spans that are written as plain integers, which TOML
+// would take as nanoseconds.
+func (p *parsed) units() Problems {
+	var out Problems
+	for _, key := range spanKeys() {
+		if !p.at.integers[key] {
+			continue
+		}
+		out = append(out, &Problem{
+			File: p.name, Line: p.at.line(key), Key: key,
+			Message: "want a time span with a unit such as \"250ms\" or \"2s\", have a number without one",
+			Next:    "add the unit, in quotes",
+		})
+	}
+	return out
+}
+
+// Decode parses TOML over the defaults without checking the rules; name is
+// the file or origin shown in errors.
 func Decode(name string, data []byte) (*Config, error) {
-	c := Defaults()
-	d := toml.NewDecoder(bytes.NewReader(data))
-	d.DisallowUnknownFields()
-	if err := d.Decode(c); err != nil {
-		return nil, fmt.Errorf("%s: %s", name, explain(err))
+	p, err := Document{Name: name, Text: data}.parse(Defaults())
+	if err != nil {
+		return nil, err
 	}
-	return c, nil
+	return p.content, nil
 }
 
-func explain(err error) string {
+func (d Document) explain(err error) error {
 	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		first := strict.Errors[0]
-		row, _ := first.Position()
-		return fmt.Sprintf("line %d: unknown key %v", row, first.Key())
+	if errors.As(err, &strict) {
+		var out Problems
+		for i := range strict.Errors {
+			e := &strict.Errors[i]
+			row, _ := e.Position()
+			key := strings.Join(e.Key(), ".")
+			out = append(out, &Problem{
+				File: d.Name, Line: row, Key: key, Message: "unknown key", Next: nearestKey(key),
+			})
+		}
+		return out.err()
 	}
-	var de *toml.DecodeError
-	if errors.As(err, &de) {
-		row, _ := de.Position()
-		return fmt.Sprintf("line %d: key %v: %s", row, de.Key(), de.Error())
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		row, _ := wrong.Position()
+		key := strings.Join(wrong.Key(), ".")
+		if key == "" {
+			key = locate(d.Text).keyAt(row)
+		}
+		message := strings.TrimPrefix(wrong.Error(), "toml: ")
+		return Problems{{File: d.Name, Line: row, Key: key, Message: message, Next: "correct the value or the syntax"}}
 	}
-	return err.Error()
+	return Problems{{File: d.Name, Message: err.Error()}}
 }
--- /dev/null
+++ b/internal/config/schema.go
@@ -0,0 +1,119 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"sync"
+)
+
+// field is one key of a section or row.
+type field struct {
+	key   string
+	index int
+	kind  fieldKind
+}
+
+type fieldKind int
+
+const (
+	fieldValue fieldKind = iota
+	fieldTable
+	fieldRows
+)
+
+// fieldsOf returns the keys of a struct of this package, in order.
+func fieldsOf(t reflect.Type) []field {
+	out := make([]field, 0, t.NumField())
+	for i := range t.NumField() {
+		f := t.Field(i)
+		entry := field{key: f.Tag.Get("toml"), index: i}
+		switch {
+		case f.Type.Kind() == reflect.Struct:
+			entry.kind = fieldTable
+		case f.Type.Kind() == reflect.Slice && f.Type.Elem().Kind() == reflect.Struct:
+			entry.kind = fieldRows
+		}
+		out = append(out, entry)
+	}
+	return out
+}
+
+// spanKeys returns the keys of sections that hold a time span.
+var spanKeys = sync.OnceValue(func() []string {
+	var out []string
+	root := reflect.TypeFor[Config]()
+	for _, section := range fieldsOf(root) {
+		if section.kind != fieldTable {
+			continue
+		}
+		t := root.Field(section.index).Type
+		for _, f := range fieldsOf(t) {
+			if t.Field(f.index).Type == reflect.TypeFor[Duration]() {
+				out = append(out, join(section.key, f.key))
+			}
+		}
+	}
+	return out
+})
+
+// knownKeys returns every key of the schema, rows without their names.
+var knownKeys = sync.OnceValue(func() []string {
+	var out []string
+	var visit func(prefix string, t reflect.Type)
+	visit = func(prefix string, t reflect.Type) {
+		for _, f := range fieldsOf(t) {
+			path := join(prefix, f.key)
+			out = append(out, path)
+			switch f.kind {
+			case fieldTable:
+				visit(path, t.Field(f.index).Type)
+			case fieldRows:
+				visit(path, t.Field(f.index).Type.Elem())
+			}
+		}
+	}
+	visit("", reflect.TypeFor[Config]())
+	return out
+})
+
+// nearestKey suggests a known key of the same section that is spelled alike.
+func nearestKey(key string) string {
+	section, name := key[:strings.LastIndexByte(key, '.')+1], key[strings.LastIndexByte(key, '.')+1:]
+	best, bestDistance := "", 3
+	var siblings []string
+	for _, known := range knownKeys() {
+		rest, ok := strings.CutPrefix(known, section)
+		if !ok || strings.Contains(rest, ".") {
+			continue
+		}
+		siblings = append(siblings, rest)
+		if d := editDistance(name, rest); d < bestDistance {
+			best, bestDistance = rest, d
+		}
+	}
+	if best != "" {
+		return fmt.Sprintf("did you mean %q?", best)
+	}
+	return "known keys here: " + strings.Join(siblings, ", ")
+}
+
+// editDistance returns the number of single-letter edits between two words.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost = 1 + min(diagonal, row[j], row[j+1])
+			}
+			diagonal, row[j+1] = row[j+1], cost
+		}
+	}
+	return row[len(b)]
+}
--- a/internal/service/configsync/configsync.go
+++ b/internal/service/configsync/configsync.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -126,14 +127,14 @@
 // update changes the state, reports its events and wakes those who wait.
 func (s *Service) update(change func(*configstate.State) []configstate.Event) {
 	s.mu.Lock()
-	before, _ := s.state.Current()
 	events := change(s.state)
-	after, _ := s.state.Current()
 	close(s.changed)
 	s.changed = make(chan struct{})
 	s.mu.Unlock()
 	s.report(events)
-	if before.Version != after.Version {
+	// A version that came from a peer hints that the log is late for others
+	// too. Otherwise the next heartbeat is soon enough.
+	if slices.ContainsFunc(events, func(e configstate.Event) bool { return e.Kind == configstate.EventAhead }) {
 		s.members.Beat()
 	}
 }
--- a/internal/service/configsync/follow.go
+++ b/internal/service/configsync/follow.go
@@ -162,7 +162,6 @@
 	for _, f := range s.watchers {
 		f(effective)
 	}
-	s.members.Beat()
 }
 
 // appendRecord appends one record and gives up after a time limit, in case the
