--- a/cmd/zf-lab/main.go
+++ b/cmd/zf-lab/main.go
@@ -10,6 +10,8 @@
 type command struct {
 	Demo    demoCommand      `cmd:"" help:"Run a small fleet in one process and send it work."`
 	Run     runCommand       `cmd:"" help:"Run one experiment and judge it."`
+	Compare compareCommand   `cmd:"" help:"Run one experiment with several policies and seeds."`
+	Report  reportCommand    `cmd:"" help:"Compare policies and write a page with plots, and CSV."`
 	Version kong.VersionFlag `help:"Print the version."`
 }
 
