Add the placement interface and the bounded policy

Cause: the router and the experiments need one interface behind which policies can be compared on the same path. Before: the first target by hash, inside the route service. Conclusion: baselines add one constructor each to the table in policy.go.

--- /dev/null
+++ b/internal/core/placement/policy.go
@@ -0,0 +1,30 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+)
+
+// DefaultPolicy is the name of the policy of a router whose settings name
+// none.
+const DefaultPolicy = "bounded"
+
+// constructors holds the policies by name. The random source is seeded by the
+// process.
+var constructors = map[string]func(random *rand.Rand) Policy{
+	DefaultPolicy: func(*rand.Rand) Policy { return Bounded{} },
+}
+
+// New returns the policy of that name.
+func New(name string, random *rand.Rand) (Policy, error) {
+	construct, ok := constructors[name]
+	if !ok {
+		return nil, fmt.Errorf("policy %q: want one of %v", name, Names())
+	}
+	return construct(random), nil
+}
+
+// Names lists the policies.
+func Names() []string { return slices.Sorted(maps.Keys(constructors)) }
