Send a bounded load to routers on the loopback network

Callers now notice a silent answer after 1 s instead of 2 s once it has begun, so that a long answer can be run again in time.

--- a/cmd/zf-lab/main.go
+++ b/cmd/zf-lab/main.go
@@ -12,6 +12,7 @@
 	Run     runCommand       `cmd:"" help:"Run one experiment and judge it."`
 	Compare compareCommand   `cmd:"" help:"Run one experiment with several policies and seeds."`
 	Report  reportCommand    `cmd:"" help:"Compare policies and write a page with plots, and CSV."`
+	Load    loadCommand      `cmd:"" help:"Send a bounded load to routers on this machine."`
 	Version kong.VersionFlag `help:"Print the version."`
 }
 
--- a/internal/lab/caller/attempt.go
+++ b/internal/lab/caller/attempt.go
@@ -21,11 +21,17 @@
 
 func newCall(ctx context.Context) *call {
 	ctx, cancel := context.WithCancel(ctx)
-	return &call{ctx: ctx, cancel: cancel, watch: time.AfterFunc(progressLimit, cancel)}
+	return &call{ctx: ctx, cancel: cancel, watch: time.AfterFunc(answerLimit, cancel)}
 }
 
 // progress starts the wait for the next byte.
-func (c *call) progress() { c.watch.Reset(progressLimit) }
+func (c *call) progress(waiting bool) {
+	limit := progressLimit
+	if waiting {
+		limit = answerLimit
+	}
+	c.watch.Reset(limit)
+}
 
 func (c *call) end() {
 	c.watch.Stop()
