Add baseline policies of placement

A comparison needs round robin, least loaded by reports, power of two choices and plain rendezvous on the same path as the bounded policy.

Tests: each names every candidate once with those not ready last; no measurement yet, since the router does not use policies so far.

--- a/internal/core/placement/policy.go
+++ b/internal/core/placement/policy.go
@@ -14,7 +14,11 @@
 // constructors holds the policies by name. The random source is seeded by the
 // process.
 var constructors = map[string]func(random *rand.Rand) Policy{
-	DefaultPolicy: func(*rand.Rand) Policy { return Bounded{} },
+	DefaultPolicy:  func(*rand.Rand) Policy { return Bounded{} },
+	"rendezvous":   func(random *rand.Rand) Policy { return &Rendezvous{random: random} },
+	"round-robin":  func(*rand.Rand) Policy { return new(RoundRobin) },
+	"least-loaded": func(random *rand.Rand) Policy { return &LeastLoaded{random: random} },
+	"two-choices":  func(random *rand.Rand) Policy { return &TwoChoices{random: random} },
 }
 
 // New returns the policy of that name.
