--- a/cmd/zf-lab/main.go
+++ b/cmd/zf-lab/main.go
@@ -13,6 +13,7 @@
 	Compare compareCommand   `cmd:"" help:"Run one experiment with several policies and seeds."`
 	Report  reportCommand    `cmd:"" help:"Compare policies and write a page with plots, and CSV."`
 	Load    loadCommand      `cmd:"" help:"Send a bounded load to routers on this machine."`
+	Explore exploreCommand   `cmd:"" help:"Search the futures of the order journal for broken rules."`
 	Version kong.VersionFlag `help:"Print the version."`
 }
 
