--- /dev/null
+++ b/internal/core/admission/target_test.go
@@ -0,0 +1,243 @@
+package admission_test
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/zinniafork/zinniafork/internal/core/admission"
+	"github.com/zinniafork/zinniafork/internal/core/fairness"
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/core/health"
+	"github.com/zinniafork/zinniafork/internal/core/ownership"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+type even struct{}
+
+func (even) MemberWeight(fleet.Member) float64                 { return 1 }
+func (even) AccountWeight(fleet.Member, fleet.Account) float64 { return 1 }
+
+func config() admission.Config {
+	return admission.Config{
+		Limits:      health.Limits{Capacity: 4, Cold: 1},
+		QueueLength: 3,
+		Weights:     even{},
+	}
+}
+
+func item(id uint64) fairness.Item {
+	return fairness.Item{ID: id, Member: "m", Account: "a", Arrived: start, StartBy: start.Add(time.Hour)}
+}
+
+// warm returns a held target that bears its capacity.
+func warm(c admission.Config) *admission.Target {
+	t := admission.NewTarget(c, start)
+	t.Gain(start, ownership.Residual{Known: true})
+	t.Reported(at(1), report(0, c.Limits.Capacity, 1))
+	return t
+}
+
+func report(running, slots, takenMS int) admission.Report {
+	return admission.Report{
+		Running: running,
+		Health:  health.Report{Taken: at(takenMS), Incarnation: 1, Slots: slots},
+	}
+}
+
+func reason(a admission.Actions) admission.Reason {
+	if len(a.Refuse) == 0 {
+		return 0
+	}
+	return a.Refuse[0].Reason
+}
+
+func TestSlotsThenQueueThenRefusal(t *testing.T) {
+	target := warm(config())
+	for id := range uint64(4) {
+		must.Eq(t, []uint64{id}, target.Arrive(at(10), item(id), true).Start)
+		must.True(t, target.Confirmed(at(11), id))
+	}
+	must.Eq(t, admission.Full, reason(target.Arrive(at(20), item(4), false)))
+	for id := uint64(4); id < 7; id++ {
+		must.Eq(t, admission.Actions{}, target.Arrive(at(20), item(id), true))
+	}
+	must.Eq(t, 3, target.Queued())
+	refused := target.Arrive(at(21), item(7), true)
+	must.Eq(t, admission.QueueFull, reason(refused))
+	must.Greater(t, 0, refused.Refuse[0].RetryAfter)
+	must.Eq(t, []uint64{4}, target.Done(at(500), 0, true).Start)
+}
+
+func TestTooLateIsRefusedAtOnce(t *testing.T) {
+	target := warm(config())
+	for id := range uint64(4) {
+		target.Arrive(at(10), item(id), true)
+		target.Confirmed(at(10), id)
+	}
+	late := item(5)
+	late.StartBy = at(50)
+	must.Eq(t, admission.TooLate, reason(target.Arrive(at(20), late, true)))
+
+	waits := item(6)
+	waits.StartBy = at(800)
+	must.Eq(t, 0, reason(target.Arrive(at(20), waits, true)))
+	must.Eq(t, 0, reason(target.Tick(at(800))))
+	must.Eq(t, admission.TooLate, reason(target.Tick(at(801))))
+}
+
+func TestResidualCountsUntilReportOrDeadline(t *testing.T) {
+	cases := []struct {
+		name     string
+		residual ownership.Residual
+		report   *admission.Report
+		at       time.Time
+		load     int
+	}{
+		{"known", ownership.Residual{Known: true, Count: 3, Until: at(60_000)}, nil, at(100), 3},
+		{"unknown is the whole target", ownership.Residual{Until: at(60_000)}, nil, at(100), 4},
+		{"deadline", ownership.Residual{Known: true, Count: 3, Until: at(60_000)}, nil, at(60_000), 0},
+		{"report shows fewer", ownership.Residual{Known: true, Count: 3, Until: at(60_000)}, ptr(report(1, 4, 50)), at(100), 1},
+		{"report from before the tenure", ownership.Residual{Known: true, Count: 3, Until: at(60_000)}, ptr(report(0, 4, -50)), at(100), 3},
+		{"pending is not shown", ownership.Residual{Known: true, Count: 3, Until: at(60_000), Pending: 2, PendingUntil: at(10_000)}, ptr(report(0, 4, 50)), at(100), 2},
+		{"pending is over", ownership.Residual{Known: true, Count: 3, Until: at(60_000), Pending: 2, PendingUntil: at(90)}, ptr(report(0, 4, 50)), at(100), 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			target := admission.NewTarget(config(), start)
+			target.Gain(start, c.residual)
+			if c.report != nil {
+				target.Reported(at(100), *c.report)
+			}
+			must.Eq(t, c.load, target.Load(c.at))
+		})
+	}
+}
+
+func ptr[T any](v T) *T { return &v }
+
+func TestReportOfOthersWork(t *testing.T) {
+	target := warm(config())
+	target.Arrive(at(10), item(1), true)
+	target.Confirmed(at(10), 1)
+	target.Reported(at(1000), report(3, 4, 900))
+	must.Eq(t, 3, target.Load(at(1000)), must.Sprint("one of this owner and two of others"))
+
+	target.Arrive(at(1001), item(2), true)
+	target.Confirmed(at(1001), 2)
+	target.Done(at(1002), 1, true)
+	target.Done(at(1003), 2, true)
+	target.Reported(at(1100), report(2, 4, 950))
+	must.Eq(t, 0, target.Load(at(1100)), must.Sprint("the late report shows this owner's ended requests"))
+}
+
+func TestBound(t *testing.T) {
+	cases := []struct {
+		name   string
+		others admission.Others
+		limit  int
+	}{
+		{"idle fleet allows one", admission.Others{Load: 0, Capacity: 36}, 1},
+		{"even load allows one more", admission.Others{Load: 27, Capacity: 36}, 4},
+		{"rounded up", admission.Others{Load: 9, Capacity: 36}, 2},
+		{"alone", admission.Others{}, 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			bounded := config()
+			bounded.Bound = 1.25
+			target := warm(bounded)
+			target.SetOthers(at(5), c.others)
+			for id := range uint64(4) {
+				target.Arrive(at(10), item(id), false)
+			}
+			must.Eq(t, c.limit, target.Pending())
+		})
+	}
+}
+
+func TestLosingRefusesWhatWaits(t *testing.T) {
+	target := warm(config())
+	for id := range uint64(6) {
+		target.Arrive(at(10), item(id), true)
+	}
+	lost := target.Lose()
+	must.Len(t, 2, lost.Refuse)
+	must.Eq(t, admission.NotOwner, reason(lost))
+	must.Eq(t, admission.NotOwner, reason(target.Arrive(at(20), item(9), true)))
+	must.Eq(t, 4, target.Load(at(20)), must.Sprint("what was started goes on"))
+}
+
+// TestNeverOverLimits runs random steps and checks the load, counted apart,
+// against slots and bound whenever a request starts.
+func TestNeverOverLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := config()
+		c.Limits.Capacity = rapid.IntRange(1, 10).Draw(t, "capacity")
+		c.Bound = rapid.SampledFrom([]float64{0, 1.25, 2}).Draw(t, "bound")
+		target := warm(c)
+		others := admission.Others{}
+		var active []uint64
+		now := 10
+		slots := c.Limits.Capacity
+		check := func(a admission.Actions) {
+			for _, id := range a.Start {
+				active = append(active, id)
+				must.LessEq(t, slots, len(active))
+				if c.Bound > 0 {
+					mean := float64(others.Load+len(active)) / float64(others.Capacity+slots)
+					must.LessEq(t, max(1, int(math.Ceil(c.Bound*mean*float64(slots)))), len(active))
+				}
+			}
+		}
+		for id := range uint64(rapid.IntRange(1, 60).Draw(t, "steps")) {
+			now += rapid.IntRange(1, 100).Draw(t, "ms")
+			switch rapid.IntRange(0, 4).Draw(t, "op") {
+			case 0, 1:
+				check(target.Arrive(at(now), item(id), true))
+			case 2:
+				if len(active) > 0 {
+					done := active[0]
+					active = slices.Delete(active, 0, 1)
+					target.Confirmed(at(now), done)
+					check(target.Done(at(now), done, true))
+				}
+			case 3:
+				others.Load = rapid.IntRange(0, 50).Draw(t, "others")
+				others.Capacity = 50
+				check(target.SetOthers(at(now), others))
+			case 4:
+				if len(active) > 0 {
+					gone := active[len(active)-1]
+					active = active[:len(active)-1]
+					check(target.GiveUp(at(now), gone))
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkArriveDone(b *testing.B) {
+	c := config()
+	c.Bound = 1.25
+	c.Limits.Capacity = 24
+	target := warm(c)
+	target.SetOthers(at(5), admission.Others{Load: 4000, Capacity: 24 * 300})
+	b.ReportAllocs()
+	now := start
+	for id := uint64(0); b.Loop(); id++ {
+		now = now.Add(time.Millisecond)
+		target.Arrive(now, item(id), true)
+		target.Confirmed(now, id)
+		if id > 8 {
+			target.Done(now, id-8, true)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/retry/retry_test.go
@@ -0,0 +1,40 @@
+package retry_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/zinniafork/zinniafork/internal/core/retry"
+)
+
+func TestRetriesStayWithinShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0, 1).Draw(t, "ratio")
+		b := retry.NewBudget(ratio)
+		requests, retries := 0, 0
+		for range rapid.IntRange(0, 500).Draw(t, "requests") {
+			b.Request()
+			requests++
+			for range rapid.IntRange(0, 3).Draw(t, "tries") {
+				if b.Take() {
+					retries++
+				}
+			}
+			must.LessEq(t, 10+ratio*float64(requests)+1e-6, float64(retries))
+		}
+	})
+}
+
+func TestBudgetsAreApart(t *testing.T) {
+	all := retry.NewBudgets[string](0.1)
+	for range 20 {
+		all.Of("a").Take()
+	}
+	must.False(t, all.Of("a").Take())
+	must.True(t, all.Of("b").Take())
+	all.SetRatio(1)
+	all.Of("a").Request()
+	must.True(t, all.Of("a").Take())
+}
