--- /dev/null
+++ b/internal/core/digest/digest.go
@@ -0,0 +1,88 @@
+// Package digest spreads what owners know of their targets: a compact digest
+// for each target, merged by every router into one table.
+package digest
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/core/health"
+)
+
+// Key names a resource or a VM in digests: the low half of a hash of its name.
+type Key uint32
+
+// KeyOf returns the key of a name.
+func KeyOf(name string) Key { return Key(xxhash.Sum64String(name)) }
+
+// State is a target's health in one byte.
+type State uint8
+
+// states lists the states by their number. Zero is a resource that is no
+// target.
+var states = []health.State{
+	"", health.Unknown, health.Cold, health.Warming, health.Warm, health.Suspect, health.Leaving, health.Out,
+}
+
+// StateOf returns the number of a state.
+func StateOf(s health.State) State {
+	for i, known := range states {
+		if known == s {
+			return State(i)
+		}
+	}
+	return 0
+}
+
+// Health returns the state with that number.
+func (s State) Health() health.State {
+	if int(s) >= len(states) {
+		return health.Unknown
+	}
+	return states[s]
+}
+
+// ageUnit is the unit of ages in digests.
+const ageUnit = 50 * time.Millisecond
+
+// Digest is one owner's word on one resource.
+type Digest struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	Resource Key
+	// Owner is the key of the owner's VM, zero when it is the sender.
+	Owner Key
+	// Term and Seq order the digests of a resource.
+	Term uint64
+	Seq  uint32
+	// Age is the time since the owner made the digest, in units of 50 ms.
+	Age   uint16
+	State State
+	// Slots is the number of requests that the target may run now, Load what
+	// counts against it, and Queued the requests that wait at the owner.
+	Slots  uint16
+	Load   uint16
+	Queued uint16
+}
+
+// Entry is a digest in a router's table.
+type Entry struct {
+	Digest
+	// OwnerVM is the owner's name, empty while it is not known.
+	OwnerVM fleet.VM
+	// At is the latest time at which the digest was true.
+	At time.Time
+
+	from    fleet.VM
+	version uint64
+}
+
+// newer reports whether d is later word than e.
+func (e *Entry) newer(d *Digest) bool {
+	if d.Term != e.Term {
+		return d.Term > e.Term
+	}
+	return d.Seq > e.Seq
+}
