Add the settings of queues, probes, memory and voters

Cause: owners need limits on waiting, probing and memory, and requests between routers need the chosen target. Before: no keys. After: load.queue_wait, probe_period, report_lag, memory_entries and control.voters with defaults and checks; a request names its target and place, an error may name the next target. Conclusion: no behaviour changes yet.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -71,6 +71,13 @@
 	// ResumeFrom is the answer offset in bytes from which a caller resumes.
 	ResumeFrom uint64 `msgpack:"rf,omitempty"`
 
+	// Target is the target that the entry router chose. Place counts the
+	// targets that it had before in its order of preference.
+	Target fleet.Target `msgpack:"tg,omitempty"`
+	Place  int          `msgpack:"tn,omitempty"`
+	// Wait is true for a request that may wait at the target for its turn.
+	Wait bool `msgpack:"tw,omitempty"`
+
 	// TraceParent carries the trace context of the hop before.
 	TraceParent string `msgpack:"tp,omitempty"`
 }
--- a/internal/call/error.go
+++ b/internal/call/error.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
 )
 
 // Run tells whether a call had an effect on a target.
@@ -58,6 +60,8 @@
 	Run  Run    `json:"run" msgpack:"r"`
 	// RetryAfter tells the caller when to come back; zero means not stated.
 	RetryAfter time.Duration `json:"-" msgpack:"a,omitempty"`
+	// Next is the target that the owner of the chosen one advises instead.
+	Next fleet.Target `json:"-" msgpack:"n,omitempty"`
 	// StatusLink answers the outcome of the call once it is known.
 	StatusLink string `json:"status_link,omitempty" msgpack:"l,omitempty"`
 	// Cause is the error beneath; it stays on the VM where it arose.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -158,6 +158,14 @@
 	Bound float64 `toml:"bound" json:"bound"`
 	// QueueLength is the number of requests that may wait at one target.
 	QueueLength int `toml:"queue_length" json:"queue_length"`
+	// QueueWait is the longest time that a request waits at one target.
+	QueueWait Duration `toml:"queue_wait" json:"queue_wait"`
+	// ProbePeriod is the time between an owner's reads of a target's report.
+	ProbePeriod Duration `toml:"probe_period" json:"probe_period"`
+	// ReportLag is the age that a target's report may have.
+	ReportLag Duration `toml:"report_lag" json:"report_lag"`
+	// MemoryEntries is the number of moved chats that one router remembers.
+	MemoryEntries int `toml:"memory_entries" json:"memory_entries"`
 }
 
 // Deadlines holds the time limits of calls.
@@ -186,6 +194,8 @@
 	Heartbeat Duration `toml:"heartbeat" json:"heartbeat"`
 	// Lease is the time for which an owner may act without renewal.
 	Lease Duration `toml:"lease" json:"lease"`
+	// Voters is the number of routers that vote on the owner of a resource.
+	Voters int `toml:"voters" json:"voters"`
 }
 
 // Orders holds the rules of calls that may run at most once.
@@ -201,7 +211,14 @@
 // members, targets or accounts.
 func Defaults() *Config {
 	return &Config{
-		Load: Load{Bound: 1.25, QueueLength: 64},
+		Load: Load{
+			Bound:         1.25,
+			QueueLength:   64,
+			QueueWait:     Duration(time.Second),
+			ProbePeriod:   Duration(time.Second),
+			ReportLag:     Duration(time.Second),
+			MemoryEntries: 200_000,
+		},
 		Deadlines: Deadlines{
 			Chat:       Duration(60 * time.Second),
 			Service:    Duration(10 * time.Second),
@@ -213,6 +230,7 @@
 			BytesPerSecond: 3000,
 			Heartbeat:      Duration(500 * time.Millisecond),
 			Lease:          Duration(2 * time.Second),
+			Voters:         5,
 		},
 		Orders: Orders{
 			Partitions:       8,
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -187,6 +187,11 @@
 	c := k.c
 	k.between("load.bound", c.Load.Bound, minBound, maxBound)
 	k.atLeast("load.queue_length", c.Load.QueueLength, 1)
+	k.positive("load.queue_wait", c.Load.QueueWait)
+	k.positive("load.probe_period", c.Load.ProbePeriod)
+	k.positive("load.report_lag", c.Load.ReportLag)
+	k.atLeast("load.memory_entries", c.Load.MemoryEntries, 1)
+	k.atLeast("control.voters", c.Control.Voters, 1)
 	k.positive("deadlines.chat", c.Deadlines.Chat)
 	k.positive("deadlines.service", c.Deadlines.Service)
 	k.positive("deadlines.first_token", c.Deadlines.FirstToken)
