Measure slopes and print the capacity table

zf-lab capacity runs fleets of several sizes in one process and times decisions, fits lines and extrapolates to 390 routers and 1200 targets.

--- a/cmd/zf-lab/main.go
+++ b/cmd/zf-lab/main.go
@@ -8,13 +8,14 @@
 )
 
 type command struct {
-	Demo    demoCommand      `cmd:"" help:"Run a small fleet in one process and send it work."`
-	Run     runCommand       `cmd:"" help:"Run one experiment and judge it."`
-	Compare compareCommand   `cmd:"" help:"Run one experiment with several policies and seeds."`
-	Report  reportCommand    `cmd:"" help:"Compare policies and write a page with plots, and CSV."`
-	Load    loadCommand      `cmd:"" help:"Send a bounded load to routers on this machine."`
-	Explore exploreCommand   `cmd:"" help:"Search the futures of the order journal for broken rules."`
-	Version kong.VersionFlag `help:"Print the version."`
+	Demo     demoCommand      `cmd:"" help:"Run a small fleet in one process and send it work."`
+	Run      runCommand       `cmd:"" help:"Run one experiment and judge it."`
+	Compare  compareCommand   `cmd:"" help:"Run one experiment with several policies and seeds."`
+	Report   reportCommand    `cmd:"" help:"Compare policies and write a page with plots, and CSV."`
+	Load     loadCommand      `cmd:"" help:"Send a bounded load to routers on this machine."`
+	Capacity capacityCommand  `cmd:"" help:"Measure slopes and print the capacity table."`
+	Explore  exploreCommand   `cmd:"" help:"Search the futures of the order journal for broken rules."`
+	Version  kong.VersionFlag `help:"Print the version."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/lab/capacity/table.go
@@ -0,0 +1,259 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"github.com/zinniafork/zinniafork/internal/lab/testbed"
+)
+
+// Options shape the measurements.
+type Options struct {
+	// Routers are the sizes of the idle fleets, with targetsPerRouter targets
+	// for each.
+	Routers []int
+	// Orders are the order rates of the loaded fleets, a second.
+	Orders []float64
+	// Progress takes lines for people.
+	Progress io.Writer
+}
+
+const (
+	// targetsPerRouter is the planned ratio.
+	targetsPerRouter = 3
+	// loadedRouters and loadedTargets are the fleet that takes orders.
+	loadedRouters = 9
+	loadedTargets = 15
+	// orderShare is the share of orders among requests, as on today's sites.
+	orderShare = 0.13
+)
+
+// Measure makes all measurements and returns the rows of the table.
+func Measure(ctx context.Context, opt Options) ([]Row, error) {
+	m := &measurement{opt: opt}
+	if err := m.fleets(ctx); err != nil {
+		return nil, err
+	}
+	rows := m.daemonRows()
+	rows = append(rows, m.logRows()...)
+	more, err := decisionRows()
+	if err != nil {
+		return nil, err
+	}
+	return append(rows, more...), nil
+}
+
+type measurement struct {
+	opt    Options
+	empty  sample
+	idle   []sample
+	orders []sample
+}
+
+func (m *measurement) fleets(ctx context.Context) error {
+	var err error
+	if m.empty, err = m.fleet(ctx, fleetSize{targets: targetsPerRouter * slices.Max(m.opt.Routers)}); err != nil {
+		return err
+	}
+	for _, n := range m.opt.Routers {
+		s, err := m.fleet(ctx, fleetSize{routers: n, targets: n * targetsPerRouter})
+		if err != nil {
+			return err
+		}
+		m.idle = append(m.idle, s)
+	}
+	for _, rate := range m.opt.Orders {
+		s, err := m.fleet(ctx, fleetSize{routers: loadedRouters, targets: loadedTargets, orders: rate})
+		if err != nil {
+			return err
+		}
+		m.orders = append(m.orders, s)
+	}
+	return nil
+}
+
+func (m *measurement) fleet(ctx context.Context, size fleetSize) (sample, error) {
+	fmt.Fprintf(m.opt.Progress, "fleet of %d routers and %d targets, %.0f orders a second\n", size.routers, size.targets, size.orders)
+	s, err := measureFleet(ctx, size)
+	if err != nil {
+		return s, fmt.Errorf("fleet of %d routers: %w", size.routers, err)
+	}
+	return s, nil
+}
+
+// daemonRows are the lines of one VM with no work, by the number of routers.
+func (m *measurement) daemonRows() []Row {
+	targets := m.empty.targets
+	cores := func(s sample) float64 {
+		return (s.cores - m.empty.cores*float64(s.targets)/float64(targets)) / float64(s.routers)
+	}
+	heap := func(s sample) float64 {
+		return (s.heap - m.empty.heap*float64(s.targets)/float64(targets)) / float64(s.routers)
+	}
+	rows := []Row{
+		m.daemonRow("VM", "processor time of control", UnitCores, LimitCore, cores,
+			"heartbeats to a bounded number of neighbours"),
+		m.daemonRow("VM", "memory", UnitBytes, LimitBytes, heap,
+			"one row for each router and target of the site, no copy of others' chats"),
+		m.daemonRow("VM", "control traffic, mean router", UnitBytesPerSec, LimitTraffic, totalControl,
+			"bounded neighbours; the period stretches to the budget"),
+		m.daemonRow("VM", "control traffic, busiest router", UnitBytesPerSec, LimitTraffic,
+			func(s sample) float64 { return s.busiest }, "the same"),
+	}
+	for _, kind := range m.kinds() {
+		figure := func(s sample) float64 { return s.control[kind] }
+		rows = append(rows, m.daemonRow(roleOf(kind), kind+" traffic", UnitBytesPerSec, 0, figure, "part of the VM's budget"))
+	}
+	perDataCentre := float64(PlannedRouters) / PlannedDataCentres
+	perRegion := float64(PlannedRouters) / PlannedRegions
+	mean := rows[2]
+	return append(rows,
+		scaled(mean, "data centre", perDataCentre, fmt.Sprintf("%.0f routers", perDataCentre)),
+		scaled(mean, "region", perRegion, fmt.Sprintf("%.0f routers", perRegion)))
+}
+
+// scaled returns the row of a group of routers.
+func scaled(mean Row, role string, routers float64, mechanism string) Row {
+	return Row{
+		Role:      role,
+		Resource:  "control traffic of its routers",
+		Measured:  "from the mean router",
+		Planned:   mean.Planned * routers,
+		Unit:      mean.Unit,
+		Mechanism: mechanism,
+	}
+}
+
+func totalControl(s sample) float64 {
+	total := 0.0
+	for _, bytes := range s.control {
+		total += bytes
+	}
+	return total
+}
+
+func (m *measurement) kinds() []string {
+	all := make(map[string]bool)
+	for _, s := range m.idle {
+		for kind := range s.control {
+			all[kind] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(all))
+}
+
+// roleOf returns the role that a kind of traffic serves.
+func roleOf(kind string) string {
+	switch kind {
+	case "lease":
+		return "owner"
+	case "orders":
+		return "journal"
+	case "config", testbed.KindLog:
+		return "config"
+	case "figures":
+		return "admin"
+	default:
+		return "VM"
+	}
+}
+
+func (m *measurement) daemonRow(role, resource string, unit Unit, limit float64, figure func(sample) float64, mechanism string) Row {
+	var points []Point
+	for _, s := range m.idle {
+		points = append(points, Point{Size: float64(s.routers), Value: figure(s)})
+	}
+	return fitted(role, resource, "routers", points, PlannedRouters, unit, limit, mechanism)
+}
+
+// fitted returns the row of figures that grow with a size.
+func fitted(role, resource, of string, points []Point, planned float64, unit Unit, limit float64, mechanism string) Row {
+	line := Fit(points)
+	var measured []string
+	for _, p := range points {
+		measured = append(measured, fmt.Sprintf("%s at %.0f", show(p.Value, unit), p.Size))
+	}
+	return Row{
+		Role:      role,
+		Resource:  resource,
+		Measured:  strings.Join(measured, ", ") + " " + of,
+		Slope:     fmt.Sprintf("%s + %s for each", show(line.Base, unit), show(line.Slope, unit)),
+		Planned:   max(0, line.At(planned)),
+		Limit:     limit,
+		Unit:      unit,
+		Mechanism: mechanism,
+	}
+}
+
+// logRows are the lines of the log service, by the rate of orders.
+func (m *measurement) logRows() []Row {
+	points := func(figure func(sample) float64) []Point {
+		var out []Point
+		for _, s := range m.orders {
+			out = append(out, Point{Size: s.orders, Value: figure(s)})
+		}
+		return out
+	}
+	planned := PlannedRequests * orderShare
+	return []Row{
+		fitted("log streams", "appends", "orders/s", points(func(s sample) float64 { return s.appends }),
+			planned, UnitPerSec, LimitAppends, "many intents in one append, budget for the whole fleet"),
+		fitted("log streams", "appended bytes", "orders/s", points(func(s sample) float64 { return s.appendBytes }),
+			planned, UnitBytesPerSec, 0, "the same"),
+		fitted("log streams", "reads", "orders/s", points(func(s sample) float64 { return s.reads }),
+			planned, UnitPerSec, 0, "owners read their partitions alone"),
+		fitted("journal", "traffic with the log, mean router", "orders/s",
+			points(func(s sample) float64 { return s.control[testbed.KindLog] }),
+			planned, UnitBytesPerSec, LimitTraffic, "partitions are spread over the routers"),
+	}
+}
+
+// decisionRows are the lines of decisions that no fleet of this machine
+// reaches.
+func decisionRows() ([]Row, error) {
+	size, seconds, err := configFigures(100, 400, PlannedTargets)
+	if err != nil {
+		return nil, err
+	}
+	document := Fit(size).At(PlannedTargets)
+	chats := Fit(memoryBytes(10_000, 100_000, 400_000))
+	rank := placementTimes(12, 120, PlannedTargets)
+	perRouter := float64(PlannedRequests) / PlannedRouters
+	rows := []Row{
+		fitted("config", "size of the document", "targets", size, PlannedTargets, UnitBytes, 0,
+			"read once for each change"),
+		fitted("config", "time to read a document", "targets", millis(seconds), PlannedTargets, UnitMillis, 0,
+			"read once for each change"),
+		{
+			Role: "config", Resource: "traffic of changes", Measured: "from the size of the document",
+			Planned: document * PlannedChanges / day.Seconds(), Limit: LimitTraffic, Unit: UnitBytesPerSec,
+			Mechanism: fmt.Sprintf("%d changes a day, the body fetched once", PlannedChanges),
+		},
+		fitted("entry", "time to rank targets for a chat", "targets", millis(rank), PlannedTargets, UnitMillis, 0,
+			"only the targets of the chat's model are ranked"),
+		{
+			Role: "entry", Resource: "processor time of ranking", Measured: "from the time to rank",
+			Planned: Fit(rank).At(PlannedTargets) * perRouter, Unit: UnitCores,
+			Mechanism: fmt.Sprintf("%.1f requests a second for each router", perRouter),
+		},
+		{
+			Role: "owner", Resource: "memory of chats that moved", Limit: LimitBytes, Unit: UnitBytes,
+			Measured:  fmt.Sprintf("%.0f bytes a chat", chats.Slope),
+			Planned:   chats.Slope * PlannedChats / PlannedRouters,
+			Mechanism: "all chats of a router's targets, were each of them remembered; the memory has a limit",
+		},
+	}
+	return rows, nil
+}
+
+func millis(points []Point) []Point {
+	out := make([]Point, 0, len(points))
+	for _, p := range points {
+		out = append(out, Point{Size: p.Size, Value: p.Value * 1000})
+	}
+	return out
+}
--- a/internal/lab/testbed/logfaults.go
+++ b/internal/lab/testbed/logfaults.go
@@ -17,6 +17,8 @@
 	delay time.Duration
 	// lose is the share of appends whose answer is lost.
 	lose float64
+
+	appends, reads, appendBytes uint64
 }
 
 func newLogFaults(next http.Handler, seed uint64) *logFaults {
@@ -38,8 +40,26 @@
 	return l.delay, l.rng.Float64() < l.lose
 }
 
+func (l *logFaults) count(r *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Method != http.MethodPost {
+		l.reads++
+		return
+	}
+	l.appends++
+	l.appendBytes += uint64(max(r.ContentLength, 0))
+}
+
+func (l *logFaults) counts() (appends, reads, appendBytes uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends, l.reads, l.appendBytes
+}
+
 // ServeHTTP serves one call.
 func (l *logFaults) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.count(r)
 	delay, lose := l.draw()
 	time.Sleep(delay)
 	if !lose || r.Method != http.MethodPost {
--- a/internal/lab/testbed/sample.go
+++ b/internal/lab/testbed/sample.go
@@ -7,7 +7,6 @@
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
-	"github.com/zinniafork/zinniafork/internal/service/peer"
 )
 
 const (
@@ -26,7 +25,7 @@
 			b.sampleView(r, now, views)
 		}
 	})
-	totals := make(map[process]uint64)
+	totals := make(map[process]float64)
 	go kernel.Every(ctx, clock, trafficPeriod, func(now time.Time) {
 		for _, r := range b.allRouters() {
 			b.sampleTraffic(r, now, totals)
@@ -62,7 +61,7 @@
 	boot int
 }
 
-func (b *Testbed) sampleTraffic(r *router, now time.Time, last map[process]uint64) {
+func (b *Testbed) sampleTraffic(r *router, now time.Time, last map[process]float64) {
 	k, boot := r.running()
 	if k == nil {
 		return
@@ -74,36 +73,8 @@
 	if !seen {
 		return
 	}
-	rate := float64(total-before) / trafficPeriod.Seconds()
+	rate := (total - before) / trafficPeriod.Seconds()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.record.Control = append(b.record.Control, history.ControlSample{VM: r.vm.Name, At: now, Bytes: rate})
 }
-
-// controlKinds are the kinds of peer messages that are no caller's work.
-var controlKinds = []peer.Kind{
-	peer.KindHeartbeat,
-	peer.KindLease,
-	peer.KindConfig,
-	peer.KindFigures,
-	peer.KindOrders,
-}
-
-// controlBytes returns the control traffic of a router since its start, both
-// directions: control messages between routers, and everything to and from
-// the log service and the VM list.
-func (r *router) controlBytes(k *kernel.Kernel) uint64 {
-	var total uint64
-	if p, err := kernel.Find[peer.Peers](k, peer.Name); err == nil {
-		traffic := p.Traffic()
-		for _, kind := range controlKinds {
-			total += traffic[kind].Sent + traffic[kind].Received
-		}
-	}
-	for name, bytes := range r.currentHost().Traffic() {
-		if name == LogHost || name == r.listHost() {
-			total += bytes.Sent + bytes.Received
-		}
-	}
-	return total
-}
