Serve the administration API and sum up service for every member

Cause: operators could only write to the log by hand, nothing told who changed what, and no member could see the service or rules of another site. Change: adminapi serves /admin/v1 on every router: configuration reads and writes, marks with the capacity left, status, targets, accounts, orders, audit; roles and sites checked, keys hashed and compared in constant time, rates, bodies and concurrency limited, changes and refusals on the audit stream. figures passes sums up a tree of routers and puts one summary a site on the log.

--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/service/adminapi"
 	"github.com/zinniafork/zinniafork/internal/service/callerapi"
 	_ "github.com/zinniafork/zinniafork/internal/service/configsync" // registers the service
 	_ "github.com/zinniafork/zinniafork/internal/service/platform"   // registers the service
@@ -12,7 +13,7 @@
 // NewRouter returns a provisioned router.
 func NewRouter(env kernel.Env, settings kernel.Settings) (*kernel.Kernel, error) {
 	k := kernel.New(env, settings, nil)
-	if err := k.Provision(callerapi.Name); err != nil {
+	if err := k.Provision(callerapi.Name, adminapi.Name); err != nil {
 		return nil, err
 	}
 	return k, nil
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -31,6 +31,7 @@
 var (
 	namePattern   = regexp.MustCompile(`^[a-zA-Z0-9][a-zA-Z0-9._-]*$`)
 	hashPattern   = regexp.MustCompile(`^[0-9a-f]{64}$`)
+	quotedHash    = regexp.MustCompile(`["'][0-9a-f]{64}["']`)
 	methodPattern = regexp.MustCompile(`^[A-Z]+$`)
 )
 
--- /dev/null
+++ b/internal/core/usage/usage_test.go
@@ -0,0 +1,61 @@
+package usage
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+)
+
+func TestRingKeepsTheWindow(t *testing.T) {
+	var r Ring
+	start := time.Unix(1_800_000_000, 0)
+	id := ID{Member: "north", Account: "shop"}
+	for i := range 90 {
+		r.Add(start.Add(time.Duration(i)*Bucket), id, Counts{Requests: 1, BusyMS: 10})
+	}
+	now := start.Add(89 * Bucket)
+	must.Eq(t, uint64(buckets), r.Sum(now)[id].Requests)
+	must.Eq(t, uint64(1), r.Sum(now.Add(Window - Bucket))[id].Requests)
+	must.MapEmpty(t, r.Sum(now.Add(Window)))
+}
+
+func TestSharesAndService(t *testing.T) {
+	totals := Totals{
+		{Member: "b", Account: "y"}: {Requests: 4, InTime: 3, BusyMS: 300},
+		{Member: "a", Account: "x"}: {Requests: 1, InTime: 1, BusyMS: 100},
+	}
+	figures := totals.Figures()
+	must.Eq(t, fleet.Account("x"), figures[0].Account)
+	must.Eq(t, 0.25, figures[0].Share)
+	must.Eq(t, 0.75, figures[1].Service())
+	must.Eq(t, 1.0, Counts{}.Service())
+	members := ByMember(append(figures, Figure{ID: ID{Member: "b", Account: "z"}, Counts: Counts{BusyMS: 400}}))
+	must.Eq(t, 0.875, members[1].Share)
+}
+
+// TestTreeReachesTheRoot follows every router's parents up to the root and
+// bounds the number of sums that one router takes.
+func TestTreeReachesTheRoot(t *testing.T) {
+	for _, n := range []int{1, 2, 9, 33, 390} {
+		var live []fleet.VM
+		for i := range n {
+			live = append(live, fleet.VM(fmt.Sprintf("vm-%03d", i)))
+		}
+		children := make(map[fleet.VM]int)
+		for _, vm := range live {
+			depth := 0
+			for p := PlaceOf(vm, live); !p.Root; p = PlaceOf(p.Parent, live) {
+				depth++
+			}
+			must.LessEq(t, 5, depth)
+			if p := PlaceOf(vm, live); !p.Root {
+				children[p.Parent]++
+				must.LessEq(t, treeWidth, children[p.Parent])
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/service/figures/service.go
@@ -0,0 +1,286 @@
+package figures
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/core/usage"
+	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/platform/logstream"
+	"github.com/zinniafork/zinniafork/internal/service/configsync"
+	"github.com/zinniafork/zinniafork/internal/service/members"
+	"github.com/zinniafork/zinniafork/internal/service/peer"
+	"github.com/zinniafork/zinniafork/internal/service/platform"
+)
+
+const (
+	// staleSums is the number of periods after which a child's sums no longer
+	// count.
+	staleSums = 3
+	// publishPeriods is the number of periods between two summaries.
+	publishPeriods = 2
+	appendLimit    = 3 * time.Second
+	// readBack is the number of records in which each site's newest summary
+	// is looked for, and readAgain the time for which it is not read again.
+	readBack  = 32
+	readAgain = 2 * time.Second
+)
+
+func init() {
+	kernel.Register(Name, func() kernel.Service { return new(Service) })
+}
+
+// Service counts and sums up.
+type Service struct {
+	log     logstream.Log
+	members members.Membership
+	peers   peer.Peers
+	config  *configsync.Service
+	clock   kernel.Clock
+	logger  *logrus.Entry
+
+	mu       sync.Mutex
+	ring     usage.Ring
+	children map[fleet.VM]report
+	known    map[fleet.Site]Summary
+	readAt   time.Time
+}
+
+// report is what a router tells its parent.
+type report struct {
+	Figures []Figure `msgpack:"f"`
+	// Routers counts the routers that the figures include.
+	Routers int `msgpack:"n"`
+	at      time.Time
+}
+
+// Name returns the service's name.
+func (*Service) Name() string { return Name }
+
+// Provision looks up the log, the members and the configuration.
+func (s *Service) Provision(c *kernel.Context) error {
+	p, err := kernel.Lookup[platform.Platform](c, platform.Name)
+	if err != nil {
+		return err
+	}
+	if s.members, err = kernel.Lookup[members.Membership](c, members.Name); err != nil {
+		return err
+	}
+	if s.peers, err = kernel.Lookup[peer.Peers](c, peer.Name); err != nil {
+		return err
+	}
+	if s.config, err = kernel.Lookup[*configsync.Service](c, configsync.Name); err != nil {
+		return err
+	}
+	s.log, s.clock, s.logger = p.Log(), c.Clock, c.Logger()
+	s.children = make(map[fleet.VM]report)
+	s.known = make(map[fleet.Site]Summary)
+	s.peers.HandleControl(peer.KindFigures, s.hear)
+	return nil
+}
+
+// Start passes sums on in the background.
+func (s *Service) Start(ctx context.Context) error {
+	go s.run(ctx)
+	return nil
+}
+
+// Record counts one finished request.
+func (s *Service) Record(sample Sample) {
+	id := usage.ID{Member: sample.Member, Account: sample.Account}
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ring.Add(now, id, sampleCounts(sample))
+}
+
+// Local returns the sums that this router knows.
+func (s *Service) Local() []Figure { return s.sums(s.clock.Now()).Figures }
+
+func (s *Service) sums(now time.Time) report {
+	place := s.place()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	totals := s.ring.Sum(now)
+	out := report{Routers: 1}
+	for vm, child := range s.children {
+		if now.Sub(child.at) > staleSums*place.Period {
+			delete(s.children, vm)
+			continue
+		}
+		totals.Merge(child.Figures)
+		out.Routers += child.Routers
+	}
+	out.Figures = totals.Figures()
+	return out
+}
+
+func (s *Service) live() []fleet.VM {
+	var out []fleet.VM
+	self := s.members.Self()
+	for _, m := range s.members.Snapshot().Members {
+		if m.VM == self.VM || m.Status == members.StateAlive {
+			out = append(out, m.VM)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (s *Service) place() usage.Place { return usage.PlaceOf(s.members.Self().VM, s.live()) }
+
+// hear takes the sums of a child.
+func (s *Service) hear(from fleet.VM, payload []byte) {
+	var r report
+	if err := msgpack.Unmarshal(payload, &r); err != nil {
+		s.logger.WithError(err).WithField("peer", from).Warn("Sums rejected.")
+		return
+	}
+	r.at = s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.children[from] = r
+}
+
+func (s *Service) run(ctx context.Context) {
+	for turn := 0; ; turn++ {
+		place := s.place()
+		if s.clock.Sleep(ctx, place.Period) != nil {
+			return
+		}
+		s.pass(ctx, s.place(), turn)
+	}
+}
+
+// pass gives the sums to the parent; the root publishes them.
+func (s *Service) pass(ctx context.Context, place usage.Place, turn int) {
+	sums := s.sums(s.clock.Now())
+	if !place.Root {
+		payload, err := msgpack.Marshal(sums)
+		if err == nil {
+			err = s.peers.Send(place.Parent, peer.KindFigures, payload)
+		}
+		if err != nil {
+			s.logger.WithError(err).WithField("peer", place.Parent).Debug("Cannot pass sums on.")
+		}
+		return
+	}
+	if turn%publishPeriods == 0 {
+		s.publish(ctx, sums)
+	}
+}
+
+func (s *Service) publish(ctx context.Context, sums report) {
+	summary, ok := s.summary(ctx, sums)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	s.known[summary.Site] = summary
+	s.mu.Unlock()
+	data, err := json.Marshal(summary)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer s.clock.AfterFunc(appendLimit, cancel)()
+	if _, err := s.log.Append(ctx, Stream, data); err != nil {
+		s.logger.WithError(err).Warn("Cannot append the site's summary.")
+	}
+}
+
+func (s *Service) summary(ctx context.Context, sums report) (Summary, bool) {
+	e := s.config.Current()
+	if e == nil {
+		return Summary{}, false
+	}
+	self, live := s.members.Self(), s.live()
+	out := Summary{
+		Site:      self.Site,
+		VM:        self.VM,
+		At:        s.clock.Now().UTC(),
+		RulesHash: e.RulesHash(),
+		Routers:   len(live),
+		Missing:   max(0, len(live)-sums.Routers),
+		Accounts:  sums.Figures,
+	}
+	out.Version.Offset, out.Version.Hash = e.Offset, e.Hash
+	for _, r := range s.config.Status(ctx).Routers {
+		if r.InForce != out.Version {
+			out.Lagging = append(out.Lagging, r.VM)
+		}
+	}
+	return out, true
+}
+
+// Summaries returns the newest summary of each site.
+func (s *Service) Summaries(ctx context.Context) ([]Summary, error) {
+	err := s.readSummaries(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Summary, 0, len(s.known))
+	for _, site := range slices.Sorted(maps.Keys(s.known)) {
+		out = append(out, s.known[site])
+	}
+	return out, err
+}
+
+func (s *Service) readSummaries(ctx context.Context) error {
+	s.mu.Lock()
+	fresh := s.clock.Now().Sub(s.readAt) < readAgain
+	s.mu.Unlock()
+	if fresh {
+		return nil
+	}
+	page, err := s.log.Read(ctx, Stream, 0, 1, 0)
+	if err != nil {
+		return fmt.Errorf("read summaries: %w", err)
+	}
+	from := page.Earliest
+	if page.Next > readBack {
+		from = max(from, page.Next-readBack)
+	}
+	if page, err = s.log.Read(ctx, Stream, from, readBack, 0); err != nil {
+		return fmt.Errorf("read summaries: %w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readAt = s.clock.Now()
+	for _, r := range page.Records {
+		var summary Summary
+		if json.Unmarshal(r.Data, &summary) != nil {
+			continue
+		}
+		if !summary.At.Before(s.known[summary.Site].At) {
+			s.known[summary.Site] = withShares(summary)
+		}
+	}
+	return nil
+}
+
+// withShares works out the shares anew, so that they always agree with the
+// counts.
+func withShares(summary Summary) Summary {
+	totals := make(usage.Totals)
+	totals.Merge(summary.Accounts)
+	summary.Accounts = totals.Figures()
+	return summary
+}
+
+// Interface guards.
+var (
+	_ Recorder           = (*Service)(nil)
+	_ Reader             = (*Service)(nil)
+	_ kernel.Provisioner = (*Service)(nil)
+	_ kernel.Starter     = (*Service)(nil)
+)
