--- a/internal/lab/testbed/targets.go
+++ b/internal/lab/testbed/targets.go
@@ -68,15 +68,7 @@
 
 // startEngine runs a new stand-in under the engine's name and address.
 func (b *Testbed) startEngine(ctx context.Context, e *engine, warm bool) error {
-	s := engined.New(engined.Options{
-		Name:            string(e.target.Name),
-		Slots:           e.target.Slots,
-		ColdSlots:       e.target.ColdSlots,
-		Prefill:         prefill,
-		PrefillPerToken: prefillPerToken,
-		PerToken:        perToken,
-		CacheTokens:     cacheTokens,
-	})
+	s := engined.New(b.engineOptions(e.target))
 	if warm {
 		s.WarmUp()
 	}
@@ -91,6 +83,20 @@
 	return b.serve(ctx, h, targetPort, s.Handler())
 }
 
+func (b *Testbed) engineOptions(t site.Target) engined.Options {
+	opt := engined.Options{
+		Name:        string(t.Name),
+		Slots:       t.Slots,
+		ColdSlots:   t.ColdSlots,
+		CacheTokens: cacheTokens,
+	}
+	if b.opt.InstantEngines {
+		return opt
+	}
+	opt.Prefill, opt.PrefillPerToken, opt.PerToken = prefill, prefillPerToken, perToken
+	return opt
+}
+
 func (b *Testbed) engine(t fleet.Target) (*engine, error) {
 	e, ok := b.engines[t]
 	if !ok {
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -43,6 +43,8 @@
 	Seed  uint64
 	// Policy names the placement policy; empty means the default.
 	Policy string
+	// InstantEngines answer without delay, for benchmarks.
+	InstantEngines bool
 	// Log takes the routers' logs; nil drops them.
 	Log *logrus.Logger
 }
