--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -22,22 +23,41 @@
 	ExitUsage = 80
 )
 
-// Main parses the arguments into grammar and runs the chosen command.
-func Main(name, description string, grammar any) {
+// Coder is an error that asks for an exit code of its own.
+type Coder interface {
+	ExitCode() int
+}
+
+// Main parses the arguments into grammar and runs the chosen command. Each of
+// before is called with the parser first.
+func Main(name, description string, grammar any, before ...func(*kong.Kong)) {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	k := kong.Parse(grammar,
+	parser := kong.Must(grammar,
 		kong.Name(name),
 		kong.Description(description),
 		kong.UsageOnError(),
 		kong.Vars{"version": Version},
 		kong.BindTo(ctx, (*context.Context)(nil)),
 	)
+	for _, f := range before {
+		f(parser)
+	}
+	k, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
 	if err := k.Run(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		stop()
-		os.Exit(ExitError) //nolint:gocritic // stop has run
+		os.Exit(exitCode(err)) //nolint:gocritic // stop has run
+	}
+}
+
+func exitCode(err error) int {
+	var coder Coder
+	if errors.As(err, &coder) {
+		return coder.ExitCode()
 	}
+	return ExitError
 }
 
 // NewLogger returns a logger that writes to standard error.
--- a/internal/service/adminapi/config_write.go
+++ b/internal/service/adminapi/config_write.go
@@ -57,6 +57,9 @@
 	if err := config.Check(after, ""); err != nil {
 		return nil, err
 	}
+	if err := keepsAdministrator(after); err != nil {
+		return nil, err
+	}
 	out := &admin.Published{
 		DryRun: p.dryRun, Version: entry, Affected: p.affected,
 		Changes: changes(before, after), Capacity: s.capacityAfter(before, after),
@@ -181,6 +184,25 @@
 	return nil
 }
 
+// keepsAdministrator refuses a base that nobody could change again.
+func keepsAdministrator(docs configstate.Documents) error {
+	text, _ := docs.Text(configstate.Base)
+	base, err := config.Decode(string(configstate.Base), []byte(text))
+	if err != nil {
+		return err
+	}
+	if slices.ContainsFunc(base.Operators, func(o config.Operator) bool {
+		return o.Role == config.RoleAdmin && len(o.KeyHashes) > 0
+	}) {
+		return nil
+	}
+	return config.Problems{{
+		File: string(configstate.Base), Key: "operators",
+		Message: "no operator of role \"admin\" has a key, so nobody could change the base again",
+		Next:    "add one; zfctl key new makes a key",
+	}}
+}
+
 func (s *Service) rollback(c *request, in admin.RollbackRequest) (*admin.Published, error) {
 	old, docs, err := s.version(&in.Version)
 	if err != nil {
--- a/internal/service/adminapi/errors.go
+++ b/internal/service/adminapi/errors.go
@@ -79,7 +79,7 @@
 	if errors.As(err, &problems) {
 		return &admin.Error{
 			Code: admin.CodeInvalid, Problems: problems,
-			Message: fmt.Sprintf("the configuration has %d problems", len(problems)),
+			Message: problemCount(len(problems)),
 			Next:    "mend them and check again with zfctl validate",
 		}
 	}
@@ -97,6 +97,13 @@
 	return configError(err)
 }
 
+func problemCount(n int) string {
+	if n == 1 {
+		return "the configuration has a problem"
+	}
+	return fmt.Sprintf("the configuration has %d problems", n)
+}
+
 func configError(err error) *admin.Error {
 	switch {
 	case errors.Is(err, configstate.ErrStale):
