Make target clients and stand-ins whole, with contract tests

Cause: targets and the platform were met by thin clients without time limits, and the stand-ins had no faults. net/http repeats some requests by itself when an idle connection breaks (GET, and any method with an Idempotency-Key and no body), and a connection that was got counted as a request that was sent. Before: a broken idle connection could send an order twice, and a stale one gave "unknown" for calls of which no byte had left. After: bodies that net/http can't replay, bytes counted at the connection, no redirects, silence noticed by asking the engine on another connection, cut answers resumed where the engine can. Ruled out: a fixed limit for silence, which cuts slow answers that are alive.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -19,7 +19,8 @@
 type Server struct {
 	http     *http.Server
 	listener net.Listener
-	done     chan error
+	ended    chan struct{}
+	err      error
 }
 
 // Start listens on address and serves handler.
@@ -31,9 +32,12 @@
 	s := &Server{
 		http:     &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout},
 		listener: ln,
-		done:     make(chan error, 1),
+		ended:    make(chan struct{}),
 	}
-	go func() { s.done <- s.http.Serve(ln) }()
+	go func() {
+		defer close(s.ended)
+		s.err = s.http.Serve(ln)
+	}()
 	return s, nil
 }
 
@@ -51,11 +55,12 @@
 	return nil
 }
 
-// Close ends the server at once.
+// Close ends the server at once. It may be called again.
 func (s *Server) Close() error {
 	err := s.http.Close()
-	if serveErr := <-s.done; !errors.Is(serveErr, http.ErrServerClosed) {
-		err = errors.Join(err, serveErr)
+	<-s.ended
+	if errors.Is(s.err, http.ErrServerClosed) {
+		return err
 	}
-	return err
+	return errors.Join(err, s.err)
 }
--- a/internal/kernel/kerneltest/network.go
+++ b/internal/kernel/kerneltest/network.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -47,7 +49,7 @@
 		return nil, fmt.Errorf("dial %s: connection refused", address)
 	}
 	here, there := net.Pipe()
-	a, b := &conn{Conn: here}, &conn{Conn: there}
+	a, b := newConn(here), newConn(there)
 	select {
 	case ln.backlog <- b:
 	case <-ln.closed:
@@ -126,6 +128,25 @@
 type conn struct {
 	net.Conn
 	silent atomic.Bool
+	once   sync.Once
+	closed chan struct{}
+}
+
+func newConn(inner net.Conn) *conn { return &conn{Conn: inner, closed: make(chan struct{})} }
+
+// Read does not learn of the other end's close while the connection is
+// silent.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) && c.silent.Load() {
+		<-c.closed
+	}
+	return n, err
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
 }
 
 func (c *conn) Write(p []byte) (int, error) {
--- a/internal/platform/logstream/logstream.go
+++ b/internal/platform/logstream/logstream.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -56,14 +57,21 @@
 // Client talks to the log service over HTTP.
 type Client struct {
 	base *sling.Sling
+	http *http.Client
 	peer string
 }
 
 // New returns a client of the service at baseURL.
 func New(baseURL string, http *http.Client) *Client {
-	return &Client{base: sling.New().Client(http).Base(baseURL), peer: baseURL}
+	return &Client{base: sling.New().Base(baseURL), http: http, peer: baseURL}
 }
 
+// Limits of calls: of an append, and of a read beyond its wait.
+const (
+	appendTimeout = 3 * time.Second
+	readTimeout   = 2 * time.Second
+)
+
 // AppendRequest is the body of an append.
 type AppendRequest struct {
 	Records [][]byte `json:"records"`
@@ -82,6 +90,8 @@
 
 // Append adds records to a stream.
 func (c *Client) Append(ctx context.Context, stream string, records ...[]byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
 	s := c.base.New().Post(streamPath(stream)).BodyJSON(AppendRequest{Records: records})
 	var out AppendResponse
 	if err := c.do(ctx, "append", s, &out); err != nil {
@@ -92,6 +102,8 @@
 
 // Read returns records of a stream.
 func (c *Client) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
 	q := readQuery{From: from, Limit: limit, WaitMS: wait.Milliseconds()}
 	s := c.base.New().Get(streamPath(stream)).QueryStruct(q)
 	var out Page
@@ -106,16 +118,26 @@
 	if err != nil {
 		return fmt.Errorf("log %s: build request: %w", step, err)
 	}
-	resp, err := s.Do(req.WithContext(ctx), out, nil)
+	// The HTTP client must not append twice by itself.
+	req.GetBody = nil
+	resp, err := c.http.Do(req.WithContext(ctx))
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			// Idle connections may be as silent as the one that was used.
+			c.http.CloseIdleConnections()
+		}
 		return fmt.Errorf("log %s at %s: %w: %w", step, c.peer, ErrUnavailable, err)
 	}
+	defer resp.Body.Close()
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return fmt.Errorf("log %s at %s: status %d: %w", step, c.peer, resp.StatusCode, ErrUnavailable)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("log %s at %s: status %d: %w", step, c.peer, resp.StatusCode, ErrRefused)
 	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return fmt.Errorf("log %s at %s: %w: %w", step, c.peer, ErrUnavailable, err)
+	}
 	return nil
 }
 
--- a/internal/service/peer/fault_test.go
+++ b/internal/service/peer/fault_test.go
@@ -17,8 +17,9 @@
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
-// blockUntilCanceled starts an answer and waits until nobody wants it.
-func blockUntilCanceled(canceled chan<- error) CallHandler {
+// blockUntilCanceled starts an answer, waits until nobody wants it, and ends
+// it with an error that says run.
+func blockUntilCanceled(canceled chan<- error, run call.Run) CallHandler {
 	return func(ctx context.Context, _ fleet.VM, req *call.Request, sink call.Sink) error {
 		if err := sink.Head(call.Head{Attempt: req.Attempt, Status: 200}); err != nil {
 			return err
@@ -28,14 +29,14 @@
 		}
 		<-ctx.Done()
 		canceled <- context.Cause(ctx)
-		return &call.Error{Code: call.CodeCanceled, Step: "owner", Message: "canceled in the queue", Run: call.RunNot}
+		return &call.Error{Code: call.CodeCanceled, Step: "owner", Message: "canceled in the queue", Run: run}
 	}
 }
 
 func TestCancelReachesTheHandler(t *testing.T) {
 	canceled := make(chan error, 1)
 	a := startRouter(t, "a", kernel.SystemNetwork{}, "", nil)
-	b := startRouter(t, "b", kernel.SystemNetwork{}, "", func(s *Service) { s.HandleCall(KindRun, blockUntilCanceled(canceled)) })
+	b := startRouter(t, "b", kernel.SystemNetwork{}, "", func(s *Service) { s.HandleCall(KindRun, blockUntilCanceled(canceled, call.RunNot)) })
 	introduceAll(t, a, b)
 
 	ctx, cancel := context.WithCancel(t.Context())
@@ -50,7 +51,7 @@
 func TestStoppedRouterCutsItsAnswers(t *testing.T) {
 	canceled := make(chan error, 1)
 	a := startRouter(t, "a", kernel.SystemNetwork{}, "", nil)
-	b := startRouter(t, "b", kernel.SystemNetwork{}, "", func(s *Service) { s.HandleCall(KindRun, blockUntilCanceled(canceled)) })
+	b := startRouter(t, "b", kernel.SystemNetwork{}, "", func(s *Service) { s.HandleCall(KindRun, blockUntilCanceled(canceled, call.RunUnknown)) })
 	introduceAll(t, a, b)
 
 	var once sync.Once
--- a/internal/service/platform/platform.go
+++ b/internal/service/platform/platform.go
@@ -4,12 +4,12 @@
 
 import (
 	"fmt"
-	"net/http"
 	"net/url"
 
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/platform/logstream"
 	"github.com/zinniafork/zinniafork/internal/platform/vmlist"
+	"github.com/zinniafork/zinniafork/internal/target"
 )
 
 // Name is the service's name in the kernel.
@@ -46,7 +46,7 @@
 	if err := c.Settings(&s.settings); err != nil {
 		return err
 	}
-	client := &http.Client{Transport: &http.Transport{DialContext: c.Net.DialContext}}
+	client := target.NewHTTPClient(c.Net)
 	s.log = logstream.New(s.settings.LogURL, client)
 	s.vms = vmlist.New(s.settings.VMListURL, client)
 	return nil
--- a/internal/service/route/route.go
+++ b/internal/service/route/route.go
@@ -49,7 +49,7 @@
 		return err
 	}
 	s.config = src
-	s.http = &http.Client{Transport: &http.Transport{DialContext: c.Net.DialContext}}
+	s.http = target.NewHTTPClient(c.Net)
 	return nil
 }
 
--- a/internal/standin/engined/cache.go
+++ b/internal/standin/engined/cache.go
@@ -11,19 +11,31 @@
 	blocks   *simplelru.LRU[uint64, int]
 	tokens   int
 	capacity int
+
+	// chains holds the newest prompt of each cache key and last the key of
+	// the block that ends it.
+	chains  map[string][]Block
+	last    map[uint64]string
+	evicted func(key string)
 }
 
-func newPrefixCache(capacity int) *prefixCache {
+func newPrefixCache(capacity int, evicted func(key string)) *prefixCache {
 	blocks, err := simplelru.NewLRU[uint64, int](maxBlocks, nil)
 	if err != nil {
 		panic(err) // only a size below one is an error
 	}
-	return &prefixCache{blocks: blocks, capacity: capacity}
+	return &prefixCache{
+		blocks:   blocks,
+		capacity: capacity,
+		chains:   make(map[string][]Block),
+		last:     make(map[uint64]string),
+		evicted:  evicted,
+	}
 }
 
 // use looks a prompt up, adds it, and returns the tokens of its longest
 // cached prefix.
-func (c *prefixCache) use(prompt []Block) (cached int) {
+func (c *prefixCache) use(key string, prompt []Block) (cached int) {
 	prefix := true
 	for _, b := range prompt {
 		if _, ok := c.blocks.Get(b.Hash); !ok {
@@ -35,12 +47,34 @@
 			cached += b.Tokens
 		}
 	}
+	c.name(key, prompt)
+	c.shrink()
+	return cached
+}
+
+// name notes the prompt as the newest one of its key.
+func (c *prefixCache) name(key string, prompt []Block) {
+	if key == "" || len(prompt) == 0 {
+		return
+	}
+	if old := c.chains[key]; len(old) > 0 {
+		delete(c.last, old[len(old)-1].Hash)
+	}
+	c.chains[key] = prompt
+	c.last[prompt[len(prompt)-1].Hash] = key
+}
+
+func (c *prefixCache) shrink() {
 	for c.tokens > c.capacity {
-		_, tokens, ok := c.blocks.RemoveOldest()
+		hash, tokens, ok := c.blocks.RemoveOldest()
 		if !ok {
-			break
+			return
 		}
 		c.tokens -= tokens
+		if key, ok := c.last[hash]; ok {
+			delete(c.last, hash)
+			delete(c.chains, key)
+			c.evicted(key)
+		}
 	}
-	return cached
 }
--- a/internal/standin/engined/chat.go
+++ b/internal/standin/engined/chat.go
@@ -1,181 +1,192 @@
 package engined
 
 import (
-	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
-	"strings"
+	"strconv"
 	"time"
-)
 
-// generation is one request while the engine runs it.
-type generation struct {
-	run    Run
-	in     ChatRequest
-	prompt []Block
-	tokens int
-}
+	"github.com/zinniafork/zinniafork/internal/standin/fault"
+	"github.com/zinniafork/zinniafork/internal/target"
+	"github.com/zinniafork/zinniafork/internal/target/engine"
+)
 
 func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	in, err := decode(data)
+	id := r.Header.Get(target.HeaderRequestID)
+	from, resume, err := resumeOffset(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	g := s.begin(in, r.Header.Get("X-Request-Id"))
-	if g.run.Refused {
-		s.end(g)
-		http.Error(w, "engine is overloaded", http.StatusServiceUnavailable)
+	if resume {
+		s.resume(w, r, id, from)
 		return
 	}
-	if in.Stream {
-		g.run.Whole = s.stream(w, r, g)
-	} else {
-		g.run.Whole = s.answer(w, r, g)
+	in, err := decode(data)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
 	}
-	s.end(g)
+	g := s.newGeneration(in, id, r.Header.Get(engine.HeaderCacheKey))
+	priority, _ := strconv.Atoi(r.Header.Get(engine.HeaderPriority))
+	if !s.admit(w, r, g, priority) {
+		return
+	}
+	go s.generate(g)
+	s.follow(w, r, g, 0)
 }
 
-// begin admits a request into the batch. An engine that is over its limit
-// refuses it and slows down all others.
-func (s *Server) begin(in ChatRequest, id string) *generation {
-	g := &generation{in: in, prompt: Blocks(in.Model, in.Messages), tokens: s.opt.Tokens}
-	if in.MaxTokens > 0 {
-		g.tokens = in.MaxTokens
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.batch.running++
-	g.run = Run{
-		RequestID:    id,
-		User:         in.User,
-		Model:        in.Model,
-		Started:      time.Now(),
-		PromptTokens: promptTokens(g.prompt),
-		Running:      s.batch.running,
-		Limit:        s.batch.limit,
-		Cold:         s.batch.cold(),
-		Refused:      s.batch.overloaded(),
-	}
-	if !g.run.Refused {
-		g.run.CachedTokens = s.cache.use(g.prompt)
+// resumeOffset returns the offset from which a reader resumes an answer.
+func resumeOffset(r *http.Request) (from uint64, resume bool, err error) {
+	text := r.Header.Get(engine.HeaderResumeFrom)
+	if text == "" {
+		return 0, false, nil
 	}
-	return g
+	from, err = strconv.ParseUint(text, 10, 64)
+	return from, true, err
 }
 
-// end takes the request off the batch and records it.
-func (s *Server) end(g *generation) {
-	g.run.Ended = time.Now()
+// resume goes on with an answer that the engine still has.
+func (s *Server) resume(w http.ResponseWriter, r *http.Request, id string, from uint64) {
 	s.mu.Lock()
-	s.batch.running--
-	if g.run.Whole {
-		s.batch.complete()
-		s.cache.use(answered(g))
-	}
+	g, ok := s.active[id]
 	s.mu.Unlock()
-	s.record(g.run)
-}
-
-// answered returns the prompt with the answer as its last message, as the
-// next turn of the chat will send it.
-func answered(g *generation) []Block {
-	answer := Message{Role: "assistant", Content: Answer(g.prompt, g.tokens)}
-	return Blocks(g.in.Model, append(append([]Message(nil), g.in.Messages...), answer))
+	if !ok || from > g.length() && g.ended() {
+		http.Error(w, "the answer is not kept", http.StatusGone)
+		return
+	}
+	s.follow(w, r, g, from)
 }
 
-// generate calls emit for each token at its time and reports whether all of
-// them were emitted.
-func (s *Server) generate(r *http.Request, g *generation, emit func(i int, word string) error) bool {
-	missing := g.run.PromptTokens - g.run.CachedTokens
-	base := s.opt.Prefill + time.Duration(missing)*s.opt.PrefillPerToken
-	for i := range g.tokens {
-		if !sleep(r, s.step(base)) {
-			return false
-		}
-		if i == 0 {
-			g.run.FirstToken = time.Now()
-		}
-		if err := emit(i, Word(g.prompt, i)); err != nil {
+// admit takes a request into the batch, after a wait in the queue when the
+// batch is full. Beyond the queue the engine refuses the request, and slows
+// down all others while it does.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, g *generation, priority int) bool {
+	s.mu.Lock()
+	if !s.models.serves(g.in.Model) {
+		s.mu.Unlock()
+		http.Error(w, "model is not loaded", http.StatusNotFound)
+		return false
+	}
+	if s.batch.mustWait() {
+		waiting := s.batch.enqueue(priority)
+		s.noteLoad()
+		s.mu.Unlock()
+		if !s.wait(r, waiting) {
 			return false
 		}
-		base = s.opt.PerToken
+		s.mu.Lock()
+	} else {
+		s.batch.running++
+	}
+	defer s.mu.Unlock()
+	s.begin(g)
+	if !g.run.Refused {
+		return true
 	}
-	return true
+	s.leave(g)
+	http.Error(w, "engine is overloaded", http.StatusServiceUnavailable)
+	return false
 }
 
-func (s *Server) step(base time.Duration) time.Duration {
+// wait waits in the queue and reports whether the request was admitted.
+func (s *Server) wait(r *http.Request, w *waiter) bool {
+	select {
+	case <-w.admitted:
+		return true
+	case <-r.Context().Done():
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.batch.step(base)
+	if !s.batch.abandon(w) {
+		// Admitted at the same moment: give the slot back.
+		s.batch.leave(false)
+	}
+	s.noteLoad()
+	return false
 }
 
-// stream writes the answer as server-sent events and reports whether all of
-// it was written.
-func (s *Server) stream(w http.ResponseWriter, r *http.Request, g *generation) bool {
-	w.Header().Set("Content-Type", "text/event-stream")
+// follow writes an answer from an offset on while it is generated.
+func (s *Server) follow(w http.ResponseWriter, r *http.Request, g *generation, from uint64) {
+	g.attach()
+	defer s.detach(g)
 	flush := http.NewResponseController(w).Flush
-	if flush() != nil {
-		return false
+	w.Header().Set("Content-Type", "application/json")
+	if g.in.Stream {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	if g.run.RequestID != "" {
+		w.Header().Set(target.HeaderRequestID, g.run.RequestID)
+	}
+	w.Header().Set(target.HeaderIncarnation, strconv.FormatUint(g.incarnation, 10))
+	if g.in.Stream && flush() != nil {
+		return
 	}
-	whole := s.generate(r, g, func(_ int, word string) error {
-		event := fmt.Sprintf(`{"id":%q,"object":"chat.completion.chunk","model":%q,"choices":[{"index":0,"delta":{"content":%q}}]}`, g.run.RequestID, g.in.Model, word)
-		if _, err := fmt.Fprintf(w, "data: %s\n\n", event); err != nil {
-			return err
+	for {
+		part, ended, changed := g.read(from)
+		if len(part) > 0 {
+			from += uint64(len(part))
+			if _, err := w.Write(part); err != nil {
+				return
+			}
+			if g.in.Stream && flush() != nil {
+				return
+			}
+			continue
+		}
+		if ended {
+			if !g.whole() {
+				panic(http.ErrAbortHandler)
+			}
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
 		}
-		return flush()
-	})
-	if !whole {
-		return false
 	}
-	_, err := fmt.Fprint(w, "data: [DONE]\n\n")
-	return err == nil
 }
 
-// answer writes the answer as one JSON document.
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, g *generation) bool {
-	var text strings.Builder
-	whole := s.generate(r, g, func(_ int, word string) error {
-		text.WriteString(word)
-		return nil
-	})
-	if !whole {
-		return false
+// detach ends a generation that nobody reads, at once or after the grace.
+func (s *Server) detach(g *generation) {
+	if g.detach() > 0 || g.ended() {
+		return
 	}
-	type choice struct {
-		Index        int     `json:"index"`
-		Message      Message `json:"message"`
-		FinishReason string  `json:"finish_reason"`
-	}
-	out := struct {
-		ID      string   `json:"id"`
-		Object  string   `json:"object"`
-		Model   string   `json:"model"`
-		Choices []choice `json:"choices"`
-	}{
-		ID:     g.run.RequestID,
-		Object: "chat.completion",
-		Model:  g.in.Model,
-		Choices: []choice{{
-			Message:      Message{Role: "assistant", Content: text.String()},
-			FinishReason: "stop",
-		}},
+	if s.opt.ResumeGrace <= 0 {
+		g.cancel()
+		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	return json.NewEncoder(w).Encode(out) == nil
+	readers := g.attachments()
+	time.AfterFunc(s.opt.ResumeGrace, func() {
+		if g.attachments() == readers {
+			g.cancel()
+		}
+	})
 }
 
-func sleep(r *http.Request, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-r.Context().Done():
-		return false
+func (s *Server) progress(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	s.mu.Lock()
+	g, ok := s.active[id]
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, "request is not known", http.StatusNotFound)
+		return
+	}
+	fault.WriteJSON(w, engine.Progress{RequestID: id, Running: !g.ended(), Whole: g.whole(), Bytes: g.length()})
+}
+
+func (s *Server) cancelRequest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	g, ok := s.active[r.PathValue("id")]
+	s.mu.Unlock()
+	if ok {
+		g.cancel()
 	}
+	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/standin/engined/record.go
+++ b/internal/standin/engined/record.go
@@ -11,7 +11,8 @@
 	Started    time.Time `json:"started"`
 	FirstToken time.Time `json:"first_token"`
 	Ended      time.Time `json:"ended"`
-	Whole      bool      `json:"whole"`
+	// Whole is true when the answer was generated to its end.
+	Whole bool `json:"whole"`
 	// PromptTokens counts the prompt, CachedTokens its part found in cache.
 	PromptTokens int `json:"prompt_tokens"`
 	CachedTokens int `json:"cached_tokens"`
@@ -31,9 +32,3 @@
 	defer s.mu.Unlock()
 	return append([]Run(nil), s.runs...)
 }
-
-func (s *Server) record(run Run) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.runs = append(s.runs, run)
-}
--- a/internal/standin/vmlistd/vmlistd.go
+++ b/internal/standin/vmlistd/vmlistd.go
@@ -3,24 +3,45 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/platform/vmlist"
+	"github.com/zinniafork/zinniafork/internal/standin/fault"
 )
 
+// Options shape a VM list.
+type Options struct {
+	// Lag is the age of what the list shows.
+	Lag time.Duration
+}
+
 // Server keeps the list in memory.
 type Server struct {
+	opt Options
+
 	mu  sync.Mutex
 	vms map[fleet.VM]fleet.VMInfo
+	// past holds the list after each change, the newest last.
+	past []version
 }
 
-// New returns an empty list.
-func New() *Server {
-	return &Server{vms: make(map[fleet.VM]fleet.VMInfo)}
+type version struct {
+	at  time.Time
+	vms map[fleet.VM]fleet.VMInfo
+}
+
+// New returns an empty list that does not lag.
+func New() *Server { return NewWith(Options{}) }
+
+// NewWith returns an empty list.
+func NewWith(opt Options) *Server {
+	return &Server{opt: opt, vms: make(map[fleet.VM]fleet.VMInfo), past: []version{{}}}
 }
 
 // Put adds or replaces a row.
@@ -28,6 +49,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms[vm.VM] = vm
+	s.keep()
 }
 
 // Remove takes a row off the list.
@@ -35,14 +57,32 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.vms, vm)
+	s.keep()
+}
+
+// keep notes the list for readers that see it late. The caller holds the
+// lock.
+func (s *Server) keep() {
+	s.past = append(s.past, version{at: time.Now(), vms: maps.Clone(s.vms)})
+	s.shown()
 }
 
-// List returns the rows sorted by VM name.
+// shown returns the rows that readers see now and forgets older ones. The
+// caller holds the lock.
+func (s *Server) shown() map[fleet.VM]fleet.VMInfo {
+	limit := time.Now().Add(-s.opt.Lag)
+	for len(s.past) > 1 && !s.past[1].at.After(limit) {
+		s.past = s.past[1:]
+	}
+	return s.past[0].vms
+}
+
+// List returns the rows that readers see, sorted by VM name.
 func (s *Server) List() vmlist.List {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out vmlist.List
-	for _, vm := range s.vms {
+	for _, vm := range s.shown() {
 		out.VMs = append(out.VMs, vm)
 	}
 	slices.SortFunc(out.VMs, func(a, b fleet.VMInfo) int {
@@ -54,9 +94,26 @@
 // Handler serves the list.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/vms", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(s.List())
+	mux.HandleFunc("GET /v1/vms", func(w http.ResponseWriter, _ *http.Request) { fault.WriteJSON(w, s.List()) })
+	return mux
+}
+
+// AdminHandler changes the list: PUT and DELETE /admin/vms/{vm}.
+func (s *Server) AdminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /admin/vms/{vm}", func(w http.ResponseWriter, r *http.Request) {
+		vm := fleet.VMInfo{State: fleet.VMLive}
+		if err := json.NewDecoder(r.Body).Decode(&vm); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		vm.VM = fleet.VM(r.PathValue("vm"))
+		s.Put(vm)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("DELETE /admin/vms/{vm}", func(w http.ResponseWriter, r *http.Request) {
+		s.Remove(fleet.VM(r.PathValue("vm")))
+		w.WriteHeader(http.StatusNoContent)
 	})
 	return mux
 }
