Test audit and figures under faults and shrink the sums

Cause: both services had no tests, and sums of 270 accounts took 30 KB each, 4.0 KB/s at a router with 4 children of 390. Change: sums are arrays of compact numbers without members, which the configuration tells; servicetest has a log in memory with retention and faults, which configsync's tests use too; the administration API and figures need configsync.Config, an interface. Audit entries outlive lost answers and an outage, each read once.

--- a/internal/core/usage/usage.go
+++ b/internal/core/usage/usage.go
@@ -22,17 +22,17 @@
 
 // Counts sums up requests.
 type Counts struct {
-	Requests  uint64 `json:"requests" msgpack:"r"`
-	Completed uint64 `json:"completed" msgpack:"c"`
-	InTime    uint64 `json:"in_time" msgpack:"i"`
+	Requests  uint64 `json:"requests"`
+	Completed uint64 `json:"completed"`
+	InTime    uint64 `json:"in_time"`
 	// Refused counts requests that did not run; Failed all others that have no
 	// whole answer.
-	Refused uint64 `json:"refused" msgpack:"f"`
-	Failed  uint64 `json:"failed" msgpack:"x"`
+	Refused uint64 `json:"refused"`
+	Failed  uint64 `json:"failed"`
 	// FirstByteMS and BusyMS sum up times in milliseconds; the second is the
 	// measure of load.
-	FirstByteMS uint64 `json:"first_byte_ms" msgpack:"b"`
-	BusyMS      uint64 `json:"busy_ms" msgpack:"m"`
+	FirstByteMS uint64 `json:"first_byte_ms"`
+	BusyMS      uint64 `json:"busy_ms"`
 }
 
 // Add adds o to c.
@@ -56,8 +56,8 @@
 
 // ID names whom counts belong to.
 type ID struct {
-	Member  fleet.Member  `json:"member" msgpack:"M"`
-	Account fleet.Account `json:"account,omitempty" msgpack:"A"`
+	Member  fleet.Member  `json:"member"`
+	Account fleet.Account `json:"account,omitempty"`
 }
 
 // Figure is the service of one client account, or of one member when the
@@ -66,7 +66,7 @@
 	ID
 	Counts
 	// Share is its part of the load of all.
-	Share float64 `json:"share" msgpack:"-"`
+	Share float64 `json:"share"`
 }
 
 // Ring holds the counts of the last minutes in buckets.
--- a/internal/service/adminapi/service.go
+++ b/internal/service/adminapi/service.go
@@ -43,7 +43,7 @@
 type Service struct {
 	settings Settings
 	identity identity.Identity
-	config   *configsync.Service
+	config   configsync.Config
 	members  members.Membership
 	audit    audit.Auditor
 	figures  figures.Reader
@@ -82,7 +82,7 @@
 	if s.identity, err = kernel.Lookup[identity.Identity](c, identity.Name); err != nil {
 		return err
 	}
-	if s.config, err = kernel.Lookup[*configsync.Service](c, configsync.Name); err != nil {
+	if s.config, err = kernel.Lookup[configsync.Config](c, configsync.Name); err != nil {
 		return err
 	}
 	if s.members, err = kernel.Lookup[members.Membership](c, members.Name); err != nil {
--- a/internal/service/configsync/configsync.go
+++ b/internal/service/configsync/configsync.go
@@ -178,8 +178,7 @@
 
 // Interface guards.
 var (
-	_ Source             = (*Service)(nil)
-	_ Publishing         = (*Service)(nil)
+	_ Config             = (*Service)(nil)
 	_ kernel.Provisioner = (*Service)(nil)
 	_ kernel.Validator   = (*Service)(nil)
 	_ kernel.Starter     = (*Service)(nil)
--- a/internal/service/configsync/configsync_test.go
+++ b/internal/service/configsync/configsync_test.go
@@ -11,8 +11,8 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
+	"github.com/zinniafork/zinniafork/internal/service/servicetest"
 )
 
 // convergeLimit is the time in which a change must be in force everywhere.
@@ -54,8 +54,8 @@
 func start(t *testing.T, run func(n *network, a, b, c *node)) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newNetwork(t)
-		n.stream.append(configsync.Genesis([]byte(base(1))))
-		a, b, c := n.boot("vm-a", nil), n.boot("vm-b", nil), n.boot("vm-c", nil)
+		n.stream.Append(configsync.Stream, configsync.Genesis([]byte(base(1))))
+		a, b, c := n.boot("vm-a", servicetest.LogFaults{}), n.boot("vm-b", servicetest.LogFaults{}), n.boot("vm-c", servicetest.LogFaults{})
 		n.mustConverge(1)
 		run(n, a, b, c)
 	})
@@ -78,23 +78,23 @@
 // TestLogFaults cuts routers off from the log in several ways while another
 // one publishes.
 func TestLogFaults(t *testing.T) {
-	cases := map[string]func(c *client){
-		"down":   func(c *client) { c.down = true },
-		"silent": func(c *client) { c.silent = true },
+	cases := map[string]servicetest.LogFaults{
+		"down":   {Down: true},
+		"silent": {Silent: true},
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
 			start(t, func(n *network, a, b, c *node) {
-				b.log.set(fault)
-				c.log.set(fault)
+				b.log.Set(fault)
+				c.log.Set(fault)
 				n.mustPublish(a, 2)
 				n.mustConverge(2)
-				a.log.set(fault)
-				fresh := n.boot("vm-d", func(c *client) { fault(c) })
+				a.log.Set(fault)
+				fresh := n.boot("vm-d", fault)
 				n.mustConverge(2)
 				must.Eq(t, a.Current().Hash, fresh.Current().Hash)
 				for _, nd := range n.all() {
-					nd.log.set(func(c *client) { c.down, c.silent = false, false })
+					nd.log.Set(servicetest.LogFaults{})
 				}
 				time.Sleep(time.Minute)
 				must.Eq(t, a.Current().Offset, fresh.Status(n.ctx).Confirmed.Offset)
@@ -107,7 +107,7 @@
 
 func TestLostAnswerPublishesOnce(t *testing.T) {
 	start(t, func(n *network, a, b, _ *node) {
-		a.log.set(func(c *client) { c.lose = 3 })
+		a.log.Set(servicetest.LogFaults{LoseAnswers: 3})
 		n.mustPublish(a, 2)
 		n.mustConverge(2)
 		must.Eq(t, 2, len(b.History()))
@@ -118,11 +118,11 @@
 // answer: the outcome stays unknown until the log shows it.
 func TestOutageDuringPublish(t *testing.T) {
 	start(t, func(n *network, a, b, _ *node) {
-		a.log.set(func(c *client) { c.down = true })
+		a.log.Set(servicetest.LogFaults{Down: true})
 		_, err := n.publish(a, 2)
 		must.ErrorIs(t, err, configsync.ErrOutcomeUnknown)
 		n.mustPublish(b, 3)
-		a.log.set(func(c *client) { c.down = false })
+		a.log.Set(servicetest.LogFaults{})
 		n.mustConverge(3)
 	})
 }
@@ -179,14 +179,14 @@
 		version := a.Current().Offset
 		for range 24 {
 			time.Sleep(testRetention / 4)
-			n.stream.expire(testRetention)
+			n.stream.Expire(configsync.Stream, testRetention)
 		}
-		page, _ := n.stream.snapshot(0)
+		page := n.stream.Page(configsync.Stream, 0, 1)
 		must.Greater(t, 0, page.Earliest)
 		snapshots := int(page.Next) - 1
 		must.Between(t, 20, snapshots, 24)
 		n.stopAll()
-		fresh := n.boot("vm-z", nil)
+		fresh := n.boot("vm-z", servicetest.LogFaults{})
 		n.mustConverge(1)
 		must.Eq(t, version, fresh.Current().Offset)
 	})
@@ -199,7 +199,7 @@
 			n.mustPublish(a, 100+i)
 		}
 		n.stopAll()
-		n.boot(fleet.VM("vm-z"), nil)
+		n.boot("vm-z", servicetest.LogFaults{})
 		n.mustConverge(100 + 3*configstate.BootWindow - 1)
 	})
 }
--- a/internal/service/configsync/fakes_test.go
+++ b/internal/service/configsync/fakes_test.go
@@ -15,127 +15,18 @@
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
-	"github.com/zinniafork/zinniafork/internal/platform/logstream"
-	"github.com/zinniafork/zinniafork/internal/platform/vmlist"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
-	"github.com/zinniafork/zinniafork/internal/service/platform"
+	"github.com/zinniafork/zinniafork/internal/service/servicetest"
 )
 
-// stream is the log service with one stream and retention.
-type stream struct {
-	mu       sync.Mutex
-	records  []logstream.Record
-	earliest uint64
-	changed  chan struct{}
-}
-
-func newStream() *stream { return &stream{changed: make(chan struct{})} }
-
-func (s *stream) append(data []byte) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	offset := uint64(len(s.records))
-	s.records = append(s.records, logstream.Record{Offset: offset, Time: time.Now(), Data: data})
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return offset
-}
-
-// expire drops the records that are older than retention.
-func (s *stream) expire(retention time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for s.earliest < uint64(len(s.records)) && time.Since(s.records[s.earliest].Time) > retention {
-		s.earliest++
-	}
-}
-
-func (s *stream) snapshot(from uint64) (logstream.Page, chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	next := uint64(len(s.records))
-	page := logstream.Page{Earliest: s.earliest, Next: next}
-	page.Records = append(page.Records, s.records[min(max(from, s.earliest), next):]...)
-	return page, s.changed
-}
-
-// client is one router's way to the log, with faults.
-type client struct {
-	stream *stream
-	mu     sync.Mutex
-	// down refuses every call; silent lets reads hang; lose drops the answers
-	// of that many appends after their effect.
-	down, silent bool
-	lose         int
-}
-
-func (c *client) set(change func(c *client)) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	change(c)
-}
-
-func (c *client) faults() (down, silent, lose bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.lose > 0 {
-		c.lose--
-		lose = true
-	}
-	return c.down, c.silent, lose
-}
-
-func (c *client) Append(_ context.Context, _ string, records ...[]byte) (uint64, error) {
-	down, _, lose := c.faults()
-	if down {
-		return 0, logstream.ErrUnavailable
-	}
-	offset := c.stream.append(records[0])
-	if lose {
-		return 0, logstream.ErrUnavailable
-	}
-	return offset, nil
-}
-
-func (c *client) Read(ctx context.Context, _ string, from uint64, _ int, wait time.Duration) (logstream.Page, error) {
-	c.mu.Lock()
-	down, silent := c.down, c.silent
-	c.mu.Unlock()
-	if down {
-		return logstream.Page{}, logstream.ErrUnavailable
-	}
-	if silent {
-		<-ctx.Done()
-		return logstream.Page{}, ctx.Err()
-	}
-	over := time.After(wait)
-	for {
-		page, changed := c.stream.snapshot(from)
-		if len(page.Records) > 0 {
-			return page, nil
-		}
-		select {
-		case <-changed:
-		case <-over:
-			return page, nil
-		case <-ctx.Done():
-			return logstream.Page{}, ctx.Err()
-		}
-	}
-}
-
-func (c *client) Name() string          { return platform.Name }
-func (c *client) Log() logstream.Log    { return c }
-func (c *client) VMList() vmlist.Source { return nil }
-
 // node is one router with its configuration service and fake neighbours.
 type node struct {
 	*configsync.Service
 	vm     fleet.VM
 	net    *network
-	log    *client
+	log    *servicetest.LogClient
 	ext    members.Extension
 	answer peer.QueryHandler
 	seenMu sync.Mutex
@@ -146,7 +37,7 @@
 // network holds the nodes and carries their heartbeats and queries.
 type network struct {
 	t      *testing.T
-	stream *stream
+	stream *servicetest.Log
 	ctx    context.Context
 	mu     sync.Mutex
 	nodes  []*node
@@ -166,17 +57,14 @@
 func newNetwork(t *testing.T) *network {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	n := &network{t: t, stream: newStream(), ctx: ctx}
+	n := &network{t: t, stream: servicetest.NewLog(), ctx: ctx}
 	go kernel.Every(ctx, kernel.SystemClock{}, 500*time.Millisecond, func(time.Time) { n.heartbeats() })
 	return n
 }
 
-// boot starts a router whose log client has the given faults.
-func (n *network) boot(vm fleet.VM, faults func(*client)) *node {
-	nd := &node{vm: vm, net: n, log: &client{stream: n.stream}}
-	if faults != nil {
-		faults(nd.log)
-	}
+// boot starts a router whose way to the log has the given faults.
+func (n *network) boot(vm fleet.VM, faults servicetest.LogFaults) *node {
+	nd := &node{vm: vm, net: n, log: servicetest.NewLogClient(n.stream, faults)}
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	k := kernel.New(kernel.Env{Log: quiet}, fixedSettings{}, nil)
--- a/internal/service/configsync/publish.go
+++ b/internal/service/configsync/publish.go
@@ -57,6 +57,12 @@
 	Status(ctx context.Context) Status
 }
 
+// Config is all that the service offers.
+type Config interface {
+	Source
+	Publishing
+}
+
 // host is what a publication needs from the reader that watches the log.
 type host interface {
 	next(p *configstate.Publication) (configstate.Step, configstate.Fate)
--- a/internal/service/figures/service.go
+++ b/internal/service/figures/service.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/usage"
@@ -44,7 +43,7 @@
 	log     logstream.Log
 	members members.Membership
 	peers   peer.Peers
-	config  *configsync.Service
+	config  configsync.Config
 	clock   kernel.Clock
 	logger  *logrus.Entry
 
@@ -55,14 +54,6 @@
 	readAt   time.Time
 }
 
-// report is what a router tells its parent.
-type report struct {
-	Figures []Figure `msgpack:"f"`
-	// Routers counts the routers that the figures include.
-	Routers int `msgpack:"n"`
-	at      time.Time
-}
-
 // Name returns the service's name.
 func (*Service) Name() string { return Name }
 
@@ -78,7 +69,7 @@
 	if s.peers, err = kernel.Lookup[peer.Peers](c, peer.Name); err != nil {
 		return err
 	}
-	if s.config, err = kernel.Lookup[*configsync.Service](c, configsync.Name); err != nil {
+	if s.config, err = kernel.Lookup[configsync.Config](c, configsync.Name); err != nil {
 		return err
 	}
 	s.log, s.clock, s.logger = p.Log(), c.Clock, c.Logger()
@@ -104,23 +95,23 @@
 }
 
 // Local returns the sums that this router knows.
-func (s *Service) Local() []Figure { return s.sums(s.clock.Now()).Figures }
+func (s *Service) Local() []Figure { return s.sums(s.clock.Now()).figures }
 
 func (s *Service) sums(now time.Time) report {
 	place := s.place()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	totals := s.ring.Sum(now)
-	out := report{Routers: 1}
+	out := report{routers: 1}
 	for vm, child := range s.children {
 		if now.Sub(child.at) > staleSums*place.Period {
 			delete(s.children, vm)
 			continue
 		}
-		totals.Merge(child.Figures)
-		out.Routers += child.Routers
+		totals.Merge(child.figures)
+		out.routers += child.routers
 	}
-	out.Figures = totals.Figures()
+	out.figures = totals.Figures()
 	return out
 }
 
@@ -140,12 +131,11 @@
 
 // hear takes the sums of a child.
 func (s *Service) hear(from fleet.VM, payload []byte) {
-	var r report
-	if err := msgpack.Unmarshal(payload, &r); err != nil {
+	r, err := decodeSums(payload, s.config.Current(), s.clock.Now())
+	if err != nil {
 		s.logger.WithError(err).WithField("peer", from).Warn("Sums rejected.")
 		return
 	}
-	r.at = s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.children[from] = r
@@ -165,11 +155,8 @@
 func (s *Service) pass(ctx context.Context, place usage.Place, turn int) {
 	sums := s.sums(s.clock.Now())
 	if !place.Root {
-		payload, err := msgpack.Marshal(sums)
-		if err == nil {
-			err = s.peers.Send(place.Parent, peer.KindFigures, payload)
-		}
-		if err != nil {
+		payload := EncodeSums(sums.figures, sums.routers)
+		if err := s.peers.Send(place.Parent, peer.KindFigures, payload); err != nil {
 			s.logger.WithError(err).WithField("peer", place.Parent).Debug("Cannot pass sums on.")
 		}
 		return
@@ -211,8 +198,8 @@
 		At:        s.clock.Now().UTC(),
 		RulesHash: e.RulesHash(),
 		Routers:   len(live),
-		Missing:   max(0, len(live)-sums.Routers),
-		Accounts:  sums.Figures,
+		Missing:   max(0, len(live)-sums.routers),
+		Accounts:  sums.figures,
 	}
 	out.Version.Offset, out.Version.Hash = e.Offset, e.Hash
 	for _, r := range s.config.Status(ctx).Routers {
