--- a/cmd/zf-lab/main.go
+++ b/cmd/zf-lab/main.go
@@ -10,6 +10,7 @@
 type command struct {
 	Demo     demoCommand      `cmd:"" help:"Run a small fleet in one process and send it work."`
 	Run      runCommand       `cmd:"" help:"Run one experiment and judge it."`
+	Suite    suiteCommand     `cmd:"" help:"Run many experiments and list their measures."`
 	Compare  compareCommand   `cmd:"" help:"Run one experiment with several policies and seeds."`
 	Report   reportCommand    `cmd:"" help:"Compare policies and write a page with plots, and CSV."`
 	Load     loadCommand      `cmd:"" help:"Send a bounded load to routers on this machine."`
