--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -5,6 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -18,22 +20,50 @@
 // Server is a running HTTP server.
 type Server struct {
 	http     *http.Server
+	scheme   string
 	listener net.Listener
 	ended    chan struct{}
 	err      error
 }
 
+// Options limit a server. Zero values take the defaults of net/http, but for
+// HeaderTimeout.
+type Options struct {
+	// HeaderTimeout limits how long a client may take to send its header.
+	HeaderTimeout time.Duration
+	// IdleTimeout closes connections without a request.
+	IdleTimeout    time.Duration
+	MaxHeaderBytes int
+	// TLS is true when the network's listeners speak TLS.
+	TLS bool
+}
+
 // Start listens on address and serves handler.
 func Start(ctx context.Context, network kernel.Network, address string, handler http.Handler) (*Server, error) {
+	return StartWith(ctx, network, address, handler, Options{HeaderTimeout: headerTimeout})
+}
+
+// StartWith listens on address and serves handler within limits.
+func StartWith(ctx context.Context, network kernel.Network, address string, handler http.Handler, opt Options) (*Server, error) {
 	ln, err := network.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	s := &Server{
-		http:     &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout},
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: opt.HeaderTimeout,
+			IdleTimeout:       opt.IdleTimeout,
+			MaxHeaderBytes:    opt.MaxHeaderBytes,
+			ErrorLog:          log.New(io.Discard, "", 0),
+		},
+		scheme:   "http",
 		listener: ln,
 		ended:    make(chan struct{}),
 	}
+	if opt.TLS {
+		s.scheme = "https"
+	}
 	go func() {
 		defer close(s.ended)
 		s.err = s.http.Serve(ln)
@@ -45,7 +75,7 @@
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
 // URL returns the base URL of the server.
-func (s *Server) URL() string { return "http://" + s.Addr() }
+func (s *Server) URL() string { return s.scheme + "://" + s.Addr() }
 
 // Drain stops listening and waits for running requests until ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
--- a/internal/target/engine/engine.go
+++ b/internal/target/engine/engine.go
@@ -144,7 +144,7 @@
 	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
 		e.Code, e.Message, e.Run = call.CodeOverloaded, "engine is overloaded", call.RunNot
 	case resp.StatusCode == http.StatusGone:
-		e.Code, e.Message = call.CodeResumeImpossible, "engine can't resume the answer"
+		e.Code, e.Message, e.Run = call.CodeResumeImpossible, "engine does not have the answer any more", call.RunNot
 	case resp.StatusCode < http.StatusInternalServerError:
 		return nil
 	}
--- a/internal/target/httprun.go
+++ b/internal/target/httprun.go
@@ -30,8 +30,8 @@
 	Target  fleet.Target
 	Request call.ID
 	Attempt call.Attempt
-	// Offset is the position in the answer at which this response begins; a
-	// response at an offset above zero brings no head.
+	// Offset is the position in the answer at which the next response begins.
+	// Do moves it on, so that another Do continues the answer.
 	Offset uint64
 	// Digest is that of the answer before Offset, nil to begin anew.
 	Digest *xxhash.Digest
@@ -41,6 +41,8 @@
 	// Watch notices a connection that has gone silent; nil waits for the end
 	// of the context.
 	Watch *Watch
+
+	headed bool
 }
 
 // Watch is the rule for silent connections.
@@ -94,7 +96,8 @@
 }
 
 func (h *HTTPRun) copyAnswer(ctx context.Context, resp *http.Response, sink call.Sink, progress *progress) error {
-	if h.Offset == 0 {
+	if !h.headed {
+		h.headed = true
 		head := call.Head{
 			Attempt: h.Attempt,
 			Status:  resp.StatusCode,
