Show the fleet on a status page without script

Cause: a person without zfctl could not see the fleet. A key is given in a form; the browser gets a random token, the key stays in the router's memory. The page loads only its style sheet (Content-Security-Policy) and becomes cards on a phone.

--- a/internal/service/adminapi/auth.go
+++ b/internal/service/adminapi/auth.go
@@ -20,9 +20,6 @@
 // bootstrapOperator names the holder of the bootstrap key.
 const bootstrapOperator = "bootstrap"
 
-// CookieKey carries the key of a person who reads the status pages.
-const CookieKey = "zf_key"
-
 // Authenticate returns the operator whose key the request carries.
 func (s *Service) Authenticate(r *http.Request) (*config.Operator, error) {
 	if err := s.allow("address " + address(r)); err != nil {
@@ -46,13 +43,8 @@
 }
 
 func requestKey(r *http.Request) string {
-	if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
-		return key
-	}
-	if c, err := r.Cookie(CookieKey); err == nil && r.Method == http.MethodGet {
-		return c.Value
-	}
-	return ""
+	key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	return key
 }
 
 func (s *Service) operator(key string) *config.Operator {
--- a/internal/service/adminapi/service.go
+++ b/internal/service/adminapi/service.go
@@ -56,7 +56,7 @@
 	net    kernel.Network
 	logger *logrus.Entry
 	server *httpserve.Server
-	pages  Pages
+	pages  *pages
 
 	// refusals limits the unknown keys that the audit stream notes.
 	refusals *rate.Limiter
@@ -65,11 +65,6 @@
 	inFlight chan struct{}
 }
 
-// Pages serves the status pages for people; nil serves none.
-type Pages interface {
-	http.Handler
-}
-
 // Name returns the service's name.
 func (*Service) Name() string { return Name }
 
@@ -106,7 +101,10 @@
 	s.clock, s.net, s.logger = c.Clock, c.Net, c.Logger()
 	s.inFlight = make(chan struct{}, s.settings.MaxConcurrent)
 	s.refusals = rate.NewLimiter(refusalsPerSecond, refusalsPerSecond)
-	s.limits, err = lru.New[string, *rate.Limiter](limiters)
+	if s.limits, err = lru.New[string, *rate.Limiter](limiters); err != nil {
+		return err
+	}
+	s.pages, err = newPages(s)
 	return err
 }
 
@@ -166,10 +164,7 @@
 	for _, e := range s.endpoints() {
 		mux.Handle(e.method+" "+e.path, s.serve(e))
 	}
-	if s.pages != nil {
-		mux.Handle("GET /{$}", s.pages)
-		mux.Handle("GET /status/", s.pages)
-	}
+	s.pages.register(mux)
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		writeError(w, notFound("no such path %s %s", r.Method, r.URL.Path))
 	})
