Use the whole stand-ins in the testbed

Engines now report with a lag, lose cache events, resume, and turn cold with or without a new incarnation; workers have slots and work on after their caller is gone; the log takes 300 appends a second. Chaos cuts workers off.

--- a/internal/lab/check/load/load.go
+++ b/internal/lab/check/load/load.go
@@ -74,6 +74,10 @@
 		}
 	})
 	out.judgeLimits(h, &log)
+	if n := h.WorkerRefusals; n > 0 {
+		out.Overload += n
+		log.Add(RuleOverload, "workers got %d calls above what they could bear", n)
+	}
 	return out, log.Violations
 }
 
--- a/internal/lab/check/load/load_test.go
+++ b/internal/lab/check/load/load_test.go
@@ -119,3 +119,9 @@
 	must.Eq(t, 1, got.Overload)
 	must.Eq(t, load.RuleOverload, violations[0].Rule)
 }
+
+func TestWorkerOverload(t *testing.T) {
+	got, violations := load.Check(&history.History{Start: start, WorkerRefusals: 2}, bound)
+	must.Eq(t, 2, got.Overload)
+	must.Eq(t, load.RuleOverload, violations[0].Rule)
+}
--- a/internal/lab/fault/engines.go
+++ b/internal/lab/fault/engines.go
@@ -40,3 +40,22 @@
 		return nil, bed.TurnCold(target)
 	})
 }
+
+// CutWorker takes a worker of a plain service away without warning. It keeps
+// what it knows.
+func (p *Plan) CutWorker(from, back time.Duration) {
+	var workers []fleet.Target
+	for _, t := range p.Shape.Targets {
+		if !t.IsEngine() {
+			workers = append(workers, t.Name)
+		}
+	}
+	target := workers[p.Rand.IntN(len(workers))]
+	p.span(from, back, fmt.Sprintf("worker %s is gone", target), func(ctx context.Context, bed *testbed.Testbed) (func(), error) {
+		return func() {
+			if err := bed.StartWorker(ctx, target); err != nil {
+				bed.Note("%v", err)
+			}
+		}, bed.StopWorker(target)
+	})
+}
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -224,12 +224,15 @@
 	EngineRuns []EngineRun
 	DirectRuns []EngineRun
 	WorkerRuns []WorkerRun
-	Engines    []Engine
-	Marks      []Mark
-	Stops      []Stop
-	Faults     []Span // unplanned faults of any kind
-	Views      []ConfigView
-	Published  []Publish
+	// WorkerRefusals counts the calls above what a worker could bear.
+	WorkerRefusals int
+
+	Engines   []Engine
+	Marks     []Mark
+	Stops     []Stop
+	Faults    []Span // unplanned faults of any kind
+	Views     []ConfigView
+	Published []Publish
 	// UpVMs holds the spans in which each router was up and reachable.
 	UpVMs   map[fleet.VM][]Span
 	Events  []Event
--- a/internal/lab/scenario/chaos.go
+++ b/internal/lab/scenario/chaos.go
@@ -36,6 +36,7 @@
 		func(from, to time.Duration) { p.LogSlow(from, to, slowLog) },
 		func(from, to time.Duration) { p.LogLosesAnswers(from, to, lostAnswers) },
 		p.RestartEngine,
+		p.CutWorker,
 		func(from, _ time.Duration) { p.FlapEngine(from, flaps, flapPeriod) },
 		func(from, _ time.Duration) { p.TurnCold(from) },
 	}
--- a/internal/lab/site/site.go
+++ b/internal/lab/site/site.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
@@ -30,6 +31,12 @@
 	Service   fleet.Service
 	Slots     int
 	ColdSlots int
+	// ChecksFencing is true for a target that refuses orders with an old
+	// fencing number.
+	ChecksFencing bool
+	// QuietCold is true for an engine that keeps its incarnation when it turns
+	// cold.
+	QuietCold bool
 }
 
 // IsEngine reports whether the target is a model engine.
@@ -183,6 +190,9 @@
 			Model:      p.model,
 			Slots:      engineSlots,
 			ColdSlots:  engineColdSlots,
+			// Every second engine checks, every third one is quiet.
+			ChecksFencing: i%2 == 0,
+			QuietCold:     i%3 == 0,
 		})
 	}
 	for _, service := range p.services {
@@ -234,6 +244,12 @@
 	}
 }
 
+// StatusLookup reports whether the workers of a service tell the outcome of an
+// order. Every second service's do.
+func (s Shape) StatusLookup(service fleet.Service) bool {
+	return slices.Index(s.Services, service)%2 == 0
+}
+
 // Engines returns the targets that are model engines.
 func (s Shape) Engines() []Target {
 	var out []Target
--- a/internal/lab/testbed/config.go
+++ b/internal/lab/testbed/config.go
@@ -19,6 +19,7 @@
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 	"github.com/zinniafork/zinniafork/internal/platform/logstream"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
+	"github.com/zinniafork/zinniafork/internal/standin/plaind"
 )
 
 // Operator is the author of the testbed's configuration and OperatorKey its
@@ -68,7 +69,11 @@
 	c.Members = []config.Member{{Name: shape.Member, Weight: 1}}
 	c.Models = []config.Model{{Name: shape.Model}}
 	for _, name := range shape.Services {
-		c.Services = append(c.Services, config.Service{Name: name, OrderMethods: []string{http.MethodPost}})
+		row := config.Service{Name: name, OrderMethods: []string{http.MethodPost}}
+		if shape.StatusLookup(name) {
+			row.StatusPath = plaind.StatusPath
+		}
+		c.Services = append(c.Services, row)
 	}
 	c.Load.QueueLength = r.queueLength
 	for _, dc := range shape.DataCentres {
@@ -86,6 +91,10 @@
 			Slots:      t.Slots,
 			ColdSlots:  t.ColdSlots,
 			Mark:       r.targets[t.Name],
+
+			ChecksFencing: t.ChecksFencing,
+			Resumes:       t.IsEngine(),
+			MovesCache:    t.IsEngine(),
 		}
 		if t.IsEngine() {
 			row.Models = []fleet.Model{t.Model}
--- a/internal/lab/testbed/targets.go
+++ b/internal/lab/testbed/targets.go
@@ -20,6 +20,16 @@
 	prefillPerToken = 100 * time.Microsecond
 	perToken        = 25 * time.Millisecond
 	cacheTokens     = 24_000
+	// work is the time that an order takes at a worker.
+	work = 30 * time.Millisecond
+)
+
+// What the stand-ins of engines do as the platform's engines do.
+const (
+	reportLag   = 300 * time.Millisecond
+	eventDelay  = 200 * time.Millisecond
+	eventLoss   = 0.05
+	resumeGrace = 3 * time.Second
 )
 
 // engine is one model engine with the stand-ins that ran under its name.
@@ -38,6 +48,9 @@
 type worker struct {
 	target site.Target
 	server *plaind.Server
+
+	mu   sync.Mutex
+	host *host.Host
 }
 
 func (b *Testbed) startTargets(ctx context.Context) error {
@@ -60,12 +73,50 @@
 		b.engines[t.Name] = e
 		return b.startEngine(ctx, e, true)
 	}
-	w := &worker{target: t, server: plaind.New(string(t.Name))}
+	w := &worker{
+		target: t,
+		server: plaind.NewWith(plaind.Options{
+			Name:          string(t.Name),
+			Slots:         t.Slots,
+			Work:          work,
+			StatusLookup:  b.opt.Shape.StatusLookup(t.Service),
+			RunsAbandoned: true,
+		}),
+	}
 	b.workers[t.Name] = w
-	h := b.fabric.Host(string(t.Name), string(t.DataCentre))
+	return b.startWorker(ctx, w)
+}
+
+// startWorker serves a worker on a new host of its name and address.
+func (b *Testbed) startWorker(ctx context.Context, w *worker) error {
+	h := b.fabric.Host(string(w.target.Name), string(w.target.DataCentre))
+	w.mu.Lock()
+	w.host = h
+	w.mu.Unlock()
 	return b.serve(ctx, h, targetPort, w.server.Handler())
 }
 
+// StopWorker cuts a worker off without warning. Calls that it has begun go on.
+func (b *Testbed) StopWorker(t fleet.Target) error {
+	w, ok := b.workers[t]
+	if !ok {
+		return fmt.Errorf("no worker %s", t)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.host.Kill()
+	return nil
+}
+
+// StartWorker brings a worker back with what it knew.
+func (b *Testbed) StartWorker(ctx context.Context, t fleet.Target) error {
+	w, ok := b.workers[t]
+	if !ok {
+		return fmt.Errorf("no worker %s", t)
+	}
+	return b.startWorker(ctx, w)
+}
+
 // startEngine runs a new stand-in under the engine's name and address.
 func (b *Testbed) startEngine(ctx context.Context, e *engine, warm bool) error {
 	s := engined.New(b.engineOptions(e.target))
@@ -94,6 +145,11 @@
 		return opt
 	}
 	opt.Prefill, opt.PrefillPerToken, opt.PerToken = prefill, prefillPerToken, perToken
+	opt.ReportLag, opt.EventDelay, opt.EventLoss = reportLag, eventDelay, eventLoss
+	opt.ResumeGrace = resumeGrace
+	opt.Seed = b.opt.Seed
+	opt.QuietCold = t.QuietCold
+	opt.IgnoresFencing = !t.ChecksFencing
 	return opt
 }
 
@@ -114,6 +170,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.host.Kill()
+	e.current.Close()
 	if n := len(e.up); n > 0 && e.up[n-1].To.IsZero() {
 		e.up[n-1].To = time.Now()
 	}
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -28,6 +28,9 @@
 	DirectHost   = "direct-engine"
 )
 
+// appendsPerSecond is what the log service takes from all together.
+const appendsPerSecond = 300
+
 // Ports of the programs on their hosts.
 const (
 	callerPort   = 7001
@@ -85,7 +88,7 @@
 	b := &Testbed{
 		opt:     opt,
 		fabric:  fabric,
-		log:     logd.New(),
+		log:     logd.NewWith(logd.Options{AppendsPerSecond: appendsPerSecond}),
 		began:   time.Now(),
 		routers: make(map[fleet.VM]*router),
 		engines: make(map[fleet.Target]*engine),
@@ -214,6 +217,7 @@
 		}
 		if w, ok := b.workers[t.Name]; ok {
 			h.WorkerRuns = append(h.WorkerRuns, w.runs()...)
+			h.WorkerRefusals += w.server.Refused()
 		}
 	}
 	h.DirectRuns = b.direct.runs()
