--- a/internal/service/adminapi/harness_test.go
+++ b/internal/service/adminapi/harness_test.go
@@ -43,7 +43,10 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T) *rig { return newRigWith(t, "requests_per_second = 1000.0\nburst = 1000\n") }
+
+// newRigWith starts a router with more settings of the administration API.
+func newRigWith(t *testing.T, adminSettings string) *rig {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &rig{t: t, ctx: ctx, log: logd.New(), contract: newContract(t)}
 	logServer := httptest.NewServer(r.log.Handler())
@@ -59,9 +62,8 @@
 vm_list_url = %q
 [admin]
 bootstrap_key_hash = %q
-requests_per_second = 1000.0
-burst = 1000
-`, logServer.URL, listServer.URL, hashOf(bootstrapKey)))
+%s
+`, logServer.URL, listServer.URL, hashOf(bootstrapKey), adminSettings))
 	must.NoError(t, err)
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
@@ -81,6 +83,24 @@
 	return r
 }
 
+// startError returns the error of a router with wrong settings.
+func startError(t *testing.T, adminSettings string) error {
+	t.Helper()
+	file, err := settings.Parse("test", []byte(`
+[vm]
+name = "gent-vm1"
+data_centre = "gent-dc1"
+site = "gent"
+[platform]
+log_url = "http://127.0.0.1:1"
+vm_list_url = "http://127.0.0.1:1"
+[admin]
+`+adminSettings))
+	must.NoError(t, err)
+	_, err = app.NewRouter(kernel.Env{}, file)
+	return err
+}
+
 func (r *rig) client(key string) *admin.Client {
 	return admin.NewClient(r.base, key, &http.Client{Transport: r.contract})
 }
--- a/internal/service/configsync/follow.go
+++ b/internal/service/configsync/follow.go
@@ -78,11 +78,18 @@
 	if page.Next < from {
 		return fmt.Errorf("the log ends at %d, below position %d that was read before", page.Next, from)
 	}
+	now := s.clock.Now()
+	progress := false
 	s.update(func(st *configstate.State) []configstate.Event {
-		now := s.clock.Now()
 		s.lastRead = now
-		return st.Log(page, began, now)
+		events := st.Log(page, began, now)
+		progress = st.Position() != from
+		return events
 	})
+	if !progress && now.Sub(began) < retryMin {
+		// The log did not wait, or gave records out of order.
+		return s.clock.Sleep(ctx, retryMin)
+	}
 	return nil
 }
 
