--- a/internal/lab/caller/attempt.go
+++ b/internal/lab/caller/attempt.go
@@ -12,20 +12,20 @@
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 )
 
-// call is one HTTP request with a watch on its progress.
-type call struct {
+// watchedCall is one HTTP request with a watch on its progress.
+type watchedCall struct {
 	ctx    context.Context
 	cancel context.CancelFunc
 	watch  *time.Timer
 }
 
-func newCall(ctx context.Context) *call {
+func newCall(ctx context.Context) *watchedCall {
 	ctx, cancel := context.WithCancel(ctx)
-	return &call{ctx: ctx, cancel: cancel, watch: time.AfterFunc(answerLimit, cancel)}
+	return &watchedCall{ctx: ctx, cancel: cancel, watch: time.AfterFunc(answerLimit, cancel)}
 }
 
 // progress starts the wait for the next byte.
-func (c *call) progress(waiting bool) {
+func (c *watchedCall) progress(waiting bool) {
 	limit := progressLimit
 	if waiting {
 		limit = answerLimit
@@ -33,7 +33,7 @@
 	c.watch.Reset(limit)
 }
 
-func (c *call) end() {
+func (c *watchedCall) end() {
 	c.watch.Stop()
 	c.cancel()
 }
@@ -71,17 +71,14 @@
 	}
 	a.End = time.Now()
 	var out struct {
-		Error struct {
-			Code string      `json:"code"`
-			Step string      `json:"step"`
-			Run  history.Run `json:"run"`
-		} `json:"error"`
+		Error reportedError `json:"error"`
 	}
 	if json.Unmarshal(data, &out) != nil {
 		a.Err = string(data[:min(len(data), maxErrorBytes)])
 	}
-	a.Code, a.Step, a.Run = out.Error.Code, out.Error.Step, out.Error.Run
+	out.Error.note(&a)
 	v := verdict{after: retryAfter(resp)}
+	v.avoid = v.after == 0
 	v.stop = resp.StatusCode < http.StatusInternalServerError && resp.StatusCode != http.StatusTooManyRequests
 	return a, v
 }
@@ -96,3 +93,14 @@
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
+
+// reportedError is the error that a router answers with.
+type reportedError struct {
+	Code string      `json:"code"`
+	Step string      `json:"step"`
+	Run  history.Run `json:"run"`
+}
+
+func (e *reportedError) note(a *history.Attempt) {
+	a.Code, a.Step, a.Run = e.Code, e.Step, e.Run
+}
--- a/internal/lab/caller/chat.go
+++ b/internal/lab/caller/chat.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 	"github.com/zinniafork/zinniafork/internal/lab/workload"
 	"github.com/zinniafork/zinniafork/internal/service/callerapi"
@@ -48,7 +49,7 @@
 	}
 	got := new(answer)
 	try := func(ctx context.Context, e entry) (history.Attempt, verdict) {
-		return c.tryChat(ctx, e.url(), a.Chat, body, got)
+		return c.tryChat(ctx, e.url, a.Chat, body, got)
 	}
 	if a.Direct {
 		at, _ := c.tryChat(ctx, c.opt.DirectURL, a.Chat, body, got)
@@ -68,15 +69,17 @@
 	return history.Block{Hash: last.Hash, Tokens: last.Tokens}
 }
 
+// tryChat sends the request once. When part of the answer is there, it asks
+// for the rest.
 func (c *Client) tryChat(ctx context.Context, url, chat string, body []byte, got *answer) (history.Attempt, verdict) {
 	at := history.Attempt{Start: time.Now()}
 	t := newCall(ctx)
 	defer t.end()
 	header := map[string]string{callerapi.HeaderChat: chat}
-	if got.lastID != "" {
-		header["Last-Event-ID"] = got.lastID
-	} else {
+	if got.lastID == "" {
 		got.text.Reset()
+	} else {
+		header[callerapi.HeaderLastEvent] = got.lastID
 	}
 	resp, err := c.post(t.ctx, url+"/v1/chat/completions", body, header)
 	if err != nil {
@@ -84,20 +87,32 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return refused(at, resp)
+		at, v := refused(at, resp)
+		return at, got.restartAfter(at, v)
 	}
 	at.Status = resp.StatusCode
 	if err := t.readEvents(resp.Body, got, &at); err != nil {
-		return failed(at, err)
+		at, v := failed(at, err)
+		return at, got.restartAfter(at, v)
 	}
 	at.End = time.Now()
 	at.Whole = true
 	return at, verdict{stop: true}
 }
 
+// restartAfter gives up what was received when the answer can't be resumed.
+func (got *answer) restartAfter(at history.Attempt, v verdict) verdict {
+	if at.Code == string(call.CodeResumeImpossible) {
+		got.lastID = ""
+		v.stop = false
+	}
+	return v
+}
+
 // readEvents reads server-sent events up to the end mark.
-func (c *call) readEvents(body io.Reader, got *answer, at *history.Attempt) error {
+func (c *watchedCall) readEvents(body io.Reader, got *answer, at *history.Attempt) error {
 	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxEventBytes)
 	id := ""
 	for lines.Scan() {
 		c.progress(at.FirstByte.IsZero())
@@ -114,7 +129,7 @@
 		if data == "[DONE]" {
 			return nil
 		}
-		content, err := decodeChunk(data)
+		content, err := decodeChunk(data, at)
 		if err != nil {
 			return err
 		}
@@ -122,9 +137,7 @@
 			at.FirstByte = time.Now()
 		}
 		got.text.WriteString(content)
-		if id != "" {
-			got.lastID = id
-		}
+		got.lastID = id
 	}
 	if err := lines.Err(); err != nil {
 		return err
@@ -132,21 +145,26 @@
 	return errCut
 }
 
-// decodeChunk returns the text of one event, or the error that it reports.
-func decodeChunk(data string) (string, error) {
+// maxEventBytes limits the length of one event.
+const maxEventBytes = 1 << 20
+
+// decodeChunk returns the text of one event. An event that reports an error
+// is noted in the attempt.
+func decodeChunk(data string, at *history.Attempt) (string, error) {
 	var in struct {
 		Choices []struct {
 			Delta struct {
 				Content string `json:"content"`
 			} `json:"delta"`
 		} `json:"choices"`
-		Error json.RawMessage `json:"error"`
+		Error *reportedError `json:"error"`
 	}
 	if err := json.Unmarshal([]byte(data), &in); err != nil {
 		return "", fmt.Errorf("event %q: %w", data, err)
 	}
-	if len(in.Error) > 0 {
-		return "", fmt.Errorf("the router reports %s", in.Error)
+	if in.Error != nil {
+		in.Error.note(at)
+		return "", fmt.Errorf("the router reports %s at %s", in.Error.Code, in.Error.Step)
 	}
 	var text strings.Builder
 	for _, c := range in.Choices {
--- a/internal/lab/caller/order.go
+++ b/internal/lab/caller/order.go
@@ -12,6 +12,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 	"github.com/zinniafork/zinniafork/internal/lab/workload"
+	"github.com/zinniafork/zinniafork/internal/service/callerapi"
 )
 
 // order sends an order under one idempotency key until it has an answer.
@@ -40,8 +41,8 @@
 	t := newCall(ctx)
 	defer t.end()
 	t.watch.Reset(OrderLimit)
-	resp, err := c.post(t.ctx, e.url()+"/v1/services/"+string(c.opt.Service)+"/orders", []byte(body),
-		map[string]string{"Idempotency-Key": key})
+	resp, err := c.post(t.ctx, e.url+"/v1/services/"+string(c.opt.Service)+"/orders", []byte(body),
+		map[string]string{callerapi.HeaderKey: key})
 	if err != nil {
 		return failed(at, err)
 	}
