--- /dev/null
+++ b/internal/service/callerapi/harness_test.go
@@ -0,0 +1,207 @@
+package callerapi
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/zinniafork/zinniafork/internal/call"
+	"github.com/zinniafork/zinniafork/internal/config"
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/service/figures"
+	"github.com/zinniafork/zinniafork/internal/service/members"
+	"github.com/zinniafork/zinniafork/internal/service/route"
+	"github.com/zinniafork/zinniafork/internal/service/servicetest"
+	"github.com/zinniafork/zinniafork/internal/settings"
+)
+
+const key = "key-of-shop"
+
+// fakeRouter runs requests by a function.
+type fakeRouter struct {
+	mu    sync.Mutex
+	run   func(ctx context.Context, req *call.Request, sink call.Sink) error
+	owner fleet.VM
+	seen  []call.Request
+}
+
+func (*fakeRouter) Name() string { return route.Name }
+
+func (f *fakeRouter) Run(ctx context.Context, req *call.Request, sink call.Sink) error {
+	f.mu.Lock()
+	f.seen = append(f.seen, *req)
+	f.mu.Unlock()
+	return f.run(ctx, req, sink)
+}
+
+func (f *fakeRouter) FirstOwner(*call.Request) (fleet.VM, bool) { return f.owner, f.owner != "" }
+
+func (f *fakeRouter) last() call.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.seen[len(f.seen)-1]
+}
+
+// fakeMembers is a view that tests set.
+type fakeMembers struct {
+	members.Membership
+	rows []members.Member
+	left atomic.Bool
+}
+
+func (*fakeMembers) Name() string                  { return members.Name }
+func (f *fakeMembers) Leave()                      { f.left.Store(true) }
+func (f *fakeMembers) Snapshot() *members.Snapshot { return &members.Snapshot{Members: f.rows} }
+
+// fakeFigures keeps samples.
+type fakeFigures struct {
+	mu      sync.Mutex
+	samples []figures.Sample
+}
+
+func (*fakeFigures) Name() string { return figures.Name }
+
+func (f *fakeFigures) Record(s figures.Sample) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.samples = append(f.samples, s)
+}
+
+func (f *fakeFigures) last() figures.Sample {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.samples[len(f.samples)-1]
+}
+
+// bench is a caller interface on fakes.
+type bench struct {
+	*Service
+	kernel  *kernel.Kernel
+	router  *fakeRouter
+	members *fakeMembers
+	figures *fakeFigures
+	config  *servicetest.Config
+	client  *http.Client
+}
+
+func testConfig() *config.Config {
+	c := config.Defaults()
+	sum := sha256.Sum256([]byte(key))
+	other := sha256.Sum256([]byte("other"))
+	c.Accounts = []config.Account{
+		{Name: "shop", Member: "gent", KeyHashes: []string{hex.EncodeToString(sum[:])}, MaxConcurrent: 2},
+		{Name: "other", Member: "gent", KeyHashes: []string{hex.EncodeToString(other[:])}},
+	}
+	c.Models = []config.Model{{Name: "m"}}
+	c.Services = []config.Service{{Name: "print", OrderMethods: []string{http.MethodPut}}}
+	return c
+}
+
+func newBench(t *testing.T, network kernel.Network, callerSettings string) *bench {
+	t.Helper()
+	file, err := settings.Parse("test", []byte("[caller]\n"+callerSettings))
+	must.NoError(t, err)
+	b := &bench{
+		router:  &fakeRouter{run: answerWith("text/event-stream", stream)},
+		members: &fakeMembers{},
+		figures: &fakeFigures{},
+		config:  &servicetest.Config{},
+	}
+	b.config.Set(testConfig())
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	b.kernel = kernel.New(kernel.Env{Log: logger, Net: network, Seed: 1, Metrics: metrics.NewRegistry()}, file, nil)
+	for _, s := range []kernel.Service{b.router, b.members, b.figures, b.config, servicetest.NewIdentity("dc1a")} {
+		must.NoError(t, b.kernel.Use(s))
+	}
+	must.NoError(t, b.kernel.Provision(Name))
+	b.Service, err = kernel.Find[*Service](b.kernel, Name)
+	must.NoError(t, err)
+	must.NoError(t, b.kernel.Start(t.Context()))
+	b.client = &http.Client{Transport: &http.Transport{DialContext: network.DialContext}}
+	t.Cleanup(func() {
+		b.client.CloseIdleConnections()
+		must.NoError(t, b.kernel.Stop(context.Background()))
+	})
+	return b
+}
+
+const stream = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: {\"choices\":[{\"delta\":{\"content\":\"b\"}}]}\n\ndata: [DONE]\n\n"
+
+// answerWith answers each request with a whole body, from its resume offset.
+func answerWith(contentType, body string) func(context.Context, *call.Request, call.Sink) error {
+	return func(_ context.Context, req *call.Request, sink call.Sink) error {
+		if err := sink.Head(call.Head{Status: 200, Header: http.Header{"Content-Type": {contentType}, "X-Worker": {"w1"}}}); err != nil {
+			return err
+		}
+		if err := sink.Chunk(call.Chunk{Offset: req.ResumeFrom, Data: []byte(body[req.ResumeFrom:])}); err != nil {
+			return err
+		}
+		return sink.End(call.End{Length: uint64(len(body)), Digest: xxhash.Sum64String(body)})
+	}
+}
+
+// failWith fails each request.
+func failWith(e *call.Error) func(context.Context, *call.Request, call.Sink) error {
+	return func(context.Context, *call.Request, call.Sink) error { return e }
+}
+
+// send makes a request with the account's key, and returns the answer with
+// its body.
+func (b *bench) send(t *testing.T, method, path, body string, header map[string]string) (*http.Response, string) {
+	t.Helper()
+	resp := b.open(t, method, path, body, header)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	return resp, string(data)
+}
+
+func (b *bench) open(t *testing.T, method, path, body string, header map[string]string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, b.URL()+path, strings.NewReader(body))
+	must.NoError(t, err)
+	r.Header.Set("Authorization", "Bearer "+key)
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	resp, err := b.client.Do(r)
+	must.NoError(t, err)
+	return resp
+}
+
+// refusalOf decodes an error answer.
+func refusalOf(t *testing.T, body string) (out struct {
+	Code         call.Code `json:"code"`
+	Message      string    `json:"message"`
+	Step         string    `json:"step"`
+	Peer         string    `json:"peer"`
+	Run          call.Run  `json:"run"`
+	Type         string    `json:"type"`
+	RetryAfterMS int64     `json:"retry_after_ms"`
+}) {
+	t.Helper()
+	var wrapped struct {
+		Error json.RawMessage `json:"error"`
+	}
+	must.NoError(t, json.Unmarshal([]byte(body), &wrapped))
+	must.NoError(t, json.Unmarshal(wrapped.Error, &out))
+	return out
+}
+
+const chatPath = "/v1/chat/completions"
+
+const chatText = `{"model":"m","stream":true,"messages":[{"role":"user","content":"hello"}]}`
--- a/internal/service/callerapi/sink.go
+++ b/internal/service/callerapi/sink.go
@@ -127,10 +127,14 @@
 	defer c.mu.Unlock()
 	c.wrote = c.clock.Now()
 	_ = c.control.SetWriteDeadline(time.Now().Add(c.writeTimeout))
-	if _, err := c.w.Write(data); err != nil {
+	_, err := c.w.Write(data)
+	if err == nil {
+		err = c.control.Flush()
+	}
+	if err != nil {
 		return fmt.Errorf("write to caller: %w", err)
 	}
-	return c.control.Flush()
+	return nil
 }
 
 // arm starts the wait for the next heartbeat; the caller holds the lock.
