Check settings strictly, with file, line and key

Cause: a wrong setting was reported without its place, unknown sections passed, a time span without a unit counted as nanoseconds, and go-toml gives text unmarshalers of string types no say. Before: "unknown key [zone]" of an unnamed line; listen = "10.10.1.1" passed. After: "router.toml:8: vm.zone: unknown key; known keys here: name, ...". The finder of key positions moved from the configuration into package tomldoc, which settings share. Addresses, URLs and paths are types that check themselves. The drain limit and the log format are settings of the process now.

--- a/cmd/zf-router/main.go
+++ b/cmd/zf-router/main.go
@@ -3,8 +3,8 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -12,23 +12,23 @@
 	"github.com/zinniafork/zinniafork/internal/cli"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/settings"
+	"github.com/zinniafork/zinniafork/internal/tomldoc"
 )
 
 type command struct {
-	Settings   string           `arg:"" help:"Path of the TOML settings file." type:"path"`
-	Check      bool             `help:"Validate the settings and stop."`
-	DrainLimit time.Duration    `help:"Time that running requests get after SIGTERM." default:"90s"`
-	LogJSON    bool             `help:"Write logs as JSON."`
-	Version    kong.VersionFlag `help:"Print the version."`
+	Settings string           `arg:"" help:"Path of the TOML settings file." type:"path"`
+	Check    bool             `help:"Validate the settings and stop."`
+	Version  kong.VersionFlag `help:"Print the version."`
 }
 
-// Run runs the router until a signal arrives.
+// Run runs the router until a signal arrives, and then lets running requests
+// end.
 func (c *command) Run(ctx context.Context) error {
-	file, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
+	k, process, err := c.assemble()
+	var problems tomldoc.Problems
+	if errors.As(err, &problems) {
+		return problems
 	}
-	k, err := app.NewRouter(kernel.Env{Log: cli.NewLogger(c.LogJSON)}, file)
 	if err != nil {
 		return err
 	}
@@ -36,15 +36,29 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
-	if err := k.Start(context.WithoutCancel(ctx)); err != nil {
+	running := context.WithoutCancel(ctx)
+	if err := k.Start(running); err != nil {
 		return err
 	}
 	<-ctx.Done()
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), c.DrainLimit)
+	drain, cancel := context.WithTimeout(running, process.DrainLimit.Std())
 	defer cancel()
 	return k.Drain(drain)
 }
 
+func (c *command) assemble() (*kernel.Kernel, app.Process, error) {
+	file, err := settings.Load(c.Settings)
+	if err != nil {
+		return nil, app.Process{}, err
+	}
+	process, err := app.LoadProcess(file)
+	if err != nil {
+		return nil, app.Process{}, err
+	}
+	k, err := app.NewRouter(kernel.Env{Log: process.Logger()}, file)
+	return k, process, err
+}
+
 func main() {
 	cli.Main("zf-router", "Routes callers' chats and orders to model engines and plain services.", &command{})
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -10,7 +10,6 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
-	"github.com/sirupsen/logrus"
 )
 
 // Version is the version of the build.
@@ -59,13 +58,3 @@
 	}
 	return ExitError
 }
-
-// NewLogger returns a logger that writes to standard error.
-func NewLogger(json bool) *logrus.Logger {
-	l := logrus.New()
-	l.SetOutput(os.Stderr)
-	if json {
-		l.SetFormatter(&logrus.JSONFormatter{})
-	}
-	return l
-}
--- a/internal/config/edit.go
+++ b/internal/config/edit.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/tomldoc"
 )
 
 // Markable names a section whose rows carry marks.
@@ -34,17 +35,17 @@
 		}
 		return text + fmt.Sprintf("\n[[%s]]\nname = %q\n%s\n", section, name, line), nil
 	}
-	row := join(string(section), strconv.Itoa(i))
+	row := tomldoc.Join(string(section), strconv.Itoa(i))
 	lines := strings.SplitAfter(string(d.Text), "\n")
-	if p.at.has(row + ".mark") {
-		n := p.at.line(row+".mark") - 1
+	if p.at.Has(row + ".mark") {
+		n := p.at.Line(row+".mark") - 1
 		if !strings.HasPrefix(strings.TrimSpace(lines[n]), "mark") {
 			return "", inlineRow(d, p, row, name)
 		}
 		lines[n] = line + "\n"
 		return strings.Join(lines, ""), nil
 	}
-	n := p.at.line(row+".name") - 1
+	n := p.at.Line(row+".name") - 1
 	if !strings.HasPrefix(strings.TrimSpace(lines[n]), "name") {
 		return "", inlineRow(d, p, row, name)
 	}
@@ -57,7 +58,7 @@
 
 func inlineRow(d Document, p *parsed, row, name string) error {
 	return Problems{{
-		File: d.Name, Line: p.at.line(row), Key: name,
+		File: d.Name, Line: p.at.Line(row), Key: name,
 		Message: "the row is written as an inline table",
 		Next:    "write it as a [[table]], one key a line, or set the mark in the text",
 	}}
--- a/internal/config/effective.go
+++ b/internal/config/effective.go
@@ -73,7 +73,7 @@
 	}
 	if named := overlay.content.Site; named != "" && named != site {
 		return nil, Problems{{
-			File: overlay.name, Line: overlay.at.line("site"), Key: "site",
+			File: overlay.name, Line: overlay.at.Line("site"), Key: "site",
 			Message: fmt.Sprintf("the overlay of site %q names site %q", site, named),
 			Next:    "publish it for the other site, or correct the key",
 		}}
@@ -106,7 +106,7 @@
 			}
 		}
 	}
-	return all.err()
+	return all.Err()
 }
 
 // SitesOf returns the sites that the documents name, or one site without a
--- a/internal/config/flatten.go
+++ b/internal/config/flatten.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/tomldoc"
 )
 
 // Value is one value of a configuration, as text.
@@ -32,7 +33,7 @@
 func flatten(v reflect.Value, prefix string, visit func(key, text string)) {
 	inRow := strings.HasSuffix(prefix, "]")
 	for _, f := range fieldsOf(v.Type()) {
-		key, value := join(prefix, f.key), v.Field(f.index)
+		key, value := tomldoc.Join(prefix, f.key), v.Field(f.index)
 		switch f.kind {
 		case fieldTable:
 			flatten(value, key, visit)
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"reflect"
 	"strconv"
+
+	"github.com/zinniafork/zinniafork/internal/tomldoc"
 )
 
 // Origin tells where a value came from.
@@ -59,11 +61,11 @@
 // document, key the path with row names.
 func (w *merger) table(dst, src reflect.Value, at, key string) {
 	for _, f := range fieldsOf(dst.Type()) {
-		fieldAt, fieldKey := join(at, f.key), join(key, f.key)
-		if !w.doc.at.has(fieldAt) {
+		fieldAt, fieldKey := tomldoc.Join(at, f.key), tomldoc.Join(key, f.key)
+		if !w.doc.at.Has(fieldAt) {
 			continue
 		}
-		w.out.origins[fieldKey] = Origin{File: w.doc.name, Line: w.doc.at.line(fieldAt)}
+		w.out.origins[fieldKey] = Origin{File: w.doc.name, Line: w.doc.at.Line(fieldAt)}
 		to, from := dst.Field(f.index), src.Field(f.index)
 		switch f.kind {
 		case fieldTable:
@@ -87,7 +89,7 @@
 	for i := range src.Len() {
 		row := src.Index(i)
 		name := rowName(row)
-		rowAt, rowKey := join(at, strconv.Itoa(i)), key+"["+name+"]"
+		rowAt, rowKey := tomldoc.Join(at, strconv.Itoa(i)), key+"["+name+"]"
 		j, found := byName[name]
 		if w.overlay && !found {
 			dst.Set(reflect.Append(dst, row))
@@ -96,7 +98,7 @@
 			j = i
 		}
 		if !found || !w.out.knows(rowKey) {
-			w.out.origins[rowKey] = Origin{File: w.doc.name, Line: w.doc.at.line(rowAt)}
+			w.out.origins[rowKey] = Origin{File: w.doc.name, Line: w.doc.at.Line(rowAt)}
 		}
 		if w.overlay && !found {
 			w.note(dst.Index(j).Type(), rowAt, rowKey)
@@ -109,8 +111,8 @@
 // note records the origins of a new row's keys.
 func (w *merger) note(t reflect.Type, at, key string) {
 	for _, f := range fieldsOf(t) {
-		if w.doc.at.has(join(at, f.key)) {
-			w.out.origins[join(key, f.key)] = Origin{File: w.doc.name, Line: w.doc.at.line(join(at, f.key))}
+		if w.doc.at.Has(tomldoc.Join(at, f.key)) {
+			w.out.origins[tomldoc.Join(key, f.key)] = Origin{File: w.doc.name, Line: w.doc.at.Line(tomldoc.Join(at, f.key))}
 		}
 	}
 }
@@ -125,7 +127,7 @@
 	if w.overlay && !reflect.DeepEqual(dst.Interface(), src.Interface()) {
 		if reason, fixed := fixedIn(at, dst, src); fixed {
 			w.problems = append(w.problems, &Problem{
-				File: w.doc.name, Line: w.doc.at.line(at), Key: key,
+				File: w.doc.name, Line: w.doc.at.Line(at), Key: key,
 				Message: fmt.Sprintf("%s, the base has %v", reason, show(dst)),
 				Next:    "remove the key here, or propose the change to the base " + w.out.base,
 			})
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -5,6 +5,8 @@
 	"reflect"
 	"strings"
 	"sync"
+
+	"github.com/zinniafork/zinniafork/internal/tomldoc"
 )
 
 // field is one key of a section or row.
@@ -41,20 +43,7 @@
 
 // spanKeys returns the keys of sections that hold a time span.
 var spanKeys = sync.OnceValue(func() []string {
-	var out []string
-	root := reflect.TypeFor[Config]()
-	for _, section := range fieldsOf(root) {
-		if section.kind != fieldTable {
-			continue
-		}
-		t := root.Field(section.index).Type
-		for _, f := range fieldsOf(t) {
-			if t.Field(f.index).Type == reflect.TypeFor[Duration]() {
-				out = append(out, join(section.key, f.key))
-			}
-		}
-	}
-	return out
+	return tomldoc.SpanKeys("", reflect.TypeFor[Config](), reflect.TypeFor[Duration]())
 })
 
 // knownKeys returns every key of the schema, rows without their names.
@@ -63,7 +52,7 @@
 	var visit func(prefix string, t reflect.Type)
 	visit = func(prefix string, t reflect.Type) {
 		for _, f := range fieldsOf(t) {
-			path := join(prefix, f.key)
+			path := tomldoc.Join(prefix, f.key)
 			out = append(out, path)
 			switch f.kind {
 			case fieldTable:
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -56,7 +56,7 @@
 	k.operators()
 	k.keys()
 	k.rules()
-	return k.problems.err()
+	return k.problems.Err()
 }
 
 // fail notes a problem at key, or at the nearest part of it that a document
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -14,8 +14,8 @@
 	"github.com/zinniafork/zinniafork/internal/kernel"
 )
 
-// headerTimeout limits how long a client may take to send its header.
-const headerTimeout = 10 * time.Second
+// DefaultHeaderTimeout limits how long a client may take to send its header.
+const DefaultHeaderTimeout = 10 * time.Second
 
 // Server is a running HTTP server.
 type Server struct {
@@ -34,18 +34,17 @@
 	// IdleTimeout closes connections without a request.
 	IdleTimeout    time.Duration
 	MaxHeaderBytes int
-	// TLS is true when the network's listeners speak TLS.
-	TLS bool
+	TLS            TLSSettings
 }
 
 // Start listens on address and serves handler.
 func Start(ctx context.Context, network kernel.Network, address string, handler http.Handler) (*Server, error) {
-	return StartWith(ctx, network, address, handler, Options{HeaderTimeout: headerTimeout})
+	return StartWith(ctx, network, address, handler, Options{HeaderTimeout: DefaultHeaderTimeout})
 }
 
 // StartWith listens on address and serves handler within limits.
 func StartWith(ctx context.Context, network kernel.Network, address string, handler http.Handler, opt Options) (*Server, error) {
-	ln, err := network.Listen(ctx, "tcp", address)
+	ln, err := opt.TLS.network(network).Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
@@ -61,7 +60,7 @@
 		listener: ln,
 		ended:    make(chan struct{}),
 	}
-	if opt.TLS {
+	if opt.TLS.Enabled() {
 		s.scheme = "https"
 	}
 	go func() {
--- a/internal/httpserve/tls.go
+++ b/internal/httpserve/tls.go
@@ -8,13 +8,14 @@
 	"net"
 
 	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/settings"
 )
 
 // TLSSettings name a server's certificate. Files are read anew for each
 // connection, so that a rotation needs no restart.
 type TLSSettings struct {
-	CertFile string `toml:"cert_file"`
-	KeyFile  string `toml:"key_file"`
+	CertFile settings.Path `toml:"cert_file"`
+	KeyFile  settings.Path `toml:"key_file"`
 }
 
 // Enabled reports whether the server uses TLS.
@@ -33,16 +34,16 @@
 }
 
 func (t TLSSettings) certificate(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
+	cert, err := tls.LoadX509KeyPair(string(t.CertFile), string(t.KeyFile))
 	if err != nil {
 		return nil, fmt.Errorf("tls: load %s and %s: %w", t.CertFile, t.KeyFile, err)
 	}
 	return &cert, nil
 }
 
-// Network returns a network whose listeners speak TLS when settings name a
+// network returns a network whose listeners speak TLS when settings name a
 // certificate.
-func (t TLSSettings) Network(inner kernel.Network) kernel.Network {
+func (t TLSSettings) network(inner kernel.Network) kernel.Network {
 	if !t.Enabled() {
 		return inner
 	}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -58,6 +58,20 @@
 	ErrNotStarted = errors.New("kernel has not started")
 )
 
+// InvalidError is what the check of a provisioned service found.
+type InvalidError struct {
+	Service string
+	Err     error
+}
+
+// Error describes the fault.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("kernel: validate %q: %v", e.Service, e.Err)
+}
+
+// Unwrap returns what the service found.
+func (e *InvalidError) Unwrap() error { return e.Err }
+
 // Settings gives each service its part of the process settings.
 type Settings interface {
 	// Section decodes the section called name into dst, which already holds
@@ -133,7 +147,7 @@
 			continue
 		}
 		if err := v.Validate(); err != nil {
-			return fmt.Errorf("kernel: validate %q: %w", e.service.Name(), err)
+			return &InvalidError{Service: e.service.Name(), Err: err}
 		}
 	}
 	return nil
--- a/internal/service/adminapi/limits_test.go
+++ b/internal/service/adminapi/limits_test.go
@@ -40,7 +40,7 @@
 		"max_concurrent = 0":                "max_concurrent: want a number above zero",
 		"max_body_bytes = -1":               "max_body_bytes: want a number above zero",
 		"burst = 0":                         "requests_per_second and burst",
-		"[admin.tls]\ncert_file = \"none\"": "tls: load none",
+		"[admin.tls]\ncert_file = \"none\"": "admin.tls.cert_file: want the path of a file that can be read",
 		"listn = \"x\"":                     "unknown key",
 	}
 	for text, want := range cases {
--- a/internal/service/adminapi/service.go
+++ b/internal/service/adminapi/service.go
@@ -130,11 +130,10 @@
 
 // Start listens for operators.
 func (s *Service) Start(ctx context.Context) error {
-	network := s.net
-	if s.settings.TLS.Enabled() {
-		network = tlsNetwork{Network: s.net, settings: s.settings.TLS}
-	}
-	server, err := httpserve.Start(ctx, network, s.settings.Listen, s.handler())
+	server, err := httpserve.StartWith(ctx, s.net, string(s.settings.Listen), s.handler(), httpserve.Options{
+		HeaderTimeout: httpserve.DefaultHeaderTimeout,
+		TLS:           s.settings.TLS,
+	})
 	if err != nil {
 		return err
 	}
@@ -151,12 +150,7 @@
 func (s *Service) Stop(context.Context) error { return s.server.Close() }
 
 // URL returns the base URL of the interface.
-func (s *Service) URL() string {
-	if s.settings.TLS.Enabled() {
-		return "https://" + s.server.Addr()
-	}
-	return s.server.URL()
-}
+func (s *Service) URL() string { return s.server.URL() }
 
 // handler returns the handler of all paths.
 func (s *Service) handler() http.Handler {
--- a/internal/service/adminapi/settings.go
+++ b/internal/service/adminapi/settings.go
@@ -1,20 +1,18 @@
 package adminapi
 
 import (
-	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
-	"net"
 	"regexp"
 
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/httpserve"
+	"github.com/zinniafork/zinniafork/internal/settings"
 )
 
 // Settings are the process settings of the administration interface.
 type Settings struct {
-	Listen string `toml:"listen"`
+	Listen settings.Address `toml:"listen"`
 	// MaxBodyBytes limits the body of one request.
 	MaxBodyBytes int64 `toml:"max_body_bytes"`
 	// MaxConcurrent limits the requests in progress.
@@ -25,20 +23,10 @@
 	Burst             int     `toml:"burst"`
 	// BootstrapKeyHash is the SHA-256 hash, in hex, of a key that is an
 	// administrator's while there is no configuration.
-	BootstrapKeyHash string      `toml:"bootstrap_key_hash"`
-	TLS              TLSSettings `toml:"tls"`
+	BootstrapKeyHash string                `toml:"bootstrap_key_hash"`
+	TLS              httpserve.TLSSettings `toml:"tls"`
 }
 
-// TLSSettings name the server's certificate. Files are read anew for each
-// connection, so that a rotation needs no restart.
-type TLSSettings struct {
-	CertFile string `toml:"cert_file"`
-	KeyFile  string `toml:"key_file"`
-}
-
-// Enabled reports whether the interface uses TLS.
-func (t TLSSettings) Enabled() bool { return t.CertFile != "" || t.KeyFile != "" }
-
 // DefaultSettings returns the settings of a process that sets none.
 func DefaultSettings() Settings {
 	return Settings{
@@ -63,37 +51,5 @@
 	case s.BootstrapKeyHash != "" && !hashPattern.MatchString(s.BootstrapKeyHash):
 		return errors.New("bootstrap_key_hash: want the SHA-256 hash of a key as 64 hex digits (see zfctl key new)")
 	}
-	if !s.TLS.Enabled() {
-		return nil
-	}
-	_, err := s.TLS.load()
-	return err
-}
-
-func (t TLSSettings) load() (*tls.Certificate, error) {
-	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
-	if err != nil {
-		return nil, fmt.Errorf("tls: load %s and %s: %w", t.CertFile, t.KeyFile, err)
-	}
-	return &cert, nil
-}
-
-// tlsNetwork puts TLS on accepted connections.
-type tlsNetwork struct {
-	kernel.Network
-	settings TLSSettings
-}
-
-// Listen accepts TLS connections on address.
-func (n tlsNetwork) Listen(ctx context.Context, network, address string) (net.Listener, error) {
-	ln, err := n.Network.Listen(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return tls.NewListener(ln, &tls.Config{
-		MinVersion: tls.VersionTLS12,
-		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
-			return n.settings.load()
-		},
-	}), nil
+	return s.TLS.Validate()
 }
--- a/internal/service/callerapi/service.go
+++ b/internal/service/callerapi/service.go
@@ -84,11 +84,11 @@
 
 // Start listens for callers.
 func (s *Service) Start(ctx context.Context) error {
-	server, err := httpserve.StartWith(ctx, s.settings.TLS.Network(s.net), s.settings.Listen, s.handler(), httpserve.Options{
+	server, err := httpserve.StartWith(ctx, s.net, string(s.settings.Listen), s.handler(), httpserve.Options{
 		HeaderTimeout:  s.settings.HeaderTimeout.Std(),
 		IdleTimeout:    s.settings.IdleTimeout.Std(),
 		MaxHeaderBytes: s.settings.MaxHeaderBytes,
-		TLS:            s.settings.TLS.Enabled(),
+		TLS:            s.settings.TLS,
 	})
 	if err != nil {
 		return err
--- a/internal/service/callerapi/settings.go
+++ b/internal/service/callerapi/settings.go
@@ -6,11 +6,12 @@
 
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/httpserve"
+	"github.com/zinniafork/zinniafork/internal/settings"
 )
 
 // Settings are the process settings of the caller interface.
 type Settings struct {
-	Listen string `toml:"listen"`
+	Listen settings.Address `toml:"listen"`
 	// MaxBodyBytes limits the body of one request, MaxHeaderBytes its header.
 	MaxBodyBytes   int64 `toml:"max_body_bytes"`
 	MaxHeaderBytes int   `toml:"max_header_bytes"`
--- a/internal/service/identity/identity.go
+++ b/internal/service/identity/identity.go
@@ -8,6 +8,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/settings"
 )
 
 // Name is the service's name in the kernel and of its settings section.
@@ -23,9 +24,9 @@
 	Name       fleet.VM         `toml:"name"`
 	DataCentre fleet.DataCentre `toml:"data_centre"`
 	Site       fleet.Site       `toml:"site"`
-	PeerAddr   string           `toml:"peer_addr"`
-	CallerAddr string           `toml:"caller_addr"`
-	AdminAddr  string           `toml:"admin_addr"`
+	PeerAddr   settings.Address `toml:"peer_addr"`
+	CallerAddr settings.Address `toml:"caller_addr"`
+	AdminAddr  settings.Address `toml:"admin_addr"`
 }
 
 // Interface names one of the interfaces that a VM advertises.
@@ -74,9 +75,9 @@
 		DataCentre: s.settings.DataCentre,
 		Site:       s.settings.Site,
 		State:      fleet.VMLive,
-		PeerAddr:   s.settings.PeerAddr,
-		CallerAddr: s.settings.CallerAddr,
-		AdminAddr:  s.settings.AdminAddr,
+		PeerAddr:   string(s.settings.PeerAddr),
+		CallerAddr: string(s.settings.CallerAddr),
+		AdminAddr:  string(s.settings.AdminAddr),
 	}
 	return nil
 }
--- a/internal/service/peer/service.go
+++ b/internal/service/peer/service.go
@@ -95,7 +95,7 @@
 
 // Start listens for other routers.
 func (s *Service) Start(ctx context.Context) error {
-	ln, err := s.net.Listen(ctx, "tcp", s.settings.Listen)
+	ln, err := s.net.Listen(ctx, "tcp", string(s.settings.Listen))
 	if err != nil {
 		return errorf("listen on %s: %w", s.settings.Listen, err)
 	}
--- a/internal/service/peer/settings.go
+++ b/internal/service/peer/settings.go
@@ -5,12 +5,13 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/config"
+	"github.com/zinniafork/zinniafork/internal/settings"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 // Settings are the process settings of the connections between routers.
 type Settings struct {
-	Listen string `toml:"listen"`
+	Listen settings.Address `toml:"listen"`
 	// MaxFrameBytes limits one frame, and so the body of one request.
 	MaxFrameBytes int `toml:"max_frame_bytes"`
 	// WindowBytes is the most of one answer that is in flight or unread.
--- a/internal/service/peer/tls.go
+++ b/internal/service/peer/tls.go
@@ -9,15 +9,16 @@
 	"os"
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/settings"
 )
 
 // TLSSettings name the certificates of mutual TLS between routers. Files are
 // read anew for each connection, so that a rotation needs no restart. The
 // certificate of a VM carries the VM's name as a DNS name.
 type TLSSettings struct {
-	CertFile string `toml:"cert_file"`
-	KeyFile  string `toml:"key_file"`
-	CAFile   string `toml:"ca_file"`
+	CertFile settings.Path `toml:"cert_file"`
+	KeyFile  settings.Path `toml:"key_file"`
+	CAFile   settings.Path `toml:"ca_file"`
 }
 
 func (t *TLSSettings) enabled() bool { return t.CertFile != "" || t.KeyFile != "" || t.CAFile != "" }
@@ -35,11 +36,11 @@
 
 // config reads the files.
 func (t *TLSSettings) config() (*tls.Config, error) {
-	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
+	cert, err := tls.LoadX509KeyPair(string(t.CertFile), string(t.KeyFile))
 	if err != nil {
 		return nil, fmt.Errorf("tls: load %s and %s: %w", t.CertFile, t.KeyFile, err)
 	}
-	pem, err := os.ReadFile(t.CAFile)
+	pem, err := os.ReadFile(string(t.CAFile))
 	if err != nil {
 		return nil, fmt.Errorf("tls: read ca_file: %w", err)
 	}
--- a/internal/service/peer/tls_test.go
+++ b/internal/service/peer/tls_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/settings"
 )
 
 // authority issues certificates for a test.
@@ -107,7 +108,7 @@
 func TestTLSSettingsAreChecked(t *testing.T) {
 	ours := newAuthority(t)
 	ours.issue(t, "a")
-	at := func(name string) string { return filepath.Join(ours.dir, name) }
+	at := func(name string) settings.Path { return settings.Path(filepath.Join(ours.dir, name)) }
 	cases := []struct {
 		name string
 		tls  TLSSettings
--- a/internal/service/platform/platform.go
+++ b/internal/service/platform/platform.go
@@ -3,12 +3,12 @@
 package platform
 
 import (
-	"fmt"
-	"net/url"
+	"errors"
 
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/platform/logstream"
 	"github.com/zinniafork/zinniafork/internal/platform/vmlist"
+	"github.com/zinniafork/zinniafork/internal/settings"
 	"github.com/zinniafork/zinniafork/internal/target"
 )
 
@@ -21,8 +21,8 @@
 
 // Settings are the addresses of the platform's services.
 type Settings struct {
-	LogURL    string `toml:"log_url"`
-	VMListURL string `toml:"vm_list_url"`
+	LogURL    settings.URL `toml:"log_url"`
+	VMListURL settings.URL `toml:"vm_list_url"`
 }
 
 // Platform gives access to the platform.
@@ -47,18 +47,18 @@
 		return err
 	}
 	client := target.NewHTTPClient(c.Net)
-	s.log = logstream.New(s.settings.LogURL, client)
-	s.vms = vmlist.New(s.settings.VMListURL, client)
+	s.log = logstream.New(string(s.settings.LogURL), client)
+	s.vms = vmlist.New(string(s.settings.VMListURL), client)
 	return nil
 }
 
 // Validate checks the addresses.
 func (s *Service) Validate() error {
-	for key, value := range map[string]string{"log_url": s.settings.LogURL, "vm_list_url": s.settings.VMListURL} {
-		u, err := url.Parse(value)
-		if err != nil || u.Host == "" {
-			return fmt.Errorf("%s: want a URL such as \"http://10.0.0.5:7000\", have %q", key, value)
-		}
+	switch {
+	case s.settings.LogURL == "":
+		return errors.New("log_url: want the URL of the log service, have none")
+	case s.settings.VMListURL == "":
+		return errors.New("vm_list_url: want the URL of the VM list, have none")
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/tomldoc/explain.go
@@ -0,0 +1,70 @@
+package tomldoc
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Explain turns an error of the TOML decoder into Problems of the document
+// called name. next suggests what to write for an unknown key.
+func Explain(name string, text []byte, err error, next func(key string) string) Problems {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		var out Problems
+		for i := range strict.Errors {
+			e := &strict.Errors[i]
+			row, _ := e.Position()
+			key := strings.Join(e.Key(), ".")
+			out = append(out, &Problem{File: name, Line: row, Key: key, Message: "unknown key", Next: next(key)})
+		}
+		return out
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		row, _ := wrong.Position()
+		key := strings.Join(wrong.Key(), ".")
+		if key == "" {
+			key = Locate(text).KeyAt(row)
+		}
+		message := strings.TrimPrefix(wrong.Error(), "toml: ")
+		return Problems{{File: name, Line: row, Key: key, Message: message, Next: "correct the value or the syntax"}}
+	}
+	return Problems{{File: name, Message: err.Error()}}
+}
+
+// SpanKeys returns the paths of the fields of struct type t, tables included,
+// whose type is span.
+func SpanKeys(prefix string, t, span reflect.Type) []string {
+	var out []string
+	for i := range t.NumField() {
+		f := t.Field(i)
+		path := Join(prefix, f.Tag.Get("toml"))
+		switch {
+		case f.Type == span:
+			out = append(out, path)
+		case f.Type.Kind() == reflect.Struct:
+			out = append(out, SpanKeys(path, f.Type, span)...)
+		}
+	}
+	return out
+}
+
+// WithoutUnit returns a problem for each of the keys, which hold time spans,
+// that is written as a plain integer.
+func WithoutUnit(name string, at *Positions, keys []string) Problems {
+	var out Problems
+	for _, key := range keys {
+		if !at.IsInteger(key) {
+			continue
+		}
+		out = append(out, &Problem{
+			File: name, Line: at.Line(key), Key: key,
+			Message: "want a time span with a unit such as \"250ms\" or \"2s\", have a number without one",
+			Next:    "add the unit, in quotes",
+		})
+	}
+	return out
+}
--- a/internal/config/position.go
+++ b/internal/tomldoc/position.go
@@ -1,4 +1,6 @@
-package config
+// Package tomldoc finds the places of keys in TOML documents and describes
+// their faults with file, line and key.
+package tomldoc
 
 import (
 	"sort"
@@ -8,9 +10,9 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// positions maps the path of each key of a TOML document, with indices for
+// Positions maps the path of each key of a TOML document, with indices for
 // rows, such as "targets.3.slots", to its byte offset.
-type positions struct {
+type Positions struct {
 	offsets map[string]int
 	// breaks are the offsets of the line ends.
 	breaks []int
@@ -19,9 +21,9 @@
 	integers map[string]bool
 }
 
-// locate reads the positions of a document that has been decoded before.
-func locate(text []byte) *positions {
-	l := &positions{offsets: make(map[string]int), rows: make(map[string]int), integers: make(map[string]bool)}
+// Locate reads the positions of a document that has been decoded before.
+func Locate(text []byte) *Positions {
+	l := &Positions{offsets: make(map[string]int), rows: make(map[string]int), integers: make(map[string]bool)}
 	for i, c := range text {
 		if c == '\n' {
 			l.breaks = append(l.breaks, i)
@@ -37,7 +39,7 @@
 			prefix = l.key("", e)
 		case unstable.ArrayTable:
 			path := l.key("", e)
-			prefix = join(path, strconv.Itoa(l.rows[path]))
+			prefix = Join(path, strconv.Itoa(l.rows[path]))
 			l.rows[path]++
 			l.offsets[prefix] = l.offsets[path]
 		case unstable.KeyValue:
@@ -49,14 +51,14 @@
 
 // key notes the parts of an expression's key and returns its path. A part that
 // names an array of tables means the last row.
-func (l *positions) key(prefix string, e *unstable.Node) string {
+func (l *Positions) key(prefix string, e *unstable.Node) string {
 	path := prefix
 	it := e.Key()
 	for it.Next() {
 		if n := l.rows[path]; n > 0 && path != prefix {
-			path = join(path, strconv.Itoa(n-1))
+			path = Join(path, strconv.Itoa(n-1))
 		}
-		path = join(path, string(it.Node().Data))
+		path = Join(path, string(it.Node().Data))
 		if _, ok := l.offsets[path]; !ok {
 			l.offsets[path] = int(it.Node().Raw.Offset)
 		}
@@ -65,7 +67,7 @@
 }
 
 // value notes integers and the keys inside inline tables.
-func (l *positions) value(path string, v *unstable.Node) {
+func (l *Positions) value(path string, v *unstable.Node) {
 	switch v.Kind {
 	case unstable.Integer:
 		l.integers[path] = true
@@ -80,29 +82,33 @@
 			if it.Node().Kind != unstable.InlineTable {
 				return
 			}
-			row := join(path, strconv.Itoa(i))
+			row := Join(path, strconv.Itoa(i))
 			l.offsets[row] = l.offsets[path]
 			l.value(row, it.Node())
 		}
 	}
 }
 
-func join(path, part string) string {
+// Join returns the path of a part under a path.
+func Join(path, part string) string {
 	if path == "" {
 		return part
 	}
 	return path + "." + part
 }
 
-// has reports whether the document sets the key.
-func (l *positions) has(path string) bool {
+// Has reports whether the document sets the key.
+func (l *Positions) Has(path string) bool {
 	_, ok := l.offsets[path]
 	return ok
 }
 
-// line returns the line of the key, counted from 1, or that of the nearest
+// IsInteger reports whether the value of the key is an integer.
+func (l *Positions) IsInteger(path string) bool { return l.integers[path] }
+
+// Line returns the line of the key, counted from 1, or that of the nearest
 // part of the path that the document has; zero when it has none.
-func (l *positions) line(path string) int {
+func (l *Positions) Line(path string) int {
 	for path != "" {
 		if offset, ok := l.offsets[path]; ok {
 			return 1 + sort.SearchInts(l.breaks, offset)
@@ -112,8 +118,8 @@
 	return 0
 }
 
-// keyAt returns the path of the last key that begins on or before line.
-func (l *positions) keyAt(line int) string {
+// KeyAt returns the path of the last key that begins on or before line.
+func (l *Positions) KeyAt(line int) string {
 	best, bestOffset := "", -1
 	for path, offset := range l.offsets {
 		if 1+sort.SearchInts(l.breaks, offset) == line && (offset > bestOffset || offset == bestOffset && path > best) {
--- a/internal/config/problem.go
+++ b/internal/tomldoc/problem.go
@@ -1,4 +1,4 @@
-package config
+package tomldoc
 
 import (
 	"fmt"
@@ -54,8 +54,8 @@
 	return strings.Join(lines, "\n")
 }
 
-// err returns the problems as an error, nil when there are none.
-func (ps Problems) err() error {
+// Err returns the problems as an error, nil when there are none.
+func (ps Problems) Err() error {
 	if len(ps) == 0 {
 		return nil
 	}
