--- a/internal/lab/capacity/fleet.go
+++ b/internal/lab/capacity/fleet.go
@@ -39,6 +39,8 @@
 	// busiest the total of the busiest router.
 	control map[string]float64
 	busiest float64
+	// messages are those that a mean router sends a second.
+	messages float64
 	// appends and reads are calls of the log service a second, and
 	// appendBytes the bytes appended to it a second.
 	appends, reads float64
@@ -79,7 +81,7 @@
 	}
 	shape.VMs = shape.VMs[:size.routers]
 	shape.ChatRate, shape.OrderRate = size.chats, size.orders
-	bed, err := testbed.Start(ctx, testbed.Options{Shape: shape, Seed: 1})
+	bed, err := testbed.Start(ctx, testbed.Options{Shape: shape, Seed: 1, ControlBudget: LimitTraffic})
 	if err != nil {
 		return sample{}, err
 	}
@@ -120,6 +122,7 @@
 		heap:        start.bytes - before.bytes,
 		control:     make(map[string]float64),
 		busiest:     delta.Busiest / seconds,
+		messages:    float64(delta.Messages) / seconds / float64(max(size.routers, 1)),
 		appends:     float64(delta.Appends) / seconds,
 		reads:       float64(delta.Reads) / seconds,
 		appendBytes: float64(delta.AppendBytes) / seconds,
--- a/internal/lab/capacity/table.go
+++ b/internal/lab/capacity/table.go
@@ -94,13 +94,16 @@
 	heap := func(s sample) float64 {
 		return (s.heap - m.empty.heap*float64(s.targets)/float64(targets)) / float64(s.routers)
 	}
+	mean := m.daemonRow("VM", "control traffic, mean router", UnitBytesPerSec, LimitTraffic, totalControl,
+		"bounded neighbours; the period stretches to the budget")
 	rows := []Row{
 		m.daemonRow("VM", "processor time of control", UnitCores, LimitCore, cores,
 			"heartbeats to a bounded number of neighbours"),
 		m.daemonRow("VM", "memory", UnitBytes, LimitBytes, heap,
 			"one row for each router and target of the site, no copy of others' chats"),
-		m.daemonRow("VM", "control traffic, mean router", UnitBytesPerSec, LimitTraffic, totalControl,
-			"bounded neighbours; the period stretches to the budget"),
+		m.daemonRow("VM", "messages sent", UnitPerSec, 0, func(s sample) float64 { return s.messages },
+			"one message for all that goes to a neighbour"),
+		mean,
 		m.daemonRow("VM", "control traffic, busiest router", UnitBytesPerSec, LimitTraffic,
 			func(s sample) float64 { return s.busiest }, "the same"),
 	}
@@ -110,7 +113,6 @@
 	}
 	perDataCentre := float64(PlannedRouters) / PlannedDataCentres
 	perRegion := float64(PlannedRouters) / PlannedRegions
-	mean := rows[2]
 	return append(rows,
 		scaled(mean, "data centre", perDataCentre, fmt.Sprintf("%.0f routers", perDataCentre)),
 		scaled(mean, "region", perRegion, fmt.Sprintf("%.0f routers", perRegion)))
--- a/internal/lab/host/conn.go
+++ b/internal/lab/host/conn.go
@@ -111,6 +111,7 @@
 		return 0, err
 	}
 	c.bytes.sent.Add(uint64(len(p)))
+	c.bytes.writes.Add(1)
 	return len(p), nil
 }
 
@@ -236,6 +237,7 @@
 	c.host.clock.gate()
 	n, err := c.TCPConn.Write(p)
 	c.bytes.sent.Add(uint64(n))
+	c.bytes.writes.Add(1)
 	return n, err
 }
 
--- a/internal/lab/host/host.go
+++ b/internal/lab/host/host.go
@@ -36,10 +36,11 @@
 // closer is a socket that a kill closes without a farewell.
 type closer interface{ abort() }
 
-type counter struct{ sent, received atomic.Uint64 }
+type counter struct{ sent, received, writes atomic.Uint64 }
 
-// Bytes counts the bytes between a host and another one.
-type Bytes struct{ Sent, Received uint64 }
+// Bytes counts the bytes between a host and another one, and the writes that
+// sent them.
+type Bytes struct{ Sent, Received, Writes uint64 }
 
 func newHost(f *Fabric, name, zone, ip string) *Host {
 	h := &Host{
@@ -248,7 +249,7 @@
 	defer h.mu.Unlock()
 	out := make(map[string]Bytes, len(h.traffic))
 	for name, c := range h.traffic {
-		out[name] = Bytes{Sent: c.sent.Load(), Received: c.received.Load()}
+		out[name] = Bytes{Sent: c.sent.Load(), Received: c.received.Load(), Writes: c.writes.Load()}
 	}
 	return out
 }
--- a/internal/lab/host/host_test.go
+++ b/internal/lab/host/host_test.go
@@ -89,8 +89,8 @@
 	start := time.Now()
 	echo(t, conn, "hello")
 	must.GreaterEq(t, 10*time.Millisecond, time.Since(start))
-	must.Eq(t, host.Bytes{Sent: 5, Received: 5}, p.a.Traffic()["b"])
-	must.Eq(t, host.Bytes{Sent: 5, Received: 5}, p.b.Traffic()["a"])
+	must.Eq(t, host.Bytes{Sent: 5, Received: 5, Writes: 1}, p.a.Traffic()["b"])
+	must.Eq(t, host.Bytes{Sent: 5, Received: 5, Writes: 1}, p.b.Traffic()["a"])
 }
 
 func TestCloseReachesOtherEnd(t *testing.T) {
--- a/internal/lab/testbed/config.go
+++ b/internal/lab/testbed/config.go
@@ -76,6 +76,9 @@
 		c.Services = append(c.Services, row)
 	}
 	c.Load.QueueLength = r.queueLength
+	if b.opt.ControlBudget > 0 {
+		c.Control.BytesPerSecond = b.opt.ControlBudget
+	}
 	for _, dc := range shape.DataCentres {
 		row := config.DataCentre{Name: dc, Region: shape.Region, Mark: r.dataCentres[dc]}
 		c.DataCentres = append(c.DataCentres, row)
--- a/internal/lab/testbed/count.go
+++ b/internal/lab/testbed/count.go
@@ -22,6 +22,9 @@
 	// Appends and Reads are calls of the log service, AppendBytes the bytes
 	// of the append calls.
 	Appends, Reads, AppendBytes uint64
+	// Messages counts what the routers wrote to each other, to the log
+	// service and to the VM list.
+	Messages uint64
 
 	byVM map[fleet.VM]float64
 }
@@ -35,6 +38,7 @@
 		if k == nil {
 			continue
 		}
+		out.Messages += r.messages()
 		for kind, bytes := range r.controlByKind(k) {
 			out.Control[kind] += bytes
 			out.byVM[r.vm.Name] += bytes
@@ -50,6 +54,7 @@
 		Appends:     c.Appends - before.Appends,
 		Reads:       c.Reads - before.Reads,
 		AppendBytes: c.AppendBytes - before.AppendBytes,
+		Messages:    c.Messages - before.Messages,
 		byVM:        make(map[fleet.VM]float64),
 	}
 	for kind, bytes := range c.Control {
@@ -93,6 +98,18 @@
 	return out
 }
 
+// messages counts the router's writes to all but callers and targets.
+func (r *router) messages() uint64 {
+	var total uint64
+	for name, bytes := range r.currentHost().Traffic() {
+		_, err := r.bed.router(fleet.VM(name))
+		if err == nil || name == LogHost || name == r.listHost() {
+			total += bytes.Writes
+		}
+	}
+	return total
+}
+
 func (r *router) controlBytes(k *kernel.Kernel) float64 {
 	total := 0.0
 	for _, bytes := range r.controlByKind(k) {
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -48,6 +48,9 @@
 	Policy string
 	// InstantEngines answer without delay, for benchmarks.
 	InstantEngines bool
+	// ControlBudget replaces the control budget of a router, in bytes a
+	// second, when above zero.
+	ControlBudget int
 	// Log takes the routers' logs; nil drops them.
 	Log *logrus.Logger
 }
