Route requests through the owners of targets

Cause: the path went to one target by hash, whatever its load, and no owner. Before: thin route service. After: the entry ranks and calls the owner of the first target, the owner admits under slots and bound after a confirmation, lets wait, advises another target or recalls where the chat went; reports are read while a target is held, digests go with heartbeats. Messages are arrays of integers without trailing zeros; a voter tells only the voter sets that a claim lacks (sets that were passed on by hearsay never died); candidates leave owners alone that they hear of.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -230,7 +230,7 @@
 			BytesPerSecond: 3000,
 			Heartbeat:      Duration(500 * time.Millisecond),
 			Lease:          Duration(2 * time.Second),
-			Voters:         5,
+			Voters:         3,
 		},
 		Orders: Orders{
 			Partitions:       8,
--- a/internal/core/digest/digest.go
+++ b/internal/core/digest/digest.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/health"
+	"github.com/zinniafork/zinniafork/internal/wire/ints"
 )
 
 // Key names a resource or a VM in digests: the low half of a hash of its name.
@@ -49,8 +51,6 @@
 
 // Digest is one owner's word on one resource.
 type Digest struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
-
 	Resource Key
 	// Owner is the key of the owner's VM, zero when it is the sender.
 	Owner Key
@@ -67,6 +67,26 @@
 	Queued uint16
 }
 
+// EncodeMsgpack writes the digest as a short array.
+func (d *Digest) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return ints.Encode(enc,
+		uint64(d.Resource), d.Term, uint64(d.Seq), uint64(d.State), uint64(d.Slots),
+		uint64(d.Load), uint64(d.Queued), uint64(d.Age), uint64(d.Owner))
+}
+
+// DecodeMsgpack reads what EncodeMsgpack wrote.
+func (d *Digest) DecodeMsgpack(dec *msgpack.Decoder) error {
+	var v [9]uint64
+	if err := ints.Decode(dec, v[:]); err != nil {
+		return err
+	}
+	*d = Digest{
+		Resource: Key(v[0]), Term: v[1], Seq: uint32(v[2]), State: State(v[3]), Slots: uint16(v[4]),
+		Load: uint16(v[5]), Queued: uint16(v[6]), Age: uint16(v[7]), Owner: Key(v[8]),
+	}
+	return nil
+}
+
 // Entry is a digest in a router's table.
 type Entry struct {
 	Digest
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -181,6 +181,10 @@
 	t.completions = completions{}
 }
 
+// Overloaded notes that the target refused a request for its load: it bears
+// less than was believed.
+func (t *Target) Overloaded(now time.Time) { t.turnCold(now) }
+
 // Completed notes a whole answer.
 func (t *Target) Completed(now time.Time) {
 	t.completions.add(now)
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -73,6 +73,8 @@
 	Leaving bool
 	// ListHash identifies the sender's VM list, zero when it has none.
 	ListHash uint32
+	// RowsHash covers all that the sender's list says, states included.
+	RowsHash uint16
 	// Settling is true while the sender's list has changed recently.
 	Settling bool
 	// Ages tells how long ago the sender last heard of each listed VM. It is
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"encoding/binary"
 	"math"
 	"slices"
 	"strings"
@@ -24,6 +23,7 @@
 	listed []fleet.VM
 	// listHash identifies listed and their data centres.
 	listHash  uint32
+	rowsHash  uint16
 	changedAt time.Time
 	changed   bool
 }
@@ -114,7 +114,11 @@
 		_, _ = h.WriteString(string(vm.VM))
 		_, _ = h.WriteString("\x00" + string(vm.DataCentre) + "\x00")
 	}
-	sum := binary.BigEndian.Uint32(h.Sum(nil))
+	sum := uint32(h.Sum64())
+	for _, vm := range own {
+		_, _ = h.WriteString(string(vm.State) + "\x00" + vm.PeerAddr + "\x00")
+	}
+	v.rowsHash = uint16(h.Sum64())
 	if v.listHash != 0 && sum != v.listHash {
 		v.changed, v.changedAt = true, now
 	}
@@ -301,6 +305,7 @@
 		Period:      period,
 		Leaving:     v.leaving,
 		ListHash:    v.listHash,
+		RowsHash:    v.rowsHash,
 		Settling:    v.Settling(now),
 	}
 	if withAges {
@@ -311,5 +316,5 @@
 
 // Differs reports whether a heartbeat shows a VM list other than this view's.
 func (v *View) Differs(hb Heartbeat) bool {
-	return hb.ListHash != 0 && hb.ListHash != v.listHash
+	return hb.ListHash != 0 && (hb.ListHash != v.listHash || hb.RowsHash != v.rowsHash)
 }
--- a/internal/core/ownership/exchange.go
+++ b/internal/core/ownership/exchange.go
@@ -16,7 +16,7 @@
 		Ceiling: h.ceiling,
 		Pending: h.pending,
 		Term:    h.term,
-		Sets:    h.sets.hash(),
+		Sets:    h.sets.hashes(),
 	})
 }
 
@@ -36,7 +36,7 @@
 		claims := n.pending[to]
 		delete(n.pending, to)
 		n.seq++
-		req := &Request{Seq: n.seq, Incarnation: n.incarnation, Claims: claims}
+		req := &Request{Seq: n.seq, Process: n.process, Claims: claims}
 		n.sent[req.Seq] = sentRequest{to: to, at: now, claims: claims}
 		if to == n.self {
 			n.replied(now, n.self, n.vote(now, n.self, req))
@@ -151,19 +151,20 @@
 		n.gain(now, h)
 		return
 	}
-	if v.Code != Held {
+	if v.Code != Held && v.Code != Abstained {
 		return
 	}
-	if v.Holder != n.self && v.Term >= h.ownerTerm {
-		h.owner, h.ownerTerm, h.ownerAt = v.Holder, v.Term, now
+	wait := duration(v.RetryMS)
+	if now.Before(h.eagerUntil) {
+		wait = min(wait, n.params.Lease/64)
 	}
 	if n.hopeless(h) {
-		wait := duration(v.RetryMS)
-		if now.Before(h.eagerUntil) {
-			wait = min(wait, n.params.Lease/64)
-		}
 		n.giveUp(now, h)
 		h.renewAt = now.Add(wait)
+		return
+	}
+	if at := now.Add(wait); h.askAt.IsZero() || at.Before(h.askAt) {
+		h.askAt = at
 	}
 }
 
@@ -187,6 +188,7 @@
 func (n *Node) gain(now time.Time, h *holder) {
 	residual := h.residual(now, n.params)
 	h.term = h.lastTerm() + 1
+	h.lastOwn = h.term
 	h.phase, h.since = held, now
 	h.tries = 0
 	h.eagerUntil = time.Time{}
--- a/internal/core/ownership/explore_test.go
+++ b/internal/core/ownership/explore_test.go
@@ -138,7 +138,7 @@
 
 func (r *router) start() {
 	r.inc++
-	r.node = ownership.NewNode(r.vm, r.inc, r.m.params(), r.clock(), rand.New(rand.NewPCG(uint64(r.inc), r.m.random.Uint64())))
+	r.node = ownership.NewNode(r.vm, r.inc<<24, r.m.params(), r.clock(), rand.New(rand.NewPCG(uint64(r.inc), r.m.random.Uint64())))
 	r.held, r.own = false, 0
 	r.tickets = make(map[ownership.Ticket]bool)
 	r.act(r.node.SetResources(r.clock(), []ownership.Resource{resource}))
@@ -352,6 +352,20 @@
 	}
 }
 
+// confirming returns, half of the time, a router that waits for confirmations:
+// a pause hurts it most. Otherwise it returns r.
+func (m *model) confirming(r *router) *router {
+	if m.random.IntN(2) == 0 {
+		return r
+	}
+	for _, other := range m.routers {
+		if len(other.tickets) > 0 {
+			return other
+		}
+	}
+	return r
+}
+
 func (m *model) cut(r *router) {
 	until := m.now.Add(time.Duration(m.random.Int64N(int64(8 * time.Second))))
 	for _, other := range m.routers {
@@ -421,7 +435,7 @@
 	r := m.routers[m.random.IntN(len(m.routers))]
 	switch m.random.IntN(m.calm) {
 	case 0, 1, 2:
-		m.pause(r)
+		m.pause(m.confirming(r))
 	case 3, 4:
 		m.cut(r)
 	case 5:
--- a/internal/core/ownership/holder.go
+++ b/internal/core/ownership/holder.go
@@ -35,6 +35,10 @@
 
 	phase phase
 	term  uint64
+	// heldAt is the time at which this router lost the resource.
+	heldAt time.Time
+	// lastOwn is the term of this router's last tenure.
+	lastOwn uint64
 	// since is the time at which the phase began.
 	since time.Time
 	// acks holds the latest grants by voter.
@@ -43,6 +47,9 @@
 	pending uint32
 	// renewAt is the time of the next renewal or of the next try.
 	renewAt time.Time
+	// askAt is the time at which voters that refused an acquisition are asked
+	// again, zero for none.
+	askAt time.Time
 	// eagerUntil is the end of a time of quick tries after an invitation.
 	eagerUntil time.Time
 	tries      int
@@ -199,6 +206,7 @@
 	if last > 0 && !attested(MemoryDispatched) {
 		out.Pending = unknownAmount
 		out.PendingUntil = now.Add(p.PauseLimit)
+		out.Until = later(out.Until, out.PendingUntil.Add(p.WorkLimit))
 	}
 	return out
 }
@@ -207,7 +215,7 @@
 const unknownAmount = 1 << 20
 
 func (h *holder) lastTerm() uint64 {
-	term := h.term
+	term := h.lastOwn
 	for _, a := range h.acks {
 		term = max(term, a.verdict.Term)
 	}
--- a/internal/core/ownership/message.go
+++ b/internal/core/ownership/message.go
@@ -22,10 +22,11 @@
 	ClaimHandOver
 )
 
+// SetHash identifies a voter set.
+type SetHash uint32
+
 // Claim is what a router asks for one resource.
 type Claim struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
-
 	ID   ID
 	Kind ClaimKind
 	// Ceiling is the number of requests that the sender's work for the
@@ -35,18 +36,31 @@
 	Pending uint32
 	// Term numbers the tenures of owners; zero while acquiring.
 	Term uint64
-	// Sets is the hash of the voter sets that the sender counts.
-	Sets uint32
+	// Sets are the hashes of the voter sets that the sender counts.
+	Sets []SetHash
 }
 
+// Process tells apart the successive processes of one VM, in units of 17 ms.
+type Process uint32
+
+// processShift cuts an incarnation, which is in nanoseconds, to a Process.
+const processShift = 24
+
+// ProcessOf returns the process of an incarnation.
+func ProcessOf(i fleet.Incarnation) Process { return Process(i >> processShift) }
+
+// After reports whether p started later than other. Processes of one VM are
+// less than a year apart.
+func (p Process) After(other Process) bool { return int32(p-other) > 0 }
+
 // Request carries the claims of one router to one voter.
 type Request struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 
 	// Seq rises with each request of a process.
-	Seq         uint64
-	Incarnation fleet.Incarnation
-	Claims      []Claim
+	Seq     uint64
+	Process Process
+	Claims  []Claim
 }
 
 // VerdictCode is a voter's answer to one claim.
@@ -79,10 +93,9 @@
 	MemoryFull
 )
 
-// Verdict is the answer to one claim.
+// Verdict is the answer to one claim. A renewal that is granted needs no more
+// than the code.
 type Verdict struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
-
 	Code   VerdictCode
 	Memory Memory
 	// Term is the last term that the voter knows.
@@ -102,7 +115,8 @@
 	// milliseconds the grant has lapsed.
 	Holder  fleet.VM
 	RetryMS uint32
-	// Sets are the voter sets that the voter counts, when the claim's differ.
+	// Sets are the voter sets that the voter has seen and the claim does not
+	// count.
 	Sets [][]fleet.VM
 }
 
--- a/internal/core/ownership/node.go
+++ b/internal/core/ownership/node.go
@@ -11,10 +11,10 @@
 // Node is one router's part in the ownership of all resources: the holder of
 // some and a voter of others. It is not safe for concurrent use.
 type Node struct {
-	params      Params
-	self        fleet.VM
-	incarnation fleet.Incarnation
-	random      *rand.Rand
+	params  Params
+	self    fleet.VM
+	process Process
+	random  *rand.Rand
 
 	view    View
 	voter   *voter
@@ -44,14 +44,14 @@
 // process started.
 func NewNode(self fleet.VM, incarnation fleet.Incarnation, params Params, now time.Time, random *rand.Rand) *Node {
 	return &Node{
-		params:      params,
-		self:        self,
-		incarnation: incarnation,
-		random:      random,
-		voter:       newVoter(params, now),
-		holders:     make(map[ID]*holder),
-		sent:        make(map[uint64]sentRequest),
-		pending:     make(map[fleet.VM][]Claim),
+		params:  params,
+		self:    self,
+		process: ProcessOf(incarnation),
+		random:  random,
+		voter:   newVoter(params, now),
+		holders: make(map[ID]*holder),
+		sent:    make(map[uint64]sentRequest),
+		pending: make(map[fleet.VM][]Claim),
 	}
 }
 
@@ -201,7 +201,7 @@
 func (n *Node) Tick(now time.Time) Actions {
 	renew := !now.Before(n.renewAt)
 	if renew {
-		n.renewAt = now.Add(n.params.Lease / 3)
+		n.renewAt = now.Add(n.params.Lease / renewals)
 	}
 	for _, id := range n.order {
 		h := n.holders[id]
@@ -231,15 +231,31 @@
 			n.acquire(now, h)
 		}
 	case acquiring:
-		if now.Sub(h.since) > n.params.Lease/2 {
-			n.giveUp(now, h)
-		}
+		n.stepAcquiring(now, h)
 	case held:
 		n.stepHeld(now, h, renew)
 	case leaving:
 	}
 }
 
+// stepAcquiring asks voters again whose promise to another has lapsed by now,
+// and gives up when that takes too long.
+func (n *Node) stepAcquiring(now time.Time, h *holder) {
+	if now.Sub(h.since) > n.params.Lease/2 {
+		n.giveUp(now, h)
+		return
+	}
+	if h.askAt.IsZero() || now.Before(h.askAt) {
+		return
+	}
+	h.askAt = time.Time{}
+	for _, vm := range h.sets.all() {
+		if _, granted := h.acks[vm]; !granted {
+			n.claim(vm, h, ClaimAcquire)
+		}
+	}
+}
+
 func (n *Node) stepHeld(now time.Time, h *holder, renew bool) {
 	if !h.holds(now, n.params) {
 		n.lose(now, h)
@@ -250,13 +266,30 @@
 		return
 	}
 	if renew {
-		for _, vm := range h.sets.all() {
+		n.renew(now, h)
+	}
+	n.advance(now, h)
+}
+
+// renew asks a majority of the voters, and all of them while the lease is not
+// far from its end. Voters that granted just now, such as in a confirmation,
+// are left out.
+func (n *Node) renew(now time.Time, h *holder) {
+	voters := n.nearestMajority(now, h)
+	if h.leaseEnd(n.params).Sub(now) < n.params.Lease/2 {
+		voters = h.sets.all()
+	}
+	for _, vm := range voters {
+		a, ok := h.acks[vm]
+		if !ok || a.introduced != 0 || now.Sub(a.sentAt) > n.params.Lease/renewals/2 {
 			n.claim(vm, h, n.renewKind(h, vm))
 		}
 	}
-	n.advance(now, h)
 }
 
+// renewals is the number of renewals in one lease time.
+const renewals = 4
+
 // renewKind returns the claim that renews a grant of vm, or asks for one when
 // vm has given none yet.
 func (n *Node) renewKind(h *holder, vm fleet.VM) ClaimKind {
@@ -266,18 +299,28 @@
 	return ClaimAcquire
 }
 
-// mayTry reports whether this router should try to acquire: it ranks first, or
-// those before it have had their time and nobody was seen to own the resource.
+// mayTry reports whether this router should try to acquire: it ranks first or
+// was the last owner, and no other owner that is alive was heard of lately; or
+// those before it have had their time.
 func (n *Node) mayTry(now time.Time, h *holder) bool {
 	if h.rank < 0 || !n.view.HasList || now.Before(h.renewAt) {
 		return false
 	}
-	wait := time.Duration(h.rank) * 2 * n.ownerTrust()
-	return h.rank == 0 || now.Sub(h.ownerAt) > wait
+	if now.Before(h.eagerUntil) {
+		return true
+	}
+	unseen := now.Sub(h.ownerAt)
+	if n.view.eligible(h.owner) && h.owner != n.self && unseen < ownerBelief*n.ownerTrust() {
+		return false
+	}
+	if h.rank == 0 || now.Sub(h.heldAt) < n.ownerTrust() {
+		return true
+	}
+	return unseen > time.Duration(h.rank)*2*n.ownerTrust()
 }
 
 func (n *Node) acquire(now time.Time, h *holder) {
-	h.phase, h.since = acquiring, now
+	h.phase, h.since, h.askAt = acquiring, now, time.Time{}
 	h.ceiling, h.pending = 0, 0
 	clear(h.acks)
 	for _, vm := range h.sets.all() {
@@ -288,7 +331,9 @@
 // giveUp returns partial grants, so that another candidate may win.
 func (n *Node) giveUp(now time.Time, h *holder) {
 	for _, vm := range h.sets.all() {
-		n.claim(vm, h, ClaimRelease)
+		if _, granted := h.acks[vm]; granted {
+			n.claim(vm, h, ClaimRelease)
+		}
 	}
 	n.toIdle(now, h, n.backoff(h))
 }
@@ -313,6 +358,7 @@
 		return
 	}
 	n.emit(Event{Kind: Lost, ID: h.id})
+	h.heldAt = now
 	if tickets := h.takeTickets(); len(tickets) > 0 {
 		n.emit(Event{Kind: Refused, ID: h.id, Tickets: tickets})
 	}
@@ -370,7 +416,7 @@
 	n.flushTo(now)
 	h.round = round{tickets: h.waiting, after: n.seq, askAt: now.Add(n.params.ConfirmRetry)}
 	h.waiting = nil
-	for _, vm := range n.nearestMajority(h) {
+	for _, vm := range n.nearestMajority(now, h) {
 		n.claim(vm, h, ClaimRenew)
 	}
 	n.flushTo(now)
@@ -387,32 +433,28 @@
 
 // nearestMajority returns voters that have granted lately and suffice for a
 // majority, this router first; all voters when several sets count.
-func (n *Node) nearestMajority(h *holder) []fleet.VM {
+func (n *Node) nearestMajority(now time.Time, h *holder) []fleet.VM {
 	all := h.sets.all()
 	if len(h.sets.sets) > 1 {
 		return slices.DeleteFunc(all, func(vm fleet.VM) bool { return n.renewKind(h, vm) != ClaimRenew })
 	}
-	slices.SortStableFunc(all, func(a, b fleet.VM) int { return n.askOrder(h, a) - n.askOrder(h, b) })
+	slices.SortStableFunc(all, func(a, b fleet.VM) int { return n.askOrder(now, h, a) - n.askOrder(now, h, b) })
 	return all[:quorum(len(all))]
 }
 
-// askOrder sorts voters: this router, then those with fresh grants.
-func (n *Node) askOrder(h *holder, vm fleet.VM) int {
+// askOrder sorts voters: this router, then those that granted lately.
+func (n *Node) askOrder(now time.Time, h *holder, vm fleet.VM) int {
 	a, ok := h.acks[vm]
 	switch {
-	case vm == n.self && ok && a.introduced == 0:
+	case !ok || a.introduced != 0:
+		return 3
+	case vm == n.self:
 		return 0
-	case ok && a.introduced == 0 && n.seq-a.seq < staleAfter:
+	case now.Sub(a.sentAt) < n.params.Lease/2:
 		return 1
-	case ok && a.introduced == 0:
-		return 2
 	default:
-		return 3
+		return 2
 	}
 }
 
-// staleAfter is the number of later requests after which a voter that has not
-// granted any of them is asked last.
-const staleAfter = 64
-
 func (n *Node) emit(e Event) { n.out.Events = append(n.out.Events, e) }
--- a/internal/core/ownership/node_test.go
+++ b/internal/core/ownership/node_test.go
@@ -58,7 +58,7 @@
 }
 
 func (s *site) boot(vm fleet.VM, inc fleet.Incarnation) {
-	s.nodes[vm] = ownership.NewNode(vm, inc, s.params, s.now, rand.New(rand.NewPCG(uint64(inc), 3)))
+	s.nodes[vm] = ownership.NewNode(vm, inc<<24, s.params, s.now, rand.New(rand.NewPCG(uint64(inc), 3)))
 	s.act(vm, s.nodes[vm].SetResources(s.now, []ownership.Resource{resource}))
 	if v, ok := s.views[vm]; ok {
 		s.act(vm, s.nodes[vm].SetView(s.now, v))
@@ -126,11 +126,24 @@
 		for _, vm := range s.order {
 			if !s.down[vm] {
 				s.act(vm, s.nodes[vm].Tick(s.now))
+				s.tell(vm)
 			}
 		}
 	}
 }
 
+// tell spreads word of an owner, as digests in heartbeats do.
+func (s *site) tell(vm fleet.VM) {
+	if !s.owner[vm] {
+		return
+	}
+	for _, other := range s.order {
+		if other != vm && !s.down[other] && !s.cut(vm, other) {
+			s.nodes[other].NoteOwner(s.now, id, vm, s.nodes[vm].Term(id))
+		}
+	}
+}
+
 func (s *site) owners() []fleet.VM {
 	var out []fleet.VM
 	for _, vm := range s.order {
--- a/internal/core/ownership/ownership.go
+++ b/internal/core/ownership/ownership.go
@@ -15,9 +15,10 @@
 )
 
 // ID identifies a resource in messages.
-type ID uint64
+type ID uint32
 
-// IDOf returns the identifier of the resource called name.
+// IDOf returns the identifier of the resource called name. Configuration is
+// checked for names with the same one.
 func IDOf(name string) ID { return ID(xxhash.Sum64String(name)) }
 
 // Resource is something that one router owns.
@@ -58,7 +59,7 @@
 		Remember:       5*time.Second + lease,
 		WorkLimit:      60 * time.Second,
 		Voters:         5,
-		ConfirmRetry:   25 * time.Millisecond,
+		ConfirmRetry:   50 * time.Millisecond,
 		PauseLimit:     10 * time.Second,
 		RebalanceAfter: 10 * time.Second,
 	}
--- a/internal/core/ownership/sets.go
+++ b/internal/core/ownership/sets.go
@@ -19,8 +19,13 @@
 
 type voterSet struct {
 	voters []fleet.VM
+	// hash is not zero.
+	hash SetHash
 	// until is the time to forget a replaced set; zero for the current one.
 	until time.Time
+	// told is true for a set that only others have told of. It is not passed
+	// on, or routers would keep it alive among each other.
+	told bool
 }
 
 // setCurrent makes voters the current set and keeps the one before until.
@@ -32,20 +37,22 @@
 		s.sets[0].until = until
 	}
 	s.sets = slices.DeleteFunc(s.sets, func(old voterSet) bool { return sameVoters(old.voters, voters) })
-	s.sets = slices.Insert(s.sets, 0, voterSet{voters: voters})
+	s.sets = slices.Insert(s.sets, 0, newSet(voters))
 }
 
 // learn adds a set that a voter counts.
 func (s *voterSets) learn(voters []fleet.VM, until time.Time) {
 	for i := range s.sets {
 		if sameVoters(s.sets[i].voters, voters) {
-			if i > 0 && until.After(s.sets[i].until) {
+			if s.sets[i].told && until.After(s.sets[i].until) {
 				s.sets[i].until = until
 			}
 			return
 		}
 	}
-	s.sets = append(s.sets, voterSet{voters: voters, until: until})
+	set := newSet(voters)
+	set.until, set.told = until, true
+	s.sets = append(s.sets, set)
 }
 
 // prune forgets replaced sets whose time is over.
@@ -76,26 +83,34 @@
 	return out
 }
 
-// lists returns the sets as they go into a message.
-func (s *voterSets) lists() [][]fleet.VM {
-	out := make([][]fleet.VM, len(s.sets))
-	for i, set := range s.sets {
-		out[i] = set.voters
+// hashes identifies the sets.
+func (s *voterSets) hashes() []SetHash {
+	out := make([]SetHash, len(s.sets))
+	for i := range s.sets {
+		out[i] = s.sets[i].hash
 	}
 	return out
 }
 
-// hash identifies the sets whatever their order.
-func (s *voterSets) hash() uint32 {
-	var sum uint64
+// missing returns the sets that this router has seen itself and that are not
+// among the known ones.
+func (s *voterSets) missing(known []SetHash) [][]fleet.VM {
+	var out [][]fleet.VM
 	for _, set := range s.sets {
-		var one uint64
-		for _, vm := range set.voters {
-			one += xxhash.Sum64String(string(vm))
+		if !set.told && !slices.Contains(known, set.hash) {
+			out = append(out, set.voters)
 		}
-		sum += one * 0x9e3779b97f4a7c15
 	}
-	return uint32(sum >> 32)
+	return out
+}
+
+// newSet returns a set with its hash, which does not depend on the order.
+func newSet(voters []fleet.VM) voterSet {
+	var sum uint64
+	for _, vm := range voters {
+		sum += xxhash.Sum64String(string(vm))
+	}
+	return voterSet{voters: voters, hash: SetHash(sum>>32) | 1}
 }
 
 // majority reports whether ok holds for a majority of every set. It is false
--- a/internal/core/ownership/voter.go
+++ b/internal/core/ownership/voter.go
@@ -20,11 +20,11 @@
 }
 
 type grant struct {
-	holder      fleet.VM
-	incarnation fleet.Incarnation
-	seq         uint64
-	term        uint64
-	released    bool
+	holder   fleet.VM
+	process  Process
+	seq      uint64
+	term     uint64
+	released bool
 	// exact is true when the owner of the last term gave the resource back.
 	exact   bool
 	expires time.Time
@@ -83,16 +83,20 @@
 // handle answers one claim.
 func (v *voter) handle(now time.Time, from fleet.VM, req *Request, c Claim, e electorate) Verdict {
 	out := v.decide(now, from, req, c, e)
-	out.Memory = v.memory(now)
-	if e.sets != nil && e.sets.hash() != c.Sets {
-		out.Sets = e.sets.lists()
+	if out.Code == Granted && c.Kind == ClaimRenew {
+		out = Verdict{Code: Granted}
+	} else {
+		out.Memory = v.memory(now)
+	}
+	if e.sets != nil {
+		out.Sets = e.sets.missing(c.Sets)
 	}
 	return out
 }
 
 func (v *voter) decide(now time.Time, from fleet.VM, req *Request, c Claim, e electorate) Verdict {
 	g := v.grants[c.ID]
-	own := g != nil && g.holder == from && g.incarnation == req.Incarnation
+	own := g != nil && g.holder == from && g.process == req.Process
 	if own && req.Seq <= g.seq {
 		return Verdict{Code: Stale}
 	}
@@ -102,7 +106,7 @@
 	case own && !g.released:
 		return v.renew(now, g, req, c)
 	case v.abstains(now, e), c.Kind == ClaimRenew && !v.witnessed(now, g, c):
-		return Verdict{Code: Abstained}
+		return Verdict{Code: Abstained, RetryMS: milliseconds(v.abstention(now))}
 	case g != nil && !v.free(now, g, from, req):
 		wait := g.expires.Add(v.params.Margin).Sub(now)
 		return Verdict{Code: Held, Holder: g.holder, RetryMS: milliseconds(wait), Term: g.term}
@@ -142,16 +146,22 @@
 	return age < v.params.Remember && !e.agreed
 }
 
+// abstention returns the time after which asking again makes sense.
+func (v *voter) abstention(now time.Time) time.Duration {
+	age := now.Sub(v.booted)
+	return max(v.params.Lease+v.params.Margin-age, v.params.Lease/4)
+}
+
 // free reports whether a grant no longer binds the voter.
 func (v *voter) free(now time.Time, g *grant, from fleet.VM, req *Request) bool {
-	if g.released || (g.holder == from && req.Incarnation > g.incarnation) {
+	if g.released || (g.holder == from && req.Process.After(g.process)) {
 		return true
 	}
 	return now.After(g.expires.Add(v.params.Margin))
 }
 
 func (v *voter) switchTo(now time.Time, old *grant, from fleet.VM, req *Request, id ID) *grant {
-	g := &grant{holder: from, incarnation: req.Incarnation}
+	g := &grant{holder: from, process: req.Process}
 	if old != nil {
 		g.term = old.term
 		g.exact = old.released && old.exact
@@ -187,13 +197,15 @@
 }
 
 // backlog returns the work of a claim whose sender admits no more from end on.
+// Pending work may begin as late as the pause limit allows.
 func (v *voter) backlog(end time.Time, c Claim) backlog {
-	return backlog{
-		count:   c.Ceiling,
-		until:   end.Add(v.params.WorkLimit),
-		pending: c.Pending,
-		settled: end.Add(v.params.PauseLimit),
+	b := backlog{count: c.Ceiling, until: end.Add(v.params.WorkLimit)}
+	if c.Pending > 0 {
+		b.pending = c.Pending
+		b.settled = end.Add(v.params.PauseLimit)
+		b.until = b.settled.Add(v.params.WorkLimit)
 	}
+	return b
 }
 
 func (v *voter) release(now time.Time, g *grant, own bool, req *Request, c Claim) Verdict {
--- a/internal/service/members/codec.go
+++ b/internal/service/members/codec.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"math"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
@@ -18,15 +19,23 @@
 type message struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
 
-	Incarnation uint64
-	// PeriodMS is the time until the next heartbeat in milliseconds.
-	PeriodMS uint32
+	// Process is the incarnation in units of 17 ms.
+	Process uint32
+	// Period is the time until the next heartbeat in units of 25 ms.
+	Period   uint8
 	Flags    uint8
 	ListHash uint32
+	// RowsHash covers the whole list, states of VMs included.
+	RowsHash uint16
 	Ages     []byte
 	Parts    []part
 }
 
+const (
+	periodUnit   = 25 * time.Millisecond
+	processShift = 24
+)
+
 // part is one extension of a heartbeat.
 type part struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
@@ -37,11 +46,12 @@
 
 func encode(hb membership.Heartbeat, parts []part) ([]byte, error) {
 	m := message{
-		Incarnation: uint64(hb.Incarnation),
-		PeriodMS:    uint32(hb.Period / time.Millisecond),
-		ListHash:    hb.ListHash,
-		Ages:        hb.Ages,
-		Parts:       parts,
+		Process:  uint32(hb.Incarnation >> processShift),
+		Period:   uint8(min((hb.Period+periodUnit-1)/periodUnit, math.MaxUint8)),
+		ListHash: hb.ListHash,
+		RowsHash: hb.RowsHash,
+		Ages:     hb.Ages,
+		Parts:    parts,
 	}
 	if hb.Leaving {
 		m.Flags |= flagLeaving
@@ -58,11 +68,12 @@
 		return membership.Heartbeat{}, nil, err
 	}
 	hb := membership.Heartbeat{
-		Incarnation: fleet.Incarnation(m.Incarnation),
-		Period:      time.Duration(m.PeriodMS) * time.Millisecond,
+		Incarnation: fleet.Incarnation(m.Process) << processShift,
+		Period:      time.Duration(m.Period) * periodUnit,
 		Leaving:     m.Flags&flagLeaving != 0,
 		Settling:    m.Flags&flagSettling != 0,
 		ListHash:    m.ListHash,
+		RowsHash:    m.RowsHash,
 		Ages:        m.Ages,
 	}
 	return hb, m.Parts, nil
--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -78,6 +78,9 @@
 	// Attach adds a part to heartbeats. It must be called while services are
 	// provisioned.
 	Attach(e Extension)
+	// Relays reports whether some routers are not neighbours of this one, so
+	// that parts must be passed on to reach all.
+	Relays() bool
 	// Beat sends a heartbeat to all neighbours now, for news that can't wait.
 	Beat()
 	// Leave tells the other routers that this one drains.
--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -28,7 +28,7 @@
 	treeDegree = 3
 	// listShare is the share of the control budget that reading the VM list
 	// may use.
-	listShare = 0.2
+	listShare = 0.08
 	// Limits of the time between two reads of the VM list.
 	listPeriodMin = 2 * time.Second
 	listPeriodMax = 60 * time.Second
@@ -140,6 +140,13 @@
 // Beat sends a heartbeat to all neighbours now.
 func (s *Service) Beat() { signal(s.beatNow) }
 
+// Relays reports whether some routers are not neighbours of this one.
+func (s *Service) Relays() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sparse
+}
+
 // Leave tells the other routers that this one drains.
 func (s *Service) Leave() {
 	s.mu.Lock()
--- a/internal/service/owner/owner.go
+++ b/internal/service/owner/owner.go
@@ -7,7 +7,10 @@
 	"context"
 	"time"
 
+	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/core/health"
+	"github.com/zinniafork/zinniafork/internal/core/placement"
 )
 
 // Name is the service's name in the kernel.
@@ -29,6 +32,10 @@
 	Owner(r Resource) (fleet.VM, bool)
 	// Holds reports whether this router holds an unlapsed lease.
 	Holds(r Resource) bool
+	// Term returns the number of this router's present tenure of the resource,
+	// zero when it holds none. Each tenure has another number, so that a user
+	// can tell whether a confirmation belongs to the tenure it knows.
+	Term(r Resource) uint64
 	// Confirm returns nil once enough peers have acknowledged, after the call
 	// began, that this router holds the resource. It guards against a pause
 	// that this VM's own clock does not show.
@@ -39,17 +46,17 @@
 }
 
 // TargetState is the state of a target in the view of its owner.
-type TargetState string
+type TargetState = health.State
 
 // States of a target.
 const (
-	TargetUnknown TargetState = "unknown"
-	TargetCold    TargetState = "cold"
-	TargetWarming TargetState = "warming"
-	TargetWarm    TargetState = "warm"
-	TargetSuspect TargetState = "suspect"
-	TargetLeaving TargetState = "leaving"
-	TargetOut     TargetState = "out"
+	TargetUnknown = health.Unknown
+	TargetCold    = health.Cold
+	TargetWarming = health.Warming
+	TargetWarm    = health.Warm
+	TargetSuspect = health.Suspect
+	TargetLeaving = health.Leaving
+	TargetOut     = health.Out
 )
 
 // TargetReport describes one target for operators and for placement.
@@ -62,8 +69,10 @@
 	// Capacity is the number when warm.
 	Slots    int `json:"slots"`
 	Capacity int `json:"capacity"`
-	Running  int `json:"running"`
-	Queued   int `json:"queued"`
+	// Running is the load: requests at the target, those about to go there and
+	// those that earlier owners may have left there.
+	Running int `json:"running"`
+	Queued  int `json:"queued"`
 	// At is the time of the owner's digest.
 	At time.Time `json:"at"`
 }
@@ -71,4 +80,23 @@
 // Targets gives the digests of all targets of the site.
 type Targets interface {
 	Targets() []TargetReport
+	// Settled reports whether this router knows an owner for every target in
+	// service, or has waited for it long enough.
+	Settled() bool
+}
+
+// Admitter lets requests go to the targets that this router owns.
+type Admitter interface {
+	// Candidates returns the targets that can run a class of work.
+	Candidates(class placement.Class) []placement.Candidate
+	// Enter waits until the request may go to its target. The error is a
+	// *call.Error whose Run is call.RunNot.
+	Enter(ctx context.Context, req *call.Request) (*Pass, error)
+	// SetRules tells how the policy in force wants requests to be treated. It
+	// must be called while services are provisioned.
+	SetRules(r placement.Rules)
+	// Remember notes that a chat whose first target this router owns goes to
+	// another one. Recall returns where it went.
+	Remember(chat uint64, target fleet.Target)
+	Recall(chat uint64) (fleet.Target, bool)
 }
--- a/internal/service/owner/service.go
+++ b/internal/service/owner/service.go
@@ -10,8 +10,10 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
+	"github.com/zinniafork/zinniafork/internal/core/digest"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/core/placement"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
@@ -24,6 +26,11 @@
 	tickPeriod = 25 * time.Millisecond
 	// eventQueue is the number of changes that may wait for the watchers.
 	eventQueue = 4096
+	// memoryTime is the time for which a moved chat is remembered.
+	memoryTime = 6 * time.Hour
+	// startTime is the time after a start in which routers that were not heard
+	// yet count as alive.
+	startTime = 4 * time.Second
 )
 
 func init() {
@@ -40,6 +47,9 @@
 	self    fleet.VM
 	seed    uint64
 
+	clients *clients
+	// life ends when the process stops.
+	life     context.Context
 	watchers []func(Resource, bool)
 	changes  chan change
 
@@ -48,7 +58,18 @@
 	declared map[Resource]fleet.DataCentre
 	names    map[ownership.ID]Resource
 	tickets  map[ownership.Ticket]chan bool
+	starts   map[ownership.Ticket]start
 	current  *config.Effective
+	started  time.Time
+	rules    placement.Rules
+	nextID   uint64
+	targets  map[fleet.Target]*ownedTarget
+	byID     map[ownership.ID]*ownedTarget
+	byShort  map[uint32]*ownedTarget
+	idByKey  map[digest.Key]ownership.ID
+	table    *digest.Table
+	ownAt    time.Time
+	memory   *placement.Memory
 }
 
 // change is a resource that was gained or lost.
@@ -84,27 +105,52 @@
 	s.declared = make(map[Resource]fleet.DataCentre)
 	s.names = make(map[ownership.ID]Resource)
 	s.tickets = make(map[ownership.Ticket]chan bool)
+	s.starts = make(map[ownership.Ticket]start)
+	s.targets = make(map[fleet.Target]*ownedTarget)
+	s.byID = make(map[ownership.ID]*ownedTarget)
+	s.byShort = make(map[uint32]*ownedTarget)
+	s.idByKey = make(map[digest.Key]ownership.ID)
+	s.table = digest.NewTable(s.self)
+	s.memory = placement.NewMemory(config.Defaults().Load.MemoryEntries, memoryTime, c.Clock.Now())
+	s.clients = newClients(c.Env)
+	s.life = context.Background()
 	params := leaseParams(config.Defaults())
 	random := rand.New(rand.NewPCG(c.Seed, uint64(id.Incarnation())))
 	s.node = ownership.NewNode(s.self, id.Incarnation(), params, c.Clock.Now(), random)
 	s.config.Watch(s.configure)
 	s.members.Watch(func(*members.Snapshot) { s.look() })
+	s.members.Attach(s.extension())
 	s.peers.HandleControl(peer.KindLease, s.receive)
 	return nil
 }
 
 // Start begins to claim and to vote.
 func (s *Service) Start(ctx context.Context) error {
+	s.mu.Lock()
+	s.life = ctx
+	s.started = s.clock.Now()
+	s.mu.Unlock()
+	s.clock.AfterFunc(startTime, s.look)
 	go s.notify(ctx)
-	go kernel.Every(ctx, s.clock, tickPeriod, func(now time.Time) {
-		s.step(func() ownership.Actions { return s.node.Tick(now) })
-	})
+	go kernel.Every(ctx, s.clock, tickPeriod, s.tick)
 	return nil
 }
 
+// SetRules tells how the policy in force wants requests to be treated. It must
+// be called while services are provisioned.
+func (s *Service) SetRules(r placement.Rules) { s.rules = r }
+
+func (s *Service) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.act(s.node.Tick(now))
+	s.tickTargets(now)
+}
+
 // leaseParams returns the lease rules of a configuration.
 func leaseParams(c *config.Config) ownership.Params {
 	p := ownership.DefaultParams(c.Control.Lease.Std())
+	p.Voters = c.Control.Voters
 	p.WorkLimit = max(c.Deadlines.Chat.Std(), c.Deadlines.Service.Std())
 	return p
 }
@@ -131,6 +177,13 @@
 	return s.node.Holds(s.clock.Now(), ownership.IDOf(string(r)))
 }
 
+// Term returns the number of this router's present tenure of the resource.
+func (s *Service) Term(r Resource) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.Term(ownership.IDOf(string(r)))
+}
+
 // Confirm waits for fresh acknowledgements of a majority.
 func (s *Service) Confirm(ctx context.Context, r Resource) error {
 	answer := make(chan bool, 1)
@@ -178,6 +231,14 @@
 }
 
 func (s *Service) event(e ownership.Event) {
+	if t, ok := s.byID[e.ID]; ok {
+		switch e.Kind {
+		case ownership.Gained:
+			s.gainTarget(t, e.Residual)
+		case ownership.Lost, ownership.HandOver:
+			s.loseTarget(t)
+		}
+	}
 	switch e.Kind {
 	case ownership.Gained, ownership.Lost, ownership.HandOver:
 		s.queue(change{
@@ -188,6 +249,10 @@
 		})
 	case ownership.Confirmed, ownership.Refused:
 		for _, t := range e.Tickets {
+			if st, ok := s.starts[t]; ok {
+				delete(s.starts, t)
+				s.confirmed(st, e.Kind == ownership.Confirmed)
+			}
 			if answer, ok := s.tickets[t]; ok {
 				delete(s.tickets, t)
 				answer <- e.Kind == ownership.Confirmed
@@ -217,12 +282,22 @@
 				f(c.resource, c.held)
 			}
 			if c.handOver {
-				s.step(func() ownership.Actions { return s.node.Release(s.clock.Now(), c.id, 0, 0) })
+				s.step(func() ownership.Actions { return s.release(c.id) })
 			}
 		}
 	}
 }
 
+// release gives a resource back with the amount of work that still runs.
+func (s *Service) release(id ownership.ID) ownership.Actions {
+	now := s.clock.Now()
+	if t, ok := s.byID[id]; ok {
+		ceiling, pending := t.admission.Ceiling(now)
+		return s.node.Release(now, id, ceiling, pending)
+	}
+	return s.node.Release(now, id, 0, 0)
+}
+
 // receive takes a lease message from another router.
 func (s *Service) receive(from fleet.VM, payload []byte) {
 	m, err := decodeLease(payload)
@@ -248,6 +323,7 @@
 	s.mu.Lock()
 	s.current = c
 	s.node.SetParams(leaseParams(c.Config))
+	s.configureTargets(s.clock.Now(), c)
 	s.mu.Unlock()
 	s.step(s.setResources)
 	s.look()
@@ -270,6 +346,7 @@
 		}
 	}
 	sortResources(resources)
+	s.indexKeys(resources)
 	return s.node.SetResources(s.clock.Now(), resources)
 }
 
@@ -277,6 +354,18 @@
 func (s *Service) look() {
 	snapshot := s.members.Snapshot()
 	s.step(func() ownership.Actions {
-		return s.node.SetView(s.clock.Now(), viewOf(snapshot, s.current))
+		s.table.SetRouters(namesOf(snapshot))
+		now := s.clock.Now()
+		starting := now.Sub(s.started) < startTime
+		return s.node.SetView(now, viewOf(snapshot, s.current, starting))
 	})
 }
+
+// Interface guards.
+var (
+	_ Ownership          = (*Service)(nil)
+	_ Targets            = (*Service)(nil)
+	_ Admitter           = (*Service)(nil)
+	_ kernel.Provisioner = (*Service)(nil)
+	_ kernel.Starter     = (*Service)(nil)
+)
--- a/internal/service/owner/view.go
+++ b/internal/service/owner/view.go
@@ -11,9 +11,10 @@
 )
 
 // viewOf joins the membership with the marks of a configuration, which may be
-// nil.
-func viewOf(snapshot *members.Snapshot, c *config.Effective) ownership.View {
-	v := ownership.View{HasList: snapshot.HasList, Agreed: snapshot.Agreed}
+// nil. While starting, routers that were not heard yet count as alive, so that
+// those that start together agree on who should own what.
+func viewOf(snapshot *members.Snapshot, c *config.Effective, starting bool) ownership.View {
+	v := ownership.View{HasList: snapshot.HasList && c != nil, Agreed: snapshot.Agreed}
 	marks := marksOf(c)
 	for i := range snapshot.Members {
 		m := &snapshot.Members[i]
@@ -23,7 +24,7 @@
 		v.Routers = append(v.Routers, ownership.Router{
 			VM:         m.VM,
 			DataCentre: m.DataCentre,
-			Eligible:   m.Status == members.StateAlive && !marks.drained(m.VM, m.DataCentre),
+			Eligible:   usable(m, starting) && !marks.drained(m.VM, m.DataCentre),
 		})
 	}
 	if c != nil {
@@ -35,6 +36,11 @@
 	return v
 }
 
+func usable(m *members.Member, starting bool) bool {
+	unheard := m.Status == members.StateJoining && m.LastHeard.IsZero()
+	return m.Status == members.StateAlive || starting && unheard
+}
+
 // marks are the data centres and VMs that operators drain.
 type marks struct {
 	dcs map[fleet.DataCentre]bool
@@ -60,3 +66,11 @@
 func sortResources(resources []ownership.Resource) {
 	slices.SortFunc(resources, func(a, b ownership.Resource) int { return cmp.Compare(a.Name, b.Name) })
 }
+
+func namesOf(snapshot *members.Snapshot) []fleet.VM {
+	out := make([]fleet.VM, len(snapshot.Members))
+	for i := range snapshot.Members {
+		out[i] = snapshot.Members[i].VM
+	}
+	return out
+}
--- /dev/null
+++ b/internal/service/route/budget.go
@@ -0,0 +1,51 @@
+package route
+
+import (
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/call"
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/owner"
+	"github.com/zinniafork/zinniafork/internal/service/peer"
+)
+
+const kindRun = peer.KindRun
+
+func targetResource(t fleet.Target) owner.Resource { return owner.TargetResource(t) }
+
+// countRequest adds a request to the retry budget of its account.
+func (s *Service) countRequest(req *call.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accounts.Of(req.Account).Request()
+}
+
+// countTry adds a request to the retry budget of its target.
+func (s *Service) countTry(req *call.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.byTarget.Of(req.Target).Request()
+}
+
+// mayRetry takes a retry from the budgets of the account and of the target that
+// failed.
+func (s *Service) mayRetry(req *call.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	account, failed := s.accounts.Of(req.Account), s.byTarget.Of(req.Target)
+	if !account.Take() {
+		return false
+	}
+	if !failed.Take() {
+		account.Give()
+		return false
+	}
+	return true
+}
+
+// jitter spreads a wait over half of its length.
+func (s *Service) jitter(d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return d/2 + time.Duration(s.random.Int64N(int64(d/2)+1))
+}
--- a/internal/service/route/route.go
+++ b/internal/service/route/route.go
@@ -1,28 +1,37 @@
 // Package route takes one request of a caller to a target that can bear it
 // and brings the answer back.
+//
+// The entry router ranks the targets and calls the owner of the first. The
+// owner runs the request, lets it wait, or refuses it, perhaps with the name of
+// a better target. Nothing that was refused has run, so the entry router may
+// go on to the next.
 package route
 
 import (
 	"context"
-	"net/http"
+	"fmt"
+	"math/rand/v2"
+	"sync"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/core/placement"
+	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
-	"github.com/zinniafork/zinniafork/internal/target"
-	"github.com/zinniafork/zinniafork/internal/target/engine"
-	"github.com/zinniafork/zinniafork/internal/target/plain"
+	"github.com/zinniafork/zinniafork/internal/service/identity"
+	"github.com/zinniafork/zinniafork/internal/service/owner"
+	"github.com/zinniafork/zinniafork/internal/service/peer"
 )
 
 // Name is the service's name in the kernel.
 const Name = "route"
 
 func init() {
-	kernel.Register(Name, func() kernel.Service { return new(Service) })
+	kernel.Register(Name, func() kernel.Service { return &Service{settings: DefaultSettings()} })
 }
 
 // Router runs requests on targets.
@@ -33,76 +42,90 @@
 	Run(ctx context.Context, req *call.Request, sink call.Sink) error
 }
 
+// Settings are the process settings of routing.
+type Settings struct {
+	// Policy names the placement policy.
+	Policy string `toml:"policy"`
+}
+
+// DefaultSettings returns the settings of a process that sets none.
+func DefaultSettings() Settings { return Settings{Policy: placement.DefaultPolicy} }
+
 // Service routes requests.
 type Service struct {
-	config configsync.Source
-	http   *http.Client
+	settings Settings
+	config   configsync.Source
+	owners   owner.Ownership
+	targets  owner.Admitter
+	peers    peer.Peers
+	clock    kernel.Clock
+	logger   *logrus.Entry
+	meters   *meters
+	self     fleet.VM
+	rules    placement.Rules
+
+	mu       sync.Mutex
+	policy   placement.Policy
+	random   *rand.Rand
+	accounts *retry.Budgets[fleet.Account]
+	byTarget *retry.Budgets[fleet.Target]
 }
 
 // Name returns the service's name.
 func (*Service) Name() string { return Name }
 
-// Provision looks up the configuration.
+// Provision reads the settings and looks up owners and peers.
 func (s *Service) Provision(c *kernel.Context) error {
-	src, err := kernel.Lookup[configsync.Source](c, configsync.Name)
-	if err != nil {
+	if err := c.Settings(&s.settings); err != nil {
 		return err
 	}
-	s.config = src
-	s.http = target.NewHTTPClient(c.Net)
-	return nil
-}
-
-// Run places and runs the request.
-func (s *Service) Run(ctx context.Context, req *call.Request, sink call.Sink) error {
-	cfg := s.config.Current()
-	if cfg == nil {
-		return &call.Error{Code: call.CodeUnavailable, Step: "config", Run: call.RunNot, Message: "no configuration yet"}
+	if err := s.lookUp(c); err != nil {
+		return err
 	}
-	t := pick(cfg.Targets, req)
-	if t == nil {
-		return &call.Error{Code: call.CodeNoTarget, Step: "placement", Run: call.RunNot, Message: "no target serves this request"}
+	s.clock, s.logger = c.Clock, c.Logger()
+	s.meters = newMeters(c.Metrics)
+	s.random = rand.New(rand.NewPCG(c.Seed, uint64(len(s.self))))
+	policy, err := placement.New(s.settings.Policy, s.random)
+	if err != nil {
+		return fmt.Errorf("[%s]: %w", Name, err)
 	}
-	return s.client(t).Run(ctx, req, sink)
+	s.policy, s.rules = policy, policy.Rules()
+	s.targets.SetRules(s.rules)
+	defaults := config.Defaults().Retry
+	s.accounts = retry.NewBudgets[fleet.Account](defaults.AccountRatio)
+	s.byTarget = retry.NewBudgets[fleet.Target](defaults.TargetRatio)
+	s.config.Watch(s.configure)
+	s.peers.HandleCall(peer.KindRun, s.serve)
+	return nil
 }
 
-func (s *Service) client(t *config.Target) target.Runner {
-	if t.IsEngine() {
-		return engine.New(t.Name, t.URL, s.http)
+func (s *Service) lookUp(c *kernel.Context) error {
+	var err error
+	if s.config, err = kernel.Lookup[configsync.Source](c, configsync.Name); err != nil {
+		return err
 	}
-	return plain.New(t.Name, t.URL, s.http)
-}
-
-// pick returns the target with the highest rendezvous hash for the chat.
-func pick(targets []config.Target, req *call.Request) *config.Target {
-	var best *config.Target
-	var bestScore uint64
-	for i := range targets {
-		t := &targets[i]
-		if !serves(t, req) {
-			continue
-		}
-		score := xxhash.Sum64String(req.Chat + "|" + string(t.Name))
-		if best == nil || score > bestScore {
-			best, bestScore = t, score
-		}
+	if s.owners, err = kernel.Lookup[owner.Ownership](c, owner.Name); err != nil {
+		return err
 	}
-	return best
-}
-
-func serves(t *config.Target, req *call.Request) bool {
-	if t.Mark == fleet.MarkDrain {
-		return false
+	if s.targets, err = kernel.Lookup[owner.Admitter](c, owner.Name); err != nil {
+		return err
 	}
-	if req.Kind == call.KindService {
-		return t.Service == req.Service
+	if s.peers, err = kernel.Lookup[peer.Peers](c, peer.Name); err != nil {
+		return err
 	}
-	for _, m := range t.Models {
-		if m == req.Model {
-			return true
-		}
+	id, err := kernel.Lookup[identity.Identity](c, identity.Name)
+	if err != nil {
+		return err
 	}
-	return false
+	s.self = id.Self().VM
+	return nil
+}
+
+func (s *Service) configure(c *config.Effective) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accounts.SetRatio(c.Retry.AccountRatio)
+	s.byTarget.SetRatio(c.Retry.TargetRatio)
 }
 
 // Interface guards.
--- /dev/null
+++ b/internal/wire/ints/ints.go
@@ -0,0 +1,63 @@
+// Package ints writes small records as msgpack arrays of integers without the
+// zeros at their ends. It is for control messages, whose bytes are scarce.
+package ints
+
+import (
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Trim returns the values without the zeros at the end.
+func Trim(values []uint64) []uint64 {
+	n := len(values)
+	for n > 0 && values[n-1] == 0 {
+		n--
+	}
+	return values[:n]
+}
+
+// Encode writes the values as an array without the zeros at the end.
+func Encode(enc *msgpack.Encoder, values ...uint64) error {
+	values = Trim(values)
+	if err := enc.EncodeArrayLen(len(values)); err != nil {
+		return fmt.Errorf("encode record: %w", err)
+	}
+	return Append(enc, values)
+}
+
+// Append writes values as elements of an array that has been begun.
+func Append(enc *msgpack.Encoder, values []uint64) error {
+	for _, v := range values {
+		if err := enc.EncodeUint(v); err != nil {
+			return fmt.Errorf("encode record: %w", err)
+		}
+	}
+	return nil
+}
+
+// Decode reads an array into values and sets the missing ones to zero. More
+// elements than values are an error.
+func Decode(dec *msgpack.Decoder, values []uint64) error {
+	n, err := dec.DecodeArrayLen()
+	if err != nil {
+		return fmt.Errorf("decode record: %w", err)
+	}
+	return Read(dec, values, n)
+}
+
+// Read reads the first n elements of an array that has been begun.
+func Read(dec *msgpack.Decoder, values []uint64, n int) error {
+	if n < 0 || n > len(values) {
+		return fmt.Errorf("decode record: %d elements, want at most %d", n, len(values))
+	}
+	clear(values)
+	for i := range n {
+		v, err := dec.DecodeUint64()
+		if err != nil {
+			return fmt.Errorf("decode record: %w", err)
+		}
+		values[i] = v
+	}
+	return nil
+}
