Let a started site elect owners as soon as all routers agree

After: when every listed router is heard with the same list, nobody can act on another one, so no wait is needed. Conclusion: readiness also asks for known owners of all targets.

--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -281,10 +281,17 @@
 	return v.changed && now.Sub(v.changedAt) < v.params.SettleTime
 }
 
-// Agreed reports whether every router that is heard has the same VM list as
-// this one and has had it for the settle time.
+// Agreed reports whether no router can be acting on another VM list: every
+// listed one is heard and has the same list as this one, or all that are heard
+// have it and have had it for the settle time.
 func (v *View) Agreed(now time.Time) bool {
-	if !v.HasList() || v.Settling(now) {
+	if !v.HasList() {
+		return false
+	}
+	if v.allHeardAgree() {
+		return true
+	}
+	if v.Settling(now) {
 		return false
 	}
 	for name, r := range v.records {
@@ -298,6 +305,20 @@
 	return true
 }
 
+func (v *View) allHeardAgree() bool {
+	for _, name := range v.listed {
+		r := v.records[name]
+		if name == v.self {
+			continue
+		}
+		heard := r.status == StateAlive || r.status == StateLeaving
+		if !heard || r.listHash != v.listHash {
+			return false
+		}
+	}
+	return true
+}
+
 // Own returns this router's heartbeat. Period is the time until the next one.
 func (v *View) Own(now time.Time, period time.Duration, withAges bool) Heartbeat {
 	hb := Heartbeat{
--- a/internal/service/callerapi/handler.go
+++ b/internal/service/callerapi/handler.go
@@ -42,11 +42,24 @@
 		writeError(w, refusal(call.CodeDraining, "this VM is leaving"))
 	case s.config.Current() == nil:
 		writeError(w, refusal(call.CodeUnavailable, "no configuration yet"))
+	case !s.settled():
+		writeError(w, refusal(call.CodeUnavailable, "owners of targets are not known yet"))
 	default:
 		w.WriteHeader(http.StatusOK)
 	}
 }
 
+// Settler is a router that knows whether it can place requests.
+type Settler interface {
+	// Settled reports whether the owners of targets are known.
+	Settled() bool
+}
+
+func (s *Service) settled() bool {
+	r, ok := s.router.(Settler)
+	return !ok || r.Settled()
+}
+
 type accountHandler func(w http.ResponseWriter, r *http.Request, account *config.Account)
 
 // withAccount finds the client account by the bearer key. Whatever a request
--- a/internal/service/route/route.go
+++ b/internal/service/route/route.go
@@ -51,12 +51,18 @@
 // DefaultSettings returns the settings of a process that sets none.
 func DefaultSettings() Settings { return Settings{Policy: placement.DefaultPolicy} }
 
+// targets is what routing needs of the owner service beside ownership.
+type targets interface {
+	owner.Admitter
+	owner.Targets
+}
+
 // Service routes requests.
 type Service struct {
 	settings Settings
 	config   configsync.Source
 	owners   owner.Ownership
-	targets  owner.Admitter
+	targets  targets
 	peers    peer.Peers
 	clock    kernel.Clock
 	logger   *logrus.Entry
@@ -107,7 +113,7 @@
 	if s.owners, err = kernel.Lookup[owner.Ownership](c, owner.Name); err != nil {
 		return err
 	}
-	if s.targets, err = kernel.Lookup[owner.Admitter](c, owner.Name); err != nil {
+	if s.targets, err = kernel.Lookup[targets](c, owner.Name); err != nil {
 		return err
 	}
 	if s.peers, err = kernel.Lookup[peer.Peers](c, peer.Name); err != nil {
@@ -121,6 +127,18 @@
 	return nil
 }
 
+// Settled reports whether the owners of targets are known.
+func (s *Service) Settled() bool { return s.targets.Settled() }
+
+// FirstOwner returns the owner of the target that the request would try first.
+func (s *Service) FirstOwner(req *call.Request) (fleet.VM, bool) {
+	r := s.rank(req)
+	if len(r.order) == 0 {
+		return "", false
+	}
+	return s.owners.Owner(targetResource(r.place(0)))
+}
+
 func (s *Service) configure(c *config.Effective) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
