Keep the interfaces of members and targets small

Cause: tests of other services have stand-ins for members and targets; two new methods broke them. Before: Relays in Membership and Settled in Targets. After: interfaces of their own, looked up by those that need them. Conclusion: stand-ins stay as they are.

--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -78,9 +78,6 @@
 	// Attach adds a part to heartbeats. It must be called while services are
 	// provisioned.
 	Attach(e Extension)
-	// Relays reports whether some routers are not neighbours of this one, so
-	// that parts must be passed on to reach all.
-	Relays() bool
 	// Beat sends a heartbeat to all neighbours now, for news that can't wait.
 	Beat()
 	// Leave tells the other routers that this one drains.
@@ -88,3 +85,10 @@
 	// Tune sets the rules of control traffic.
 	Tune(c config.Control)
 }
+
+// Relayer tells whether parts of heartbeats must be passed on to reach all
+// routers.
+type Relayer interface {
+	// Relays reports whether some routers are not neighbours of this one.
+	Relays() bool
+}
--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -382,6 +382,7 @@
 // Interface guards.
 var (
 	_ Membership         = (*Service)(nil)
+	_ Relayer            = (*Service)(nil)
 	_ kernel.Provisioner = (*Service)(nil)
 	_ kernel.Starter     = (*Service)(nil)
 	_ kernel.Reporter    = (*Service)(nil)
--- a/internal/service/owner/owner.go
+++ b/internal/service/owner/owner.go
@@ -80,6 +80,10 @@
 // Targets gives the digests of all targets of the site.
 type Targets interface {
 	Targets() []TargetReport
+}
+
+// Readiness tells whether requests can be placed.
+type Readiness interface {
 	// Settled reports whether this router knows an owner for every target in
 	// service, or has waited for it long enough.
 	Settled() bool
--- a/internal/service/owner/service.go
+++ b/internal/service/owner/service.go
@@ -37,10 +37,16 @@
 	kernel.Register(Name, func() kernel.Service { return new(Service) })
 }
 
+// membership is what ownership needs of the members service.
+type membership interface {
+	members.Membership
+	members.Relayer
+}
+
 // Service takes part in the ownership of all resources of the site.
 type Service struct {
 	config  configsync.Source
-	members members.Membership
+	members membership
 	peers   peer.Peers
 	clock   kernel.Clock
 	logger  *logrus.Entry
@@ -89,7 +95,7 @@
 	if s.config, err = kernel.Lookup[configsync.Source](c, configsync.Name); err != nil {
 		return err
 	}
-	if s.members, err = kernel.Lookup[members.Membership](c, members.Name); err != nil {
+	if s.members, err = kernel.Lookup[membership](c, members.Name); err != nil {
 		return err
 	}
 	if s.peers, err = kernel.Lookup[peer.Peers](c, peer.Name); err != nil {
@@ -365,6 +371,7 @@
 var (
 	_ Ownership          = (*Service)(nil)
 	_ Targets            = (*Service)(nil)
+	_ Readiness          = (*Service)(nil)
 	_ Admitter           = (*Service)(nil)
 	_ kernel.Provisioner = (*Service)(nil)
 	_ kernel.Starter     = (*Service)(nil)
--- a/internal/service/route/route.go
+++ b/internal/service/route/route.go
@@ -54,7 +54,7 @@
 // targets is what routing needs of the owner service beside ownership.
 type targets interface {
 	owner.Admitter
-	owner.Targets
+	owner.Readiness
 }
 
 // Service routes requests.
