Look at the configuration of a router that drains

The routers' log shows that the draining router put the version in force at once; the testbed forgot the kernel of a draining router and still counted it as up, so it had no view of it. Change: the testbed keeps the draining kernel for views of the configuration. A reader of the stream ends when its clock does, instead of trying on; an unknown outcome names the nonce to ask for.

--- a/internal/lab/testbed/lifecycle.go
+++ b/internal/lab/testbed/lifecycle.go
@@ -64,7 +64,7 @@
 	b.List(vm, fleet.VMLeaving)
 	ctx, cancel := context.WithTimeout(ctx, drainLimit)
 	defer cancel()
-	if err := k.Drain(ctx); err != nil {
+	if err := r.drain(ctx, k); err != nil {
 		stop.Err = err.Error()
 	}
 	stop.To = time.Now()
--- a/internal/lab/testbed/router.go
+++ b/internal/lab/testbed/router.go
@@ -25,8 +25,10 @@
 	mu     sync.Mutex
 	host   *host.Host
 	kernel *kernel.Kernel
-	boots  int
-	frozen bool
+	// draining is the kernel of a process that stops gracefully.
+	draining *kernel.Kernel
+	boots    int
+	frozen   bool
 }
 
 func newRouter(b *Testbed, vm site.VM) *router {
@@ -169,10 +171,28 @@
 	return r.kernel, r.boots
 }
 
-// config returns the router's configuration service, nil while it is not
-// running.
+// drain stops the router's process gracefully.
+func (r *router) drain(ctx context.Context, k *kernel.Kernel) error {
+	r.setDraining(k)
+	defer r.setDraining(nil)
+	return k.Drain(ctx)
+}
+
+func (r *router) setDraining(k *kernel.Kernel) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = k
+}
+
+// config returns the router's configuration service, also while it drains, and
+// nil while it is not running.
 func (r *router) config() (configsync.Source, int) {
 	k, boot := r.running()
+	if k == nil {
+		r.mu.Lock()
+		k = r.draining
+		r.mu.Unlock()
+	}
 	if k == nil {
 		return nil, boot
 	}
--- a/internal/service/adminapi/config_write.go
+++ b/internal/service/adminapi/config_write.go
@@ -102,6 +102,9 @@
 	}
 	failure := asError(err)
 	failure.Nonce = p.nonce
+	if failure.Code == admin.CodeUnknown {
+		failure.Next = "publish nothing else before zfctl outcome " + p.nonce + " says what became of it"
+	}
 	return accepted, failure
 }
 
--- a/internal/service/adminapi/errors.go
+++ b/internal/service/adminapi/errors.go
@@ -118,7 +118,6 @@
 	case errors.Is(err, configsync.ErrOutcomeUnknown):
 		return &admin.Error{
 			Code: admin.CodeUnknown, Message: err.Error(),
-			Next: "do not publish anything else before zfctl outcome NONCE says what became of it",
 		}
 	}
 	return &admin.Error{Code: admin.CodeInternal, Message: err.Error()}
--- a/internal/service/configsync/follow.go
+++ b/internal/service/configsync/follow.go
@@ -39,7 +39,9 @@
 		if ctx.Err() == nil {
 			s.logger.WithError(err).Warn("Cannot read the configuration stream.")
 		}
-		_ = s.clock.Sleep(ctx, retry)
+		if s.clock.Sleep(ctx, retry) != nil {
+			return
+		}
 		retry = min(2*retry, retryMax)
 	}
 }
--- a/internal/service/configsync/publish.go
+++ b/internal/service/configsync/publish.go
@@ -91,8 +91,8 @@
 				p.Unanswered(h.now())
 			}
 		case configstate.StepWait:
-			if err := h.wait(ctx, p.RetryAt()); err != nil {
-				return configstate.Entry{}, fmt.Errorf("%w (nonce %s): %w", ErrOutcomeUnknown, p.Nonce(), err)
+			if h.wait(ctx, p.RetryAt()) != nil {
+				return configstate.Entry{}, fmt.Errorf("%w: the log gave no answer in time", ErrOutcomeUnknown)
 			}
 		}
 	}
--- a/internal/zfctl/publish.go
+++ b/internal/zfctl/publish.go
@@ -71,9 +71,6 @@
 				p.File = c.File
 			}
 		}
-		if e.Code == admin.CodeUnknown {
-			return &codedError{fmt.Errorf("%w\n  nonce: %s", err, nonce), ExitPending}
-		}
 		return err
 	}
 	if c.DryRun || !arrived(err) {
