Bring traces and metrics out of the process

Cause: spans and counters had no way out of a router. Before: a noop tracer, a registry that nobody read. After: spans caller, entry, owner and target in one trace, carried by traceparent on HTTP and in frames, to standard output or an OTLP collector; /metrics in the text format with names, units and help. A test fails for a metric without a description. Times are histograms now, because timers of go-metrics start a goroutine for the whole process, which outlives a test's bubble. Conclusion: the providers are values of the process, none is global, so routers that share a process keep their traces apart.

--- a/cmd/zf-router/main.go
+++ b/cmd/zf-router/main.go
@@ -5,12 +5,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
+	"time"
 
 	"github.com/alecthomas/kong"
 
 	"github.com/zinniafork/zinniafork/internal/app"
 	"github.com/zinniafork/zinniafork/internal/cli"
 	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/service/identity"
+	"github.com/zinniafork/zinniafork/internal/service/telemetry"
 	"github.com/zinniafork/zinniafork/internal/settings"
 	"github.com/zinniafork/zinniafork/internal/tomldoc"
 )
@@ -24,7 +28,7 @@
 // Run runs the router until a signal arrives, and then lets running requests
 // end.
 func (c *command) Run(ctx context.Context) error {
-	k, process, err := c.assemble()
+	r, err := c.assemble(ctx)
 	var problems tomldoc.Problems
 	if errors.As(err, &problems) {
 		return problems
@@ -36,27 +40,57 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
+	return r.run(ctx)
+}
+
+// router is an assembled process.
+type router struct {
+	kernel  *kernel.Kernel
+	process app.Process
+	traces  *telemetry.Provider
+}
+
+// run runs the router until ctx ends, and then drains it.
+func (r *router) run(ctx context.Context) error {
 	running := context.WithoutCancel(ctx)
-	if err := k.Start(running); err != nil {
+	if err := r.kernel.Start(running); err != nil {
 		return err
 	}
 	<-ctx.Done()
-	drain, cancel := context.WithTimeout(running, process.DrainLimit.Std())
+	drain, cancel := context.WithTimeout(running, r.process.DrainLimit.Std())
 	defer cancel()
-	return k.Drain(drain)
+	err := r.kernel.Drain(drain)
+	flush, stop := context.WithTimeout(running, flushLimit)
+	defer stop()
+	return errors.Join(err, r.traces.Shutdown(flush))
 }
 
-func (c *command) assemble() (*kernel.Kernel, app.Process, error) {
+// flushLimit is the time that the last spans get.
+const flushLimit = 2 * time.Second
+
+// assemble reads the settings and provisions the services.
+func (c *command) assemble(ctx context.Context) (*router, error) {
 	file, err := settings.Load(c.Settings)
 	if err != nil {
-		return nil, app.Process{}, err
+		return nil, err
+	}
+	r := new(router)
+	if r.process, err = app.LoadProcess(file); err != nil {
+		return nil, err
 	}
-	process, err := app.LoadProcess(file)
+	traces, err := telemetry.LoadTraces(file)
 	if err != nil {
-		return nil, app.Process{}, err
+		return nil, err
+	}
+	var vm identity.Settings
+	if err := file.Section(identity.Name, &vm); err != nil {
+		return nil, err
+	}
+	if r.traces, err = telemetry.NewProvider(ctx, traces, string(vm.Name), os.Stdout); err != nil {
+		return nil, err
 	}
-	k, err := app.NewRouter(kernel.Env{Log: process.Logger()}, file)
-	return k, process, err
+	r.kernel, err = app.NewRouter(kernel.Env{Log: r.process.Logger(), Tracer: r.traces.Tracer("zinniafork")}, file)
+	return r, err
 }
 
 func main() {
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -8,6 +8,7 @@
 	_ "github.com/zinniafork/zinniafork/internal/service/configsync" // registers the service
 	_ "github.com/zinniafork/zinniafork/internal/service/platform"   // registers the service
 	_ "github.com/zinniafork/zinniafork/internal/service/route"      // registers the service
+	"github.com/zinniafork/zinniafork/internal/service/telemetry"
 	"github.com/zinniafork/zinniafork/internal/settings"
 )
 
@@ -15,7 +16,7 @@
 // that name file, line and key.
 func NewRouter(env kernel.Env, file *settings.File) (*kernel.Kernel, error) {
 	k := kernel.New(env, file, nil)
-	if err := k.Provision(callerapi.Name, adminapi.Name); err != nil {
+	if err := k.Provision(callerapi.Name, adminapi.Name, telemetry.Name); err != nil {
 		return nil, file.Explain(err)
 	}
 	if err := file.Unused(); err != nil {
--- a/internal/app/samples_test.go
+++ b/internal/app/samples_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/app"
 	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/service/telemetry"
 	"github.com/zinniafork/zinniafork/internal/settings"
 )
 
@@ -22,6 +23,8 @@
 	must.NoError(t, err)
 	_, err = app.LoadProcess(file)
 	must.NoError(t, err)
+	_, err = telemetry.LoadTraces(file)
+	must.NoError(t, err)
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	_, err = app.NewRouter(kernel.Env{Log: quiet}, file)
--- a/internal/service/callerapi/meters.go
+++ b/internal/service/callerapi/meters.go
@@ -10,19 +10,25 @@
 type meters struct {
 	registry  metrics.Registry
 	running   metrics.Counter
-	firstByte metrics.Timer
-	total     metrics.Timer
+	firstByte metrics.Histogram
+	total     metrics.Histogram
 }
 
 func newMeters(r metrics.Registry) meters {
 	return meters{
 		registry:  r,
 		running:   metrics.GetOrRegisterCounter("caller.running", r),
-		firstByte: metrics.GetOrRegisterTimer("caller.first_byte", r),
-		total:     metrics.GetOrRegisterTimer("caller.total", r),
+		firstByte: metrics.GetOrRegisterHistogram("caller.first_byte", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+		total:     metrics.GetOrRegisterHistogram("caller.total", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
 }
 
+// The samples of times stand for the last minutes.
+const (
+	sampleSize  = 1028
+	sampleAlpha = 0.015
+)
+
 // ended counts a request by the code that it ended with.
 func (m *meters) ended(code call.Code) {
 	if code == "" {
--- a/internal/service/callerapi/serve.go
+++ b/internal/service/callerapi/serve.go
@@ -60,6 +60,9 @@
 // run takes the request to a target. A resumed answer that no target has any
 // more comes from another run.
 func (s *Service) run(ctx context.Context, x *exchange, out *callerSink) error {
+	ctx, span := s.tracer.Start(ctx, "entry")
+	defer span.End()
+	x.req.TraceParent = tracing.Parent(ctx)
 	err := s.runnerOf(x.req)(ctx, x.req, out)
 	if err == nil || x.req.ResumeFrom == 0 || call.AsError(err).Code != call.CodeResumeImpossible {
 		return err
@@ -75,7 +78,6 @@
 		attribute.String("request", string(x.req.ID)),
 		attribute.String("account", string(x.req.Account)),
 	))
-	x.req.TraceParent = tracing.Parent(ctx)
 	return ctx, span
 }
 
@@ -108,13 +110,13 @@
 	}
 	if !firstByte.IsZero() {
 		sample.FirstByte = firstByte.Sub(arrived)
-		s.meters.firstByte.Update(sample.FirstByte)
+		s.meters.firstByte.Update(int64(sample.FirstByte))
 	}
 	if e != nil {
 		sample.Code, sample.Run = e.Code, e.Run
 	}
 	sample.InTime = e == nil && s.inTime(&sample)
-	s.meters.total.Update(sample.Total)
+	s.meters.total.Update(int64(sample.Total))
 	s.meters.ended(sample.Code)
 	s.figures.Record(sample)
 }
--- a/internal/service/peer/serve.go
+++ b/internal/service/peer/serve.go
@@ -7,7 +7,11 @@
 	"sync"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/zinniafork/zinniafork/internal/call"
+	"github.com/zinniafork/zinniafork/internal/tracing"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
@@ -183,6 +187,10 @@
 		ctx, cancel = context.WithTimeout(ctx, remaining)
 		defer cancel()
 	}
+	ctx, span := c.host.tracer.Start(tracing.Continue(ctx, req.TraceParent), "owner", trace.WithSpanKind(trace.SpanKindServer),
+		trace.WithAttributes(attribute.String("request", string(req.ID)), attribute.String("kind", string(s.kind)), attribute.String("from", string(c.vm))))
+	defer span.End()
+	req.TraceParent = tracing.Parent(ctx)
 	sink := &remoteSink{ctx: ctx, conn: c, stream: s}
 	err := c.answerCall(ctx, s.kind, req, sink)
 	if sink.ended {
--- a/internal/service/peer/service.go
+++ b/internal/service/peer/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
@@ -38,6 +39,7 @@
 	clock    kernel.Clock
 	net      kernel.Network
 	logger   *logrus.Entry
+	tracer   trace.Tracer
 	metrics  meters
 	traffic  trafficCounter
 	links    *links
@@ -77,7 +79,7 @@
 	if s.identity, err = kernel.Lookup[identity.Identity](c, identity.Name); err != nil {
 		return err
 	}
-	s.clock, s.net, s.logger = c.Clock, c.Net, c.Logger()
+	s.clock, s.net, s.logger, s.tracer = c.Clock, c.Net, c.Logger(), c.Tracer
 	s.metrics = newMeters(c.Metrics)
 	s.rand = rand.New(rand.NewPCG(c.Seed, uint64(s.identity.Incarnation())))
 	s.links = newLinks(s)
--- /dev/null
+++ b/internal/service/telemetry/metrics.go
@@ -0,0 +1,121 @@
+package telemetry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"runtime"
+	"slices"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/zinniafork/zinniafork/internal/httpserve"
+	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/service/peer"
+	"github.com/zinniafork/zinniafork/internal/settings"
+)
+
+// Name is the name of the service that serves metrics.
+const Name = "metrics"
+
+func init() {
+	kernel.Register(Name, func() kernel.Service { return &Service{settings: Settings{Listen: "127.0.0.1:0"}} })
+}
+
+// Settings are the process settings of metrics.
+type Settings struct {
+	// Listen is the address at which /metrics is served.
+	Listen settings.Address `toml:"listen"`
+}
+
+// Service serves metrics in the text exposition format.
+type Service struct {
+	settings Settings
+	registry metrics.Registry
+	peers    peer.Peers
+	net      kernel.Network
+	logger   *logrus.Entry
+	server   *httpserve.Server
+}
+
+// Name returns the service's name.
+func (*Service) Name() string { return Name }
+
+// Provision reads the settings.
+func (s *Service) Provision(c *kernel.Context) error {
+	if err := c.Settings(&s.settings); err != nil {
+		return err
+	}
+	var err error
+	if s.peers, err = kernel.Lookup[peer.Peers](c, peer.Name); err != nil {
+		return err
+	}
+	s.registry, s.net, s.logger = c.Metrics, c.Net, c.Logger()
+	return nil
+}
+
+// Start listens for scrapers.
+func (s *Service) Start(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", s.serve)
+	server, err := httpserve.Start(ctx, s.net, string(s.settings.Listen), mux)
+	if err != nil {
+		return err
+	}
+	s.server = server
+	s.logger.WithField("address", server.Addr()).Info("Metrics are served.")
+	return nil
+}
+
+// Stop ends the server.
+func (s *Service) Stop(context.Context) error { return s.server.Close() }
+
+// URL returns the base URL of the server.
+func (s *Service) URL() string { return s.server.URL() }
+
+func (s *Service) serve(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", ContentType)
+	if err := WriteMetrics(w, s.registry); err != nil {
+		return
+	}
+	s.writeTraffic(w)
+	writeRuntime(w)
+}
+
+// writeTraffic writes the bytes between routers by kind.
+func (s *Service) writeTraffic(w io.Writer) {
+	traffic := s.peers.Traffic()
+	const name = namePrefix + "peer_bytes_total"
+	fmt.Fprintf(w, "# HELP %s Bytes at the sockets between routers by kind, framing included.\n# TYPE %s counter\n", name, name)
+	for _, kind := range slices.Sorted(maps.Keys(traffic)) {
+		fmt.Fprintf(w, "%s{kind=%q,direction=\"sent\"} %d\n", name, kind, traffic[kind].Sent)
+		fmt.Fprintf(w, "%s{kind=%q,direction=\"received\"} %d\n", name, kind, traffic[kind].Received)
+	}
+}
+
+// writeRuntime writes what the process itself uses.
+func writeRuntime(w io.Writer) {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	for _, g := range []struct {
+		name, help string
+		value      uint64
+	}{
+		{"process_heap_bytes", "Bytes of heap in use.", m.HeapInuse},
+		{"process_memory_bytes", "Bytes of memory obtained from the system.", m.Sys},
+		{"process_goroutines", "Goroutines.", uint64(runtime.NumGoroutine())},
+	} {
+		name := namePrefix + g.name
+		fmt.Fprintf(w, "# HELP %s %s\n# TYPE %s gauge\n%s %d\n", name, g.help, name, name, g.value)
+	}
+}
+
+// Interface guards.
+var (
+	_ kernel.Provisioner = (*Service)(nil)
+	_ kernel.Starter     = (*Service)(nil)
+	_ kernel.Stopper     = (*Service)(nil)
+)
--- /dev/null
+++ b/internal/service/telemetry/telemetry_test.go
@@ -0,0 +1,127 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+
+	"github.com/zinniafork/zinniafork/internal/settings"
+	"github.com/zinniafork/zinniafork/internal/tracing"
+)
+
+func TestExposition(t *testing.T) {
+	r := metrics.NewRegistry()
+	metrics.GetOrRegisterCounter("caller.running", r).Inc(3)
+	metrics.GetOrRegisterCounter("caller.ended.ok", r).Inc(7)
+	metrics.GetOrRegisterCounter("caller.ended.overloaded", r).Inc(2)
+	metrics.GetOrRegisterGauge("config.in_force.offset", r).Update(41)
+	h := metrics.GetOrRegisterHistogram("caller.total", r, metrics.NewUniformSample(10))
+	for range 4 {
+		h.Update(int64(250 * time.Millisecond))
+	}
+	var out bytes.Buffer
+	must.NoError(t, WriteMetrics(&out, r))
+	must.Eq(t, `# HELP zinniafork_caller_ended_total Ended requests of callers by the code that they ended with.
+# TYPE zinniafork_caller_ended_total counter
+zinniafork_caller_ended_total{code="ok"} 7
+zinniafork_caller_ended_total{code="overloaded"} 2
+# HELP zinniafork_caller_running Requests of callers in progress.
+# TYPE zinniafork_caller_running gauge
+zinniafork_caller_running 3
+# HELP zinniafork_caller_total_seconds Time from the arrival of a request to its end.
+# TYPE zinniafork_caller_total_seconds summary
+zinniafork_caller_total_seconds_sum 1
+zinniafork_caller_total_seconds_count 4
+zinniafork_caller_total_seconds{quantile="0.5"} 0.25
+zinniafork_caller_total_seconds{quantile="0.9"} 0.25
+zinniafork_caller_total_seconds{quantile="0.95"} 0.25
+zinniafork_caller_total_seconds{quantile="0.99"} 0.25
+zinniafork_caller_total_seconds{quantile="1"} 0.25
+# HELP zinniafork_config_in_force_offset Log offset of the configuration in force.
+# TYPE zinniafork_config_in_force_offset gauge
+zinniafork_config_in_force_offset 41
+`, out.String())
+}
+
+func TestSpansOfAllHopsShareATrace(t *testing.T) {
+	var out bytes.Buffer
+	p, err := NewProvider(t.Context(), TraceSettings{Exporter: ExportStdout, Ratio: 1}, "vm1", &out)
+	must.NoError(t, err)
+	ctx, caller := p.Tracer("").Start(t.Context(), "caller")
+	parent := tracing.Parent(ctx)
+	must.Eq(t, caller.SpanContext().TraceID().String(), tracing.ID(parent))
+
+	there := tracing.Continue(t.Context(), parent)
+	there, owner := p.Tracer("").Start(there, "owner")
+	_, target := tracing.Start(there, "target")
+	target.End()
+	owner.End()
+	caller.End()
+	must.NoError(t, p.Shutdown(t.Context()))
+	traces := make(map[string]string)
+	for decoder := json.NewDecoder(&out); ; {
+		var span struct {
+			Name        string
+			SpanContext struct{ TraceID string }
+		}
+		if decoder.Decode(&span) != nil {
+			break
+		}
+		traces[span.Name] = span.SpanContext.TraceID
+	}
+	must.MapLen(t, 3, traces)
+	for _, id := range traces {
+		must.Eq(t, tracing.ID(parent), id)
+	}
+}
+
+func TestSpansGoToTheCollector(t *testing.T) {
+	got := make(chan string, 1)
+	collector := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		got <- r.URL.Path
+	}))
+	defer collector.Close()
+	p, err := NewProvider(t.Context(), TraceSettings{Exporter: ExportOTLP, Endpoint: settings.URL(collector.URL), Ratio: 1}, "vm1", io.Discard)
+	must.NoError(t, err)
+	_, span := p.Tracer("").Start(t.Context(), "caller")
+	span.End()
+	must.NoError(t, p.Shutdown(t.Context()))
+	must.Eq(t, "/v1/traces", <-got)
+}
+
+func TestNoExporterMakesNoTraces(t *testing.T) {
+	p, err := NewProvider(t.Context(), TraceSettings{Exporter: ExportNone}, "vm1", nil)
+	must.NoError(t, err)
+	ctx, _ := p.Tracer("").Start(t.Context(), "caller")
+	must.Eq(t, "", tracing.Parent(ctx))
+	must.NoError(t, p.Shutdown(t.Context()))
+}
+
+func TestTraceSettings(t *testing.T) {
+	cases := map[string]string{
+		"exporter = \"jaeger\"": "f.toml:2: traces.exporter: want \"none\", \"stdout\" or \"otlp\"",
+		"ratio = 2.0":           "f.toml:2: traces.ratio: want a share between 0 and 1",
+		"exporter = \"otlp\"":   "f.toml:1: traces.endpoint: want the URL of the collector",
+		"endpoint = \"host\"":   "f.toml:2: traces.endpoint: want a URL",
+	}
+	for line, want := range cases {
+		file, err := settings.Parse("f.toml", []byte("[traces]\n"+line+"\n"))
+		must.NoError(t, err)
+		_, err = LoadTraces(file)
+		must.ErrorContains(t, err, want)
+	}
+}
+
+func TestLabelsAreQuoted(t *testing.T) {
+	must.Eq(t, `{a="x\"y"}`, labelsOf("a", `x"y`, "", "z", "b", ""))
+	must.False(t, strings.Contains(labelsOf(), "{"))
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -172,6 +172,11 @@
 	return f.problem(tomldoc.Join(invalid.Service, key), message, "")
 }
 
+// Missing is the error of a key that the file lacks.
+func (f *File) Missing(section, key, message string) error {
+	return f.problem(tomldoc.Join(section, key), message, "")
+}
+
 func (f *File) problem(key, message, next string) error {
 	return tomldoc.Problems{{File: f.name, Line: f.at.Line(key), Key: key, Message: message, Next: next}}
 }
--- a/internal/target/httprun.go
+++ b/internal/target/httprun.go
@@ -14,6 +14,7 @@
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/tracing"
 )
 
 // chunkBytes is the size of the buffer that reads an answer's body.
@@ -65,6 +66,11 @@
 // Do sends r. The error is a *call.Error whose Run is call.RunNot only when
 // no byte of the request was written.
 func (h *HTTPRun) Do(ctx context.Context, r *http.Request, sink call.Sink) error {
+	ctx, span := tracing.Start(ctx, "target")
+	defer span.End()
+	if parent := tracing.Parent(ctx); parent != "" {
+		r.Header.Set(HeaderTraceParent, parent)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var sent sentCounter
--- a/internal/tracing/tracing.go
+++ b/internal/tracing/tracing.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 )
 
 const header = "traceparent"
@@ -28,6 +29,12 @@
 	return format.Extract(ctx, propagation.MapCarrier{header: parent})
 }
 
+// Start begins a span below that of ctx, with the tracer of that one. Without
+// one in ctx it begins none.
+func Start(ctx context.Context, name string) (context.Context, trace.Span) {
+	return trace.SpanFromContext(ctx).TracerProvider().Tracer("").Start(ctx, name)
+}
+
 // ID returns the trace's ID, empty when there is none.
 func ID(parent string) string {
 	parts := strings.Split(parent, "-")
