--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/config"
+	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/settings"
 )
 
@@ -73,8 +75,27 @@
 	if level, err := logrus.ParseLevel(string(p.LogLevel)); err == nil {
 		l.SetLevel(level)
 	}
+	var format logrus.Formatter = new(logrus.TextFormatter)
 	if p.LogFormat == LogJSON {
-		l.SetFormatter(&logrus.JSONFormatter{})
+		format = new(logrus.JSONFormatter)
 	}
+	l.SetFormatter(prefixFormatter{format})
 	return l
 }
+
+// prefixFormatter puts the part that a line comes from in front of its
+// message.
+type prefixFormatter struct{ inner logrus.Formatter }
+
+// Format writes one line.
+func (f prefixFormatter) Format(e *logrus.Entry) ([]byte, error) {
+	part, ok := e.Data[kernel.PartField].(string)
+	if !ok {
+		return f.inner.Format(e)
+	}
+	prefixed := *e
+	prefixed.Message = part + ": " + e.Message
+	prefixed.Data = maps.Clone(e.Data)
+	delete(prefixed.Data, kernel.PartField)
+	return f.inner.Format(&prefixed)
+}
--- a/internal/kernel/context.go
+++ b/internal/kernel/context.go
@@ -22,9 +22,12 @@
 	return nil
 }
 
-// Logger returns a logger that prefixes every line with the service's name.
+// PartField is the field of a log line that names the service it comes from.
+const PartField = "part"
+
+// Logger returns a logger whose lines name the service.
 func (c *Context) Logger() *logrus.Entry {
-	return c.Log.WithField("part", c.name)
+	return c.Log.WithField(PartField, c.name)
 }
 
 // Lookup returns the service of that name as a T and makes the caller depend
--- a/internal/service/route/run.go
+++ b/internal/service/route/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/tracing"
 )
 
 const (
@@ -117,7 +118,7 @@
 	}
 	var err error
 	if vm == s.self {
-		err = s.runOwned(ctx, &j.req, j.sink)
+		err = j.runHere(ctx)
 	} else {
 		err = s.peers.Call(ctx, vm, kindRun, &j.req, j.sink)
 	}
@@ -127,6 +128,13 @@
 	return call.AsError(err)
 }
 
+// runHere runs the request on a target that this VM owns.
+func (j *journey) runHere(ctx context.Context) error {
+	ctx, span := tracing.Start(ctx, "owner")
+	defer span.End()
+	return j.service.runOwned(ctx, &j.req, j.sink)
+}
+
 // next prepares the next try and reports whether there is one.
 func (j *journey) next(ctx context.Context, e *call.Error) bool {
 	if ctx.Err() != nil || j.moves >= maxMoves {
