Say early how far a version has spread, and test a router's return

Cause: a publisher waited up to 10 s for the next summary of another site, and no test cut a router off from log and peers together. Change: the root of a small site appends a summary half a second after a new configuration; summaries are read again after 500 ms. TestReturn brings a router back by the log, by peers, or both. The log in memory applies a fault to reads that run already; before, a cut reader still got the next record. After the return the newest version is in force within 3 s, or within 3 s of the end of a read on a silent connection when that is the only way.

--- a/internal/core/usage/usage.go
+++ b/internal/core/usage/usage.go
@@ -165,6 +165,8 @@
 	// Root is true for the router that publishes the site's sums.
 	Root   bool
 	Parent fleet.VM
+	// Small is true in sites where sums go often.
+	Small bool
 	// Period is the time between two sums.
 	Period time.Duration
 }
@@ -175,6 +177,7 @@
 	p := Place{Period: largePeriod}
 	if len(live) <= smallSite {
 		p.Period = smallPeriod
+		p.Small = true
 	}
 	i := slices.Index(live, self)
 	if i <= 0 {
--- a/internal/service/configsync/configsync_test.go
+++ b/internal/service/configsync/configsync_test.go
@@ -18,6 +18,9 @@
 // convergeLimit is the time in which a change must be in force everywhere.
 const convergeLimit = 3 * time.Second
 
+// silentReadLimit is the time after which a read counts as lost.
+const silentReadLimit = 23 * time.Second
+
 func base(queue int) string { return fmt.Sprintf("[load]\nqueue_length = %d\n", queue) }
 
 func (n *network) publish(nd *node, queue int) (configstate.Entry, error) {
@@ -105,6 +108,34 @@
 	}
 }
 
+// TestReturn cuts a router off from the log and from all peers, and brings
+// back either way: it has the newest version within the limit. Alone with a
+// read on a connection that is silent for good, it first waits until that read
+// has lasted too long.
+func TestReturn(t *testing.T) {
+	for _, fault := range []servicetest.LogFaults{{Down: true}, {Silent: true}} {
+		for _, way := range []string{"log", "peers", "both"} {
+			start(t, func(n *network, a, _, c *node) {
+				c.log.Set(fault)
+				c.cut.Store(true)
+				n.mustPublish(a, 2)
+				time.Sleep(time.Minute)
+				must.Eq(t, 1, c.queue())
+				if way != "peers" {
+					c.log.Set(servicetest.LogFaults{})
+				}
+				if way != "log" {
+					c.cut.Store(false)
+				}
+				if way == "log" && fault.Silent {
+					time.Sleep(silentReadLimit)
+				}
+				n.mustConverge(2)
+			})
+		}
+	}
+}
+
 func TestLostAnswerPublishesOnce(t *testing.T) {
 	start(t, func(n *network, a, b, _ *node) {
 		a.log.Set(servicetest.LogFaults{LoseAnswers: 3})
--- a/internal/service/configsync/fakes_test.go
+++ b/internal/service/configsync/fakes_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -29,6 +30,7 @@
 	log    *servicetest.LogClient
 	ext    members.Extension
 	answer peer.QueryHandler
+	cut    atomic.Bool
 	seenMu sync.Mutex
 	seen   []uint64
 	stop   context.CancelFunc
@@ -117,6 +119,9 @@
 func (n *network) heartbeats() {
 	for _, from := range n.all() {
 		for _, to := range n.all() {
+			if from.cut.Load() || to.cut.Load() {
+				continue
+			}
 			if part := from.ext.Produce(to.vm); from != to && part != nil {
 				to.ext.Consume(from.vm, part)
 			}
@@ -160,7 +165,7 @@
 
 func (f fakePeers) Query(ctx context.Context, to fleet.VM, _ peer.Kind, payload []byte) ([]byte, error) {
 	for _, nd := range f.nd.net.all() {
-		if nd.vm == to {
+		if nd.vm == to && !nd.cut.Load() && !f.nd.cut.Load() {
 			return nd.answer(ctx, f.nd.vm, payload)
 		}
 	}
--- a/internal/service/figures/figures_test.go
+++ b/internal/service/figures/figures_test.go
@@ -48,6 +48,8 @@
 	lagging fleet.VM
 }
 
+func (fixedConfig) Watch(func(*config.Effective)) {}
+
 func (fixedConfig) Name() string { return configsync.Name }
 
 func (fixedConfig) Current() *config.Effective {
--- a/internal/service/figures/service.go
+++ b/internal/service/figures/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/usage"
 	"github.com/zinniafork/zinniafork/internal/kernel"
@@ -31,7 +32,10 @@
 	// readBack is the number of records in which each site's newest summary
 	// is looked for, and readAgain the time for which it is not read again.
 	readBack  = 32
-	readAgain = 2 * time.Second
+	readAgain = 500 * time.Millisecond
+	// changeDelay is the time after a new configuration at which a small site
+	// says how far it has spread.
+	changeDelay = 500 * time.Millisecond
 )
 
 func init() {
@@ -52,6 +56,9 @@
 	children map[fleet.VM]report
 	known    map[fleet.Site]Summary
 	readAt   time.Time
+
+	// changed holds a signal after a new configuration.
+	changed chan struct{}
 }
 
 // Name returns the service's name.
@@ -75,6 +82,8 @@
 	s.log, s.clock, s.logger = p.Log(), c.Clock, c.Logger()
 	s.children = make(map[fleet.VM]report)
 	s.known = make(map[fleet.Site]Summary)
+	s.changed = make(chan struct{}, 1)
+	s.config.Watch(s.noteChange)
 	s.peers.HandleControl(peer.KindFigures, s.hear)
 	return nil
 }
@@ -141,13 +150,43 @@
 	s.children[from] = r
 }
 
+// noteChange asks for an early summary, so that others see the version in
+// force here soon.
+func (s *Service) noteChange(*config.Effective) {
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
 func (s *Service) run(ctx context.Context) {
 	for turn := 0; ; turn++ {
-		place := s.place()
-		if s.clock.Sleep(ctx, place.Period) != nil {
+		early, err := s.wait(ctx, s.place().Period)
+		if err != nil {
 			return
 		}
-		s.pass(ctx, s.place(), turn)
+		place := s.place()
+		if early && (!place.Root || !place.Small) {
+			continue
+		}
+		if early {
+			turn = 0
+		}
+		s.pass(ctx, place, turn)
+	}
+}
+
+// wait waits for the period, or until shortly after a new configuration.
+func (s *Service) wait(ctx context.Context, period time.Duration) (early bool, err error) {
+	over := make(chan struct{})
+	defer s.clock.AfterFunc(period, func() { close(over) })()
+	select {
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-over:
+		return false, nil
+	case <-s.changed:
+		return true, s.clock.Sleep(ctx, changeDelay)
 	}
 }
 
--- a/internal/service/servicetest/log.go
+++ b/internal/service/servicetest/log.go
@@ -134,18 +134,11 @@
 
 // Read returns records, waiting for the first of them.
 func (c *LogClient) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) (logstream.Page, error) {
-	c.mu.Lock()
-	faults := c.faults
-	c.mu.Unlock()
-	if faults.Down {
-		return logstream.Page{}, logstream.ErrUnavailable
-	}
-	if faults.Silent {
-		<-ctx.Done()
-		return logstream.Page{}, ctx.Err()
-	}
 	over := time.After(wait)
 	for {
+		if err := c.fail(ctx); err != nil {
+			return logstream.Page{}, err
+		}
 		page, changed := c.log.page(name, from, limit)
 		if len(page.Records) > 0 {
 			return page, nil
@@ -160,6 +153,22 @@
 	}
 }
 
+// fail returns the error of a read under the present faults. A silent read
+// ends with ctx.
+func (c *LogClient) fail(ctx context.Context) error {
+	c.mu.Lock()
+	faults := c.faults
+	c.mu.Unlock()
+	switch {
+	case faults.Down:
+		return logstream.ErrUnavailable
+	case faults.Silent:
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
 // Interface guards.
 var (
 	_ platform.Platform = (*LogClient)(nil)
