--- a/internal/lab/caller/attempt.go
+++ b/internal/lab/caller/attempt.go
@@ -54,20 +54,21 @@
 	return c.http.Do(r)
 }
 
-// failed ends an attempt that the caller's own side saw fail.
-func failed(a history.Attempt, err error) (history.Attempt, verdict) {
+// failed ends an attempt that the caller's own side saw fail. An answer that
+// the caller gave up at its own deadline was not cut off.
+func failed(ctx context.Context, a history.Attempt, err error) (history.Attempt, verdict) {
 	a.End = time.Now()
 	a.Err = err.Error()
-	a.Cut = !a.FirstByte.IsZero()
+	a.Cut = !a.FirstByte.IsZero() && ctx.Err() == nil
 	return a, verdict{avoid: true}
 }
 
 // refused reads an error answer.
-func refused(a history.Attempt, resp *http.Response) (history.Attempt, verdict) {
+func refused(ctx context.Context, a history.Attempt, resp *http.Response) (history.Attempt, verdict) {
 	a.Status = resp.StatusCode
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return failed(a, err)
+		return failed(ctx, a, err)
 	}
 	a.End = time.Now()
 	var out struct {
--- a/internal/lab/caller/chat.go
+++ b/internal/lab/caller/chat.go
@@ -83,16 +83,16 @@
 	}
 	resp, err := c.post(t.ctx, url+"/v1/chat/completions", body, header)
 	if err != nil {
-		return failed(at, err)
+		return failed(ctx, at, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		at, v := refused(at, resp)
+		at, v := refused(ctx, at, resp)
 		return at, got.restartAfter(at, v)
 	}
 	at.Status = resp.StatusCode
 	if err := t.readEvents(resp.Body, got, &at); err != nil {
-		at, v := failed(at, err)
+		at, v := failed(ctx, at, err)
 		return at, got.restartAfter(at, v)
 	}
 	at.End = time.Now()
--- a/internal/lab/caller/order.go
+++ b/internal/lab/caller/order.go
@@ -44,16 +44,16 @@
 	resp, err := c.post(t.ctx, e.url+"/v1/services/"+string(c.opt.Service)+"/orders", []byte(body),
 		map[string]string{callerapi.HeaderKey: key})
 	if err != nil {
-		return failed(at, err)
+		return failed(ctx, at, err)
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return refused(at, resp)
+		return refused(ctx, at, resp)
 	}
 	at.Status = resp.StatusCode
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return failed(at, err)
+		return failed(ctx, at, err)
 	}
 	at.End = time.Now()
 	at.FirstByte, at.Whole = at.End, true
--- a/internal/lab/scenario/result.go
+++ b/internal/lab/scenario/result.go
@@ -29,6 +29,7 @@
 type Measures struct {
 	CacheReuse             float64 `json:"cache_reuse"`
 	CacheReuseOracle       float64 `json:"cache_reuse_oracle"`
+	CacheReuseUnlimited    float64 `json:"cache_reuse_unlimited"`
 	LoadSkewMax            float64 `json:"load_skew_max"`
 	Bound                  float64 `json:"bound"`
 	OverBound              int     `json:"over_bound"`
@@ -98,7 +99,9 @@
 	collect(v)
 	m.Service, m.ServiceMinAccount = sv.Service, sv.MinAccount
 
-	m.CacheReuse, m.CacheReuseOracle = reuse.Measure(h), reuse.Oracle(h, cacheTokens)
+	m.CacheReuse = reuse.Measure(h)
+	m.CacheReuseOracle = reuse.Oracle(h, cacheTokens, Bound)
+	m.CacheReuseUnlimited = reuse.Unlimited(h, cacheTokens*len(h.Engines))
 	over := overhead.Measure(h)
 	m.FirstTokenOverheadMS50, m.FirstTokenOverheadMS99 = millis(over.P50), millis(over.P99)
 	m.FirstTokenMSP95 = millis(overhead.FirstToken(h, 95))
--- a/internal/lab/testbed/targets.go
+++ b/internal/lab/testbed/targets.go
@@ -260,5 +260,5 @@
 	return "http://" + b.direct.host.Addr(targetPort)
 }
 
-// CacheTokens returns the prompt tokens that all engines together can cache.
-func (b *Testbed) CacheTokens() int { return cacheTokens * len(b.engines) }
+// CacheTokens returns the prompt tokens that one engine can cache.
+func (*Testbed) CacheTokens() int { return cacheTokens }
