Keep silent connections from swallowing calls to targets

Cause: a request on an idle connection that had gone silent waited for its whole deadline (plain services) or for two progress times (engines), and the question whether an engine is alive could itself meet a silent connection, which would have cut a slow answer that is alive. After: plain calls open a connection of their own, engines are first asked after a quarter of the progress time, on a new connection. The test of repeats by net/http moved from the plain client, which reuses no connection now, to the package that both clients share, and checks the same.

--- a/internal/target/engine/engine.go
+++ b/internal/target/engine/engine.go
@@ -41,7 +41,9 @@
 
 // Client talks to one engine.
 type Client struct {
-	api      target.API
+	api target.API
+	// fresh makes the calls that must not meet a silent connection.
+	fresh    target.API
 	clock    kernel.Clock
 	progress time.Duration
 	resumes  bool
@@ -62,7 +64,10 @@
 // New returns a client of the engine called name at baseURL. The HTTP client
 // is one of target.NewHTTPClient.
 func New(name fleet.Target, baseURL string, http *http.Client, options ...Option) *Client {
-	c := &Client{api: target.API{Client: http, Target: name, Base: baseURL}}
+	c := &Client{
+		api:   target.API{Client: http, Target: name, Base: baseURL},
+		fresh: target.API{Client: target.WithoutReuse(http), Target: name, Base: baseURL},
+	}
 	for _, o := range options {
 		o(c)
 	}
@@ -227,13 +232,13 @@
 // Progress tells how far the engine is with a request.
 func (c *Client) Progress(ctx context.Context, id call.ID) (Progress, error) {
 	var out Progress
-	err := c.api.Do(ctx, "request progress", c.api.Sling().Get(PathRequests+url.PathEscape(string(id))), &out)
+	err := c.fresh.Do(ctx, "request progress", c.fresh.Sling().Get(PathRequests+url.PathEscape(string(id))), &out)
 	return out, err
 }
 
 // Cancel ends a request.
 func (c *Client) Cancel(ctx context.Context, id call.ID) error {
-	return c.api.Do(ctx, "cancel", c.api.Sling().Delete(PathRequests+url.PathEscape(string(id))), nil)
+	return c.fresh.Do(ctx, "cancel", c.fresh.Sling().Delete(PathRequests+url.PathEscape(string(id))), nil)
 }
 
 // Interface guard.
--- /dev/null
+++ b/internal/target/httprun_test.go
@@ -0,0 +1,96 @@
+package target_test
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/zinniafork/zinniafork/internal/call"
+	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/standin/standintest"
+	"github.com/zinniafork/zinniafork/internal/target"
+)
+
+func runOn(t *testing.T, client *http.Client, url, method, body string) error {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, url, target.Body([]byte(body)))
+	must.NoError(t, err)
+	r.ContentLength = int64(len(body))
+	r.Header.Set("Idempotency-Key", "k1")
+	run := &target.HTTPRun{Client: client, Target: "t1", Attempt: 1}
+	return run.Do(t.Context(), r, new(standintest.Answer))
+}
+
+// TestBrokenIdleConnectionIsNotUsedTwice serves two requests on one connection
+// and breaks it on the second, when net/http may repeat what it takes to be
+// idempotent.
+func TestBrokenIdleConnectionIsNotUsedTwice(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodDelete} {
+		for _, body := range []string{"", "plate"} {
+			t.Run(method+" "+body, func(t *testing.T) {
+				var hits atomic.Int32
+				served := standintest.Serve(t, kernel.SystemNetwork{}, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+					if hits.Add(1) > 1 {
+						panic(http.ErrAbortHandler)
+					}
+				}))
+				must.NoError(t, runOn(t, served.Client, served.URL, method, body))
+				err := runOn(t, served.Client, served.URL, method, body)
+				must.Eq(t, call.RunUnknown, call.AsError(err).Run)
+				must.Eq(t, 2, hits.Load())
+			})
+		}
+	}
+}
+
+// TestRunClaimsNotRunOnlyWithoutABytesSent lets a server close the idle
+// connection at any moment around the next request. Whenever the client says
+// "not run", the server must not have seen the request.
+func TestRunClaimsNotRunOnlyWithoutABytesSent(t *testing.T) {
+	var hits atomic.Int32
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go answerOnce(c, &hits)
+		}
+	}()
+	client := target.NewHTTPClient(kernel.SystemNetwork{})
+	t.Cleanup(client.CloseIdleConnections)
+	notRun := 0
+	for range 200 {
+		before := hits.Load()
+		err := runOn(t, client, "http://"+ln.Addr().String(), http.MethodPost, "plate")
+		var e *call.Error
+		if !errors.As(err, &e) {
+			must.Eq(t, before+1, hits.Load())
+			continue
+		}
+		if e.Run == call.RunNot {
+			notRun++
+			must.Eq(t, before, hits.Load())
+		}
+	}
+	t.Logf("%d of 200 requests were not run", notRun)
+}
+
+// answerOnce answers one request as if the connection stayed open, and closes
+// it.
+func answerOnce(c net.Conn, hits *atomic.Int32) {
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	hits.Add(1)
+	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+}
--- a/internal/target/plain/contract_test.go
+++ b/internal/target/plain/contract_test.go
@@ -1,7 +1,6 @@
 package plain_test
 
 import (
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -14,7 +13,6 @@
 	"github.com/zinniafork/zinniafork/internal/standin/fault"
 	"github.com/zinniafork/zinniafork/internal/standin/plaind"
 	"github.com/zinniafork/zinniafork/internal/standin/standintest"
-	"github.com/zinniafork/zinniafork/internal/target"
 	"github.com/zinniafork/zinniafork/internal/target/plain"
 )
 
@@ -156,21 +154,16 @@
 	must.Eq(t, 1, hits.Load())
 }
 
-// TestClosedIdleConnection breaks the idle connection before the next request
-// goes out on it: nothing was sent, or the request ran on a new connection.
-func TestClosedIdleConnection(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	var hits atomic.Int32
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		hits.Add(1)
-		w.Header().Set("Connection", "close")
-	})}
-	go func() { _ = server.Serve(ln) }()
-	t.Cleanup(func() { _ = server.Close() })
-	client := plain.New("print-1", "http://"+ln.Addr().String(), target.NewHTTPClient(kernel.SystemNetwork{}))
-	for i := range 20 {
+// TestSilentConnectionDoesNotSwallowACall silences every open connection
+// between two calls: the second has a connection of its own.
+func TestSilentConnectionDoesNotSwallowACall(t *testing.T) {
+	served, s, client := serve(t, plaind.Options{})
+	for i := range 5 {
 		must.NoError(t, client.Run(t.Context(), order("k1", "plate"), new(standintest.Answer)))
-		must.Eq(t, int32(i+1), hits.Load())
+		must.Eq(t, i+1, len(s.Runs()))
+		_, err := client.Report(t.Context())
+		must.NoError(t, err)
+		served.SilenceOpen()
+		served.Client.CloseIdleConnections()
 	}
 }
--- a/internal/target/plain/plain.go
+++ b/internal/target/plain/plain.go
@@ -49,16 +49,21 @@
 
 // Client talks to one worker.
 type Client struct {
-	api target.API
+	api   target.API
+	fresh *http.Client
 }
 
 // New returns a client of the worker called name at baseURL. The HTTP client
 // is one of target.NewHTTPClient.
 func New(name fleet.Target, baseURL string, http *http.Client) *Client {
-	return &Client{api: target.API{Client: http, Target: name, Base: baseURL}}
+	return &Client{
+		api:   target.API{Client: http, Target: name, Base: baseURL},
+		fresh: target.WithoutReuse(http),
+	}
 }
 
-// Run passes the request through and streams the answer.
+// Run passes the request through, on a connection of its own, and streams the
+// answer.
 func (c *Client) Run(ctx context.Context, req *call.Request, sink call.Sink) error {
 	r, err := http.NewRequestWithContext(ctx, req.Method, c.api.Base+req.Path, target.Body(req.Body))
 	if err != nil {
@@ -75,7 +80,7 @@
 	if req.TraceParent != "" {
 		r.Header.Set(target.HeaderTraceParent, req.TraceParent)
 	}
-	run := &target.HTTPRun{Client: c.api.Client, Target: c.api.Target, Request: req.ID, Attempt: req.Attempt}
+	run := &target.HTTPRun{Client: c.fresh, Target: c.api.Target, Request: req.ID, Attempt: req.Attempt}
 	return run.Do(ctx, r, sink)
 }
 
--- a/internal/target/progress.go
+++ b/internal/target/progress.go
@@ -13,6 +13,7 @@
 	mu       sync.Mutex
 	received uint64
 	moved    bool
+	answered bool
 	ended    bool
 	timer    func() bool
 }
@@ -31,15 +32,24 @@
 	if p.watch == nil || p.ended {
 		return
 	}
-	p.timer = p.watch.Clock.AfterFunc(p.watch.Progress, p.check)
+	wait := p.watch.Progress
+	if !p.answered {
+		wait /= firstCheckShare
+	}
+	p.timer = p.watch.Clock.AfterFunc(wait, p.check)
 }
 
+// firstCheckShare is the share of the progress time after which a request
+// without an answer is looked into. An idle connection that had gone silent
+// shows there first.
+const firstCheckShare = 4
+
 // note tells that n bytes of the body, or the header, have come.
 func (p *progress) note(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.received += uint64(n)
-	p.moved = true
+	p.moved, p.answered = true, true
 }
 
 func (p *progress) stop() {
@@ -77,7 +87,7 @@
 	}
 	ctx, cancel := context.WithCancel(p.ctx)
 	defer cancel()
-	stop := p.watch.Clock.AfterFunc(p.watch.Progress, cancel)
+	stop := p.watch.Clock.AfterFunc(p.watch.Progress/2, cancel)
 	defer stop()
 	return p.watch.Alive(ctx, received)
 }
--- a/internal/target/transport.go
+++ b/internal/target/transport.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// WithoutReuse returns a client like c that opens a connection for each
+// request. Open connections can go silent while new ones work, so a request
+// that can't be repeated does not rely on one.
+func WithoutReuse(c *http.Client) *http.Client {
+	fresh := *c
+	if t, ok := c.Transport.(*http.Transport); ok {
+		t = t.Clone()
+		t.DisableKeepAlives = true
+		fresh.Transport = t
+	}
+	return &fresh
+}
+
 // keepAlive lets the kernel notice a path that has lost track of an idle
 // connection.
 func keepAlive(c net.Conn) {
