--- a/internal/core/orders/dispatch.go
+++ b/internal/core/orders/dispatch.go
@@ -33,10 +33,15 @@
 }
 
 // run sends an order whose intent stands, unless it is too late for it or
-// nobody waits for it any more.
+// nobody waits for it any more. When an earlier intent may have been dropped
+// from the log, nothing is known of the order.
 func (m *Machine) run(now time.Time, k Key, l *local) {
 	waiters := m.waiting[k]
-	if len(waiters) == 0 || !now.Before(l.until) || !m.fresh(now, k) {
+	if !m.fresh(now, k) {
+		m.giveUp(now, k, ReasonKeyExpired)
+		return
+	}
+	if len(waiters) == 0 || !now.Before(l.until) {
 		m.finish(now, k, l, Outcome{Run: RunNot})
 		return
 	}
--- a/internal/core/orders/machine.go
+++ b/internal/core/orders/machine.go
@@ -214,11 +214,18 @@
 }
 
 // Idle reports whether nothing is running, waiting or still to be recorded.
-func (m *Machine) Idle() bool {
+func (m *Machine) Idle() bool { return m.Quiet() && m.outbox.empty() }
+
+// Quiet reports whether nothing is running or waiting.
+func (m *Machine) Quiet() bool {
 	return len(m.waiting) == 0 && len(m.parked) == 0 && len(m.refusals) == 0 &&
-		len(m.settles) == 0 && m.running() == 0 && m.outbox.empty()
+		len(m.settles) == 0 && m.running() == 0
 }
 
+// Closed reports whether a closing machine has recorded all it knows and closed
+// its claims.
+func (m *Machine) Closed() bool { return m.closeQueued && m.Idle() }
+
 // running counts the orders that were sent and have no outcome yet.
 func (m *Machine) running() int {
 	n := 0
--- a/internal/core/orders/upkeep.go
+++ b/internal/core/orders/upkeep.go
@@ -18,6 +18,7 @@
 		return
 	}
 	m.cleanAt = now.Add(housekeeping)
+	m.dropLedger()
 	m.carry(now)
 	m.ledger.Forget(now, m.cfg.Window+m.margin())
 	m.forgetTickets(now)
@@ -182,6 +183,18 @@
 	return r
 }
 
+// dropLedger frees the memory of a stream that is not followed any more. It is
+// read again when the partition is next held.
+func (m *Machine) dropLedger() {
+	if m.held || !m.Idle() || m.log.reading {
+		return
+	}
+	m.ledger = NewLedger()
+	m.log.caughtUp = false
+	m.log.target = 0
+	m.log.segments = nil
+}
+
 func (m *Machine) forgetTickets(now time.Time) {
 	for k, t := range m.tickets {
 		if now.Sub(t.minted) > m.cfg.Window+m.margin() {
--- a/internal/kernel/env.go
+++ b/internal/kernel/env.go
@@ -65,6 +65,9 @@
 
 // Sleep waits for d or for the end of ctx.
 func (SystemClock) Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/lab/explore/run.go
+++ b/internal/lab/explore/run.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// Run carries out the plan. Random schedules take the worlds in turn.
+// Run carries out the plan. The seed of a random schedule chooses its world.
 func Run(ctx context.Context, p Plan) (*Report, error) {
 	begin := time.Now()
 	report := &Report{Pass: true, StatesBy: make(map[string]int)}
@@ -80,10 +80,11 @@
 		if err := ctx.Err(); err != nil {
 			return nil, fmt.Errorf("explore: %w", err)
 		}
+		seed := p.Seed + i
 		worlds := namedWorlds()
-		w := worlds[i%uint64(len(worlds))]
+		w := worlds[seed%uint64(len(worlds))]
 		w.opt.Routers, w.opt.Keys, w.opt.Budget = p.Routers, p.Keys, RandomBudget()
-		report.follow(w, p.Seed+i, p.Steps)
+		report.follow(w, seed, p.Steps)
 		if p.Progress != nil && (i+1)%progressEvery == 0 {
 			p.Progress(i+1, time.Since(begin))
 		}
--- a/internal/service/callerapi/harness_test.go
+++ b/internal/service/callerapi/harness_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,6 +23,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/figures"
+	"github.com/zinniafork/zinniafork/internal/service/journal"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 	"github.com/zinniafork/zinniafork/internal/service/route"
 	"github.com/zinniafork/zinniafork/internal/service/servicetest"
@@ -86,9 +88,34 @@
 	return f.samples[len(f.samples)-1]
 }
 
+// fakeOrders passes orders to the router, and knows one of them.
+type fakeOrders struct {
+	journal.Orders
+	router *fakeRouter
+	known  journal.Order
+}
+
+func (*fakeOrders) Name() string { return journal.Name }
+
+func (f *fakeOrders) Submit(ctx context.Context, req *call.Request, sink call.Sink) error {
+	return f.router.Run(ctx, req, sink)
+}
+
+func (f *fakeOrders) Status(_ context.Context, account fleet.Account, key string) (journal.Order, error) {
+	if key != f.known.Key || account != f.known.Account {
+		return journal.Order{}, &call.Error{Code: call.CodeNotFound, Step: "orders", Run: call.RunUnknown, Message: "no order with this key"}
+	}
+	return f.known, nil
+}
+
+func (*fakeOrders) Tickets(_ context.Context, _ fleet.Account, n int) ([]string, error) {
+	return slices.Repeat([]string{"zt1.x"}, n), nil
+}
+
 // bench is a caller interface on fakes.
 type bench struct {
 	*Service
+	journal *fakeOrders
 	kernel  *kernel.Kernel
 	router  *fakeRouter
 	members *fakeMembers
@@ -121,10 +148,11 @@
 		config:  &servicetest.Config{},
 	}
 	b.config.Set(testConfig())
+	b.journal = &fakeOrders{router: b.router, known: journal.Order{Key: "known", Account: "shop", Run: call.RunDone}}
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	b.kernel = kernel.New(kernel.Env{Log: logger, Net: network, Seed: 1, Metrics: metrics.NewRegistry()}, file, nil)
-	for _, s := range []kernel.Service{b.router, b.members, b.figures, b.config, servicetest.NewIdentity("dc1a")} {
+	for _, s := range []kernel.Service{b.router, b.journal, b.members, b.figures, b.config, servicetest.NewIdentity("dc1a")} {
 		must.NoError(t, b.kernel.Use(s))
 	}
 	must.NoError(t, b.kernel.Provision(Name))
--- a/internal/service/callerapi/service.go
+++ b/internal/service/callerapi/service.go
@@ -16,6 +16,7 @@
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
 	"github.com/zinniafork/zinniafork/internal/service/figures"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
+	"github.com/zinniafork/zinniafork/internal/service/journal"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 	"github.com/zinniafork/zinniafork/internal/service/route"
 )
@@ -32,6 +33,7 @@
 	settings Settings
 	config   configsync.Source
 	router   route.Router
+	orders   journal.Orders
 	members  members.Membership
 	identity identity.Identity
 	figures  figures.Recorder
@@ -63,6 +65,9 @@
 	if s.router, err = kernel.Lookup[route.Router](c, route.Name); err != nil {
 		return err
 	}
+	if s.orders, err = kernel.Lookup[journal.Orders](c, journal.Name); err != nil {
+		return err
+	}
 	if s.members, err = kernel.Lookup[members.Membership](c, members.Name); err != nil {
 		return err
 	}
--- a/internal/service/journal/journal.go
+++ b/internal/service/journal/journal.go
@@ -25,8 +25,11 @@
 	At      time.Time    `json:"at"`
 	// Status and Body hold the recorded answer; Body is empty when the answer
 	// was too large to record.
-	Status int    `json:"status,omitempty"`
-	Body   []byte `json:"body,omitempty"`
+	Status      int    `json:"status,omitempty"`
+	ContentType string `json:"content_type,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	// Router is the VM that ran the order or may have run it.
+	Router fleet.VM `json:"router,omitempty"`
 	// SettledBy is the operator who settled an unknown outcome.
 	SettledBy string `json:"settled_by,omitempty"`
 }
