Measure state and decisions at the planned size

The capacity table now has rows for member rows, digests, admission, moved chats and recorded orders, each from three sizes.

--- a/internal/lab/capacity/capacity_test.go
+++ b/internal/lab/capacity/capacity_test.go
@@ -37,3 +37,17 @@
 	must.Len(t, PlannedTargets, c.Targets)
 	must.Len(t, PlannedAccounts, c.Accounts)
 }
+
+func TestDecisionRowsAreMeasured(t *testing.T) {
+	if testing.Short() {
+		t.Skip("times decisions")
+	}
+	rows, err := decisionRows()
+	must.NoError(t, err)
+	for _, r := range rows {
+		must.Positive(t, r.Planned, must.Sprint(r.Role, r.Resource))
+	}
+	var out strings.Builder
+	must.NoError(t, Print(&out, rows))
+	t.Log("\n" + out.String())
+}
--- a/internal/lab/capacity/decisions.go
+++ b/internal/lab/capacity/decisions.go
@@ -68,18 +68,13 @@
 
 // memoryBytes measures the memory of remembered chats by their number.
 func memoryBytes(sizes ...int) []Point {
-	var out []Point
-	for _, n := range sizes {
-		size := bytesOf(func() any {
-			m := placement.NewMemory(n, time.Hour, time.Now())
-			for i := range n {
-				m.Put(time.Now(), uint64(i)*0x9e3779b97f4a7c15, uint32(i))
-			}
-			return m
-		})
-		out = append(out, Point{Size: float64(n), Value: size})
-	}
-	return out
+	return growth(sizes, func(n int) any {
+		m := placement.NewMemory(n, time.Hour, time.Now())
+		for i := range n {
+			m.Put(time.Now(), uint64(i)*0x9e3779b97f4a7c15, uint32(i))
+		}
+		return m
+	})
 }
 
 // configFigures measures the size of a configuration document and the time to
