--- a/internal/service/adminapi/endpoints.go
+++ b/internal/service/adminapi/endpoints.go
@@ -36,7 +36,7 @@
 		op(http.MethodGet, admin.PathTargets, "The targets of the site with their load.", s.listTargets),
 		op(http.MethodGet, admin.PathAccounts, "The client accounts with their service of the last minutes.", s.accounts),
 		op(http.MethodGet, admin.PathSites, "What every site says of its rules and its service.", s.sites),
-		op(http.MethodGet, admin.PathExplain, "Why a chat goes where it goes.", s.explain),
+		op(http.MethodGet, admin.PathExplain, "Why a chat goes where it goes, or why a request failed.", s.explain),
 
 		op(http.MethodGet, admin.PathOrders, "Orders, the newest first.", s.listOrders),
 		op(http.MethodPost, admin.PathSettle, "Record the outcome of an order that stayed unknown.", s.settle).audited("settle order"),
--- a/internal/service/adminapi/harness_test.go
+++ b/internal/service/adminapi/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/adminapi"
+	"github.com/zinniafork/zinniafork/internal/service/callerapi"
 	"github.com/zinniafork/zinniafork/internal/settings"
 	"github.com/zinniafork/zinniafork/internal/standin/logd"
 	"github.com/zinniafork/zinniafork/internal/standin/vmlistd"
@@ -34,6 +35,8 @@
 	ctx  context.Context
 	log  *logd.Server
 	base string
+	// caller is the base URL of the caller interface.
+	caller string
 
 	contract *contract
 }
@@ -80,6 +83,9 @@
 	api, err := kernel.Find[*adminapi.Service](k, adminapi.Name)
 	must.NoError(t, err)
 	r.base = api.URL()
+	callers, err := kernel.Find[*callerapi.Service](k, callerapi.Name)
+	must.NoError(t, err)
+	r.caller = callers.URL()
 	return r
 }
 
--- a/internal/service/adminapi/orders.go
+++ b/internal/service/adminapi/orders.go
@@ -15,8 +15,14 @@
 	if s.explainer == nil {
 		return nil, unavailable("", "this router cannot explain placements")
 	}
-	if (in.Model == "") == (in.Service == "") {
-		return nil, badRequest("want either a model or a service")
+	asked := 0
+	for _, set := range []bool{in.Request != "", in.Model != "", in.Service != ""} {
+		if set {
+			asked++
+		}
+	}
+	if asked != 1 {
+		return nil, badRequest("want one of a request, a model and a service")
 	}
 	return s.explainer.Explain(c.Context(), in)
 }
--- a/internal/zfctl/connect.go
+++ b/internal/zfctl/connect.go
@@ -118,7 +118,7 @@
 // give too.
 func answered(err error) bool {
 	var e *admin.Error
-	return errors.As(err, &e) && e.Code != admin.CodeUnavailable
+	return errors.As(err, &e) && e.Code != admin.CodeUnavailable && e.Code != admin.CodeNotFound
 }
 
 // arrived reports whether the call may have reached the router.
--- a/internal/zfctl/state.go
+++ b/internal/zfctl/state.go
@@ -188,6 +188,7 @@
 }
 
 type explainCommand struct {
+	Request string `help:"ID of a request that failed (X-Request-Id)." placeholder:"ID"`
 	Model   string `help:"Model of a chat." predictor:"model"`
 	Service string `help:"Plain service of a call." predictor:"service"`
 	Chat    string `help:"Chat that returns." placeholder:"ID"`
@@ -197,12 +198,17 @@
 // Run prints the ranking of targets.
 func (c *explainCommand) Run(ctx context.Context, g *Globals) error {
 	a, err := get[explain.Answer](ctx, g, admin.PathExplain, explain.Question{
-		Model: fleet.Model(c.Model), Service: fleet.Service(c.Service), Chat: c.Chat, Account: fleet.Account(c.Account),
+		Request: call.ID(c.Request), Model: fleet.Model(c.Model), Service: fleet.Service(c.Service), Chat: c.Chat, Account: fleet.Account(c.Account),
 	})
 	if err != nil {
 		return err
 	}
 	return g.show(a, func() {
+		if f := a.Failure; f != nil {
+			g.printf("request %s of account %s at %s: %s, run %s, at %s\n%s\n",
+				f.Request, f.Account, timeText(f.At), f.Code, f.Run, dash(f.Peer), a.Reason)
+			return
+		}
 		g.printf("target: %s\n%s\n", dash(string(a.Chosen)), a.Reason)
 		var rows []table.Row
 		for i, s := range a.Steps {
