Ask workers for outcomes by the typed status lookup

Cause: a status lookup took any answer with status 200 for the outcome, so a worker's "state unknown" became a recorded answer.

--- a/internal/service/journal/service.go
+++ b/internal/service/journal/service.go
@@ -29,6 +29,7 @@
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/service/platform"
 	"github.com/zinniafork/zinniafork/internal/service/route"
+	"github.com/zinniafork/zinniafork/internal/target"
 )
 
 func init() {
@@ -74,7 +75,7 @@
 		return err
 	}
 	s.clock, s.logger = c.Clock, c.Logger()
-	s.http = &http.Client{Transport: &http.Transport{DialContext: c.Net.DialContext}}
+	s.http = target.NewHTTPClient(c.Net)
 	s.meters = newMeters(c.Metrics)
 	s.partitions = make(map[int]*partition)
 	var err error
