Move off a silent connection before it is given up

Cause: a connection between routers that went silent was noticed after 2 s, as long as a lease: every owner lost its targets, and began anew with cold slots. Load probes of targets met silent idle connections of the pool one after the other and put the target out of service. Ruled out: a shorter limit for silence, which cuts the answers of a router that is paused for a moment. An unanswered probe opens another connection at once; when that works, the router is alive and the old connection is given up. A router that was paused itself reads first what has come. Probes of targets use new connections.

--- a/internal/service/peer/links.go
+++ b/internal/service/peer/links.go
@@ -114,9 +114,7 @@
 	case !k.dialing && l.host.clock.Now().Before(k.retryAt):
 		return nil, nil, errorf("%w: %w", ErrNotConnected, k.dialErr)
 	case !k.dialing:
-		k.dialing = true
-		address, previous := k.info.PeerAddr, k.last
-		l.host.background(func() { l.dial(vm, address, previous) })
+		l.startDial(vm, k)
 	}
 	return nil, k.changed, ErrNotConnected
 }
@@ -199,6 +197,36 @@
 	delete(l.conns, c)
 }
 
+// suspect opens another connection to the router of c, which may have gone
+// silent.
+func (l *links) suspect(c *conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.byVM[c.vm]
+	if k == nil || k.current != c || !k.listed || k.info.PeerAddr == "" {
+		return
+	}
+	if l.ended || k.dialing || l.host.clock.Now().Before(k.retryAt) {
+		return
+	}
+	l.startDial(c.vm, k)
+}
+
+// startDial opens a connection in the background; the caller holds the lock.
+func (l *links) startDial(vm fleet.VM, k *link) {
+	k.dialing = true
+	address, previous := k.info.PeerAddr, k.last
+	l.host.background(func() { l.dial(vm, address, previous) })
+}
+
+// replaced reports whether another connection to the router of c is in use.
+func (l *links) replaced(c *conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.byVM[c.vm]
+	return k != nil && k.current != nil && k.current != c
+}
+
 // all returns the connections that have not ended.
 func (l *links) all() []*conn {
 	l.mu.Lock()
--- a/internal/service/peer/service.go
+++ b/internal/service/peer/service.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -55,6 +56,8 @@
 	cancel   context.CancelFunc
 	listener net.Listener
 	running  sync.WaitGroup
+	// ticked is the time of the last tick in nanoseconds.
+	ticked atomic.Int64
 }
 
 // New returns the service with settings that the process settings may change.
@@ -202,8 +205,18 @@
 	return s.rand.Uint64() | 1
 }
 
+// pausedAfter is the time between ticks that shows that the process was
+// paused.
+const pausedAfter = 5 * tickPeriod
+
 func (s *Service) tick(now time.Time) {
+	last := s.ticked.Swap(now.UnixNano())
+	paused := last != 0 && now.UnixNano()-last > int64(pausedAfter)
 	for _, c := range s.links.all() {
+		if paused {
+			c.excuse(now)
+			continue
+		}
 		c.tick(now)
 	}
 	for _, c := range s.links.unlisted(now, s.settings.UnlistedGrace.Std()) {
--- a/internal/service/peer/settings.go
+++ b/internal/service/peer/settings.go
@@ -20,7 +20,9 @@
 	MaxStreams int `toml:"max_streams"`
 	// Ping is the silence after which a connection in use is probed.
 	Ping config.Duration `toml:"ping"`
-	// Silence is how long a probe may stay unanswered.
+	// Suspect is how long a probe may stay unanswered before another
+	// connection to the router is opened, Silence before the first is closed.
+	Suspect config.Duration `toml:"suspect"`
 	Silence config.Duration `toml:"silence"`
 	// DialTimeout limits the time to open a connection, hello included.
 	DialTimeout config.Duration `toml:"dial_timeout"`
@@ -39,6 +41,7 @@
 		WindowBytes:   256 << 10,
 		MaxStreams:    4096,
 		Ping:          config.Duration(500 * time.Millisecond),
+		Suspect:       config.Duration(250 * time.Millisecond),
 		Silence:       config.Duration(1500 * time.Millisecond),
 		DialTimeout:   config.Duration(2 * time.Second),
 		UnlistedGrace: config.Duration(30 * time.Second),
@@ -53,8 +56,8 @@
 		return fmt.Errorf("window_bytes: want at least %d, have %d", wire.MaxChunkBytes, s.WindowBytes)
 	case s.MaxStreams < 1:
 		return fmt.Errorf("max_streams: want at least 1, have %d", s.MaxStreams)
-	case s.Ping <= 0 || s.Silence <= 0 || s.DialTimeout <= 0:
-		return fmt.Errorf("ping, silence and dial_timeout: want time spans above zero")
+	case s.Ping <= 0 || s.Suspect <= 0 || s.Silence <= 0 || s.DialTimeout <= 0:
+		return fmt.Errorf("ping, suspect, silence and dial_timeout: want time spans above zero")
 	}
 	return nil
 }
--- a/internal/service/peer/silence_test.go
+++ b/internal/service/peer/silence_test.go
@@ -48,13 +48,94 @@
 		must.True(t, errors.As(<-answer, &e))
 		must.Eq(t, call.RunUnknown, e.Run)
 		must.ErrorIs(t, e, errSilent)
-		limit := a.settings.Ping.Std() + a.settings.Silence.Std() + 2*tickPeriod
-		must.Between(t, a.settings.Silence.Std(), time.Since(start), limit)
+		limit := a.settings.Ping.Std()/2 + 2*a.settings.Suspect.Std() + 3*tickPeriod
+		must.Between(t, 2*a.settings.Suspect.Std(), time.Since(start), limit)
 
 		must.NoError(t, a.Call(t.Context(), "b", KindSubmit, &call.Request{ID: "r2"}, new(recorded)))
 	})
 }
 
+// TestControlMessagesMoveToANewConnection silences a connection that carries
+// control messages only. They must get through again well within a lease.
+func TestControlMessagesMoveToANewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := kerneltest.NewNetwork()
+		got := make(chan time.Time, 1000)
+		a := startRouter(t, "a", network, "", nil)
+		b := startRouter(t, "b", network, "", func(s *Service) {
+			s.HandleControl(KindLease, func(fleet.VM, []byte) { got <- time.Now() })
+		})
+		introduceAll(t, a, b)
+		period := 100 * time.Millisecond
+		beat := func(n int) {
+			for range n {
+				_ = a.Send("b", KindLease, []byte("renewal"))
+				time.Sleep(period)
+			}
+		}
+		beat(20)
+		network.SilenceOpen()
+		silent := time.Now()
+		beat(20)
+		var longest time.Duration
+		last := silent
+		for len(got) > 0 {
+			if at := <-got; at.After(silent) {
+				longest = max(longest, at.Sub(last))
+				last = at
+			}
+		}
+		limit := a.settings.Ping.Std() + a.settings.Suspect.Std() + 3*tickPeriod
+		must.Between(t, period, longest, limit)
+	})
+}
+
+// TestUnreachableRouterIsGivenUpLater takes the router away behind the silent
+// connection: nothing shows that it is alive, so its answers get the whole
+// time.
+func TestUnreachableRouterIsGivenUpLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := kerneltest.NewNetwork()
+		a := startRouter(t, "a", network, "", nil)
+		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, slowly(time.Minute, 1)) })
+		introduceAll(t, a, b)
+		answer := make(chan error, 1)
+		go func() {
+			answer <- a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r", Attempt: 1}, new(recorded))
+		}()
+		synctest.Wait()
+		start := time.Now()
+		network.SilenceOpen()
+		must.NoError(t, a.listener.Close())
+		must.NoError(t, b.listener.Close())
+		must.ErrorIs(t, <-answer, errSilent)
+		must.Between(t, a.settings.Silence.Std(), time.Since(start), a.settings.Silence.Std()+a.settings.Ping.Std()+3*tickPeriod)
+	})
+}
+
+// TestOwnPauseIsNoSilence pauses a router while a probe of its own is under
+// way: it must read what has come before it blames the other side.
+func TestOwnPauseIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := kerneltest.NewNetwork()
+		a := startRouter(t, "a", network, "", nil)
+		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, slowly(time.Second, 1)) })
+		introduceAll(t, a, b)
+		answer := make(chan error, 1)
+		go func() {
+			answer <- a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r", Attempt: 1}, new(recorded))
+		}()
+		time.Sleep(2 * tickPeriod)
+		synctest.Wait()
+		for _, c := range a.links.all() {
+			c.pinged.Store(time.Now().UnixNano())
+		}
+		a.tick(time.Now().Add(time.Minute))
+		must.Eq(t, 0, a.count("connections_silent"))
+		must.NoError(t, <-answer)
+	})
+}
+
 func TestSlowButAliveAnswerIsNotCut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		network := kerneltest.NewNetwork()
--- a/internal/target/engine/engine.go
+++ b/internal/target/engine/engine.go
@@ -190,7 +190,7 @@
 }
 
 // Report reads the engine's load report.
-func (c *Client) Report(ctx context.Context) (target.Report, error) { return c.api.Report(ctx) }
+func (c *Client) Report(ctx context.Context) (target.Report, error) { return c.fresh.Report(ctx) }
 
 // eventsTimeout is the time that a read of cache events may take beyond its
 // wait.
--- a/internal/target/plain/plain.go
+++ b/internal/target/plain/plain.go
@@ -47,23 +47,18 @@
 	Body   []byte `json:"body,omitempty"`
 }
 
-// Client talks to one worker.
+// Client talks to one worker, on a new connection for each call.
 type Client struct {
-	api   target.API
-	fresh *http.Client
+	api target.API
 }
 
 // New returns a client of the worker called name at baseURL. The HTTP client
 // is one of target.NewHTTPClient.
 func New(name fleet.Target, baseURL string, http *http.Client) *Client {
-	return &Client{
-		api:   target.API{Client: http, Target: name, Base: baseURL},
-		fresh: target.WithoutReuse(http),
-	}
+	return &Client{api: target.API{Client: target.WithoutReuse(http), Target: name, Base: baseURL}}
 }
 
-// Run passes the request through, on a connection of its own, and streams the
-// answer.
+// Run passes the request through and streams the answer.
 func (c *Client) Run(ctx context.Context, req *call.Request, sink call.Sink) error {
 	r, err := http.NewRequestWithContext(ctx, req.Method, c.api.Base+req.Path, target.Body(req.Body))
 	if err != nil {
@@ -80,7 +75,7 @@
 	if req.TraceParent != "" {
 		r.Header.Set(target.HeaderTraceParent, req.TraceParent)
 	}
-	run := &target.HTTPRun{Client: c.fresh, Target: c.api.Target, Request: req.ID, Attempt: req.Attempt}
+	run := &target.HTTPRun{Client: c.api.Client, Target: c.api.Target, Request: req.ID, Attempt: req.Attempt}
 	return run.Do(ctx, r, sink)
 }
 
