Fit control traffic to the budget

Cause: 9 routers under steady load used 4.5 to 12 KB/s of control traffic each, both directions, against 3 KB/s; the pacer counted one direction only and stretched heartbeats until digests were too old and requests were refused. Conclusion: the bound needs a margin for lag, now 4 in 100.

--- a/internal/core/admission/target.go
+++ b/internal/core/admission/target.go
@@ -38,6 +38,9 @@
 	// transit covers the time between a request's start here and at the
 	// target, and between its end there and here.
 	transit = 50 * time.Millisecond
+	// lagMargin is the part of the bound that is left for the age of the other
+	// targets' digests.
+	lagMargin = 0.04
 	// minRetryAfter keeps refused callers from coming back at once.
 	minRetryAfter = 100 * time.Millisecond
 )
@@ -153,6 +156,11 @@
 	return len(t.running) + len(t.pending) + max(t.Residual(now), t.foreign)
 }
 
+// Shown returns the part of the load that is known to be there: this owner's
+// requests and those that the last report shows beside them. It counts for the
+// mean, where an amount that is only feared would let others carry too much.
+func (t *Target) Shown() int { return len(t.running) + len(t.pending) + t.foreign }
+
 // Residual returns what earlier owners' work may still amount to.
 func (t *Target) Residual(now time.Time) int {
 	if !now.Before(t.residual.Until) {
@@ -176,7 +184,7 @@
 	}
 	load := t.others.Load + t.Load(now) + 1
 	mean := float64(load) / float64(t.others.Capacity+slots)
-	return min(slots, Allowed(t.config.Bound, mean, slots))
+	return min(slots, Allowed(t.config.Bound*(1-lagMargin), mean, slots))
 }
 
 // rounding keeps a limit that is a whole number from being rounded up.
@@ -266,6 +274,12 @@
 	return out
 }
 
+// Unsettled reports whether the target's state, or what earlier owners left
+// there, is still to be learned from a report.
+func (t *Target) Unsettled(now time.Time) bool {
+	return t.health.State() == health.Unknown || t.Residual(now) > 0
+}
+
 // Health returns the target's health.
 func (t *Target) Health() *health.Target { return t.health }
 
--- a/internal/core/digest/digest.go
+++ b/internal/core/digest/digest.go
@@ -60,8 +60,9 @@
 	// Age is the time since the owner made the digest, in units of 50 ms.
 	Age   uint16
 	State State
-	// Slots is the number of requests that the target may run now, Load what
-	// counts against it, and Queued the requests that wait at the owner.
+	// Slots is the number of requests that the target may run now, and Load the
+	// number that it is known to run. Queued are the requests that wait at the
+	// owner and those of earlier owners that may still run.
 	Slots  uint16
 	Load   uint16
 	Queued uint16
--- a/internal/core/digest/table.go
+++ b/internal/core/digest/table.go
@@ -160,10 +160,12 @@
 }
 
 // Sum adds up the load of targets. A target that is out or leaves counts for
-// nothing. Where the slots are not sure, the configured number counts, and one
-// whose digest is older than limit counts as idle: a mean that is too low
-// refuses work, one that is too high overloads a target.
-func (t *Table) Sum(now time.Time, targets []Fallback, limit time.Duration) Sum {
+// nothing. Where the slots are not sure, the configured number counts, and the
+// load of a digest older than fresh fades until it counts as idle at three
+// times that age: a mean that is too low refuses work, one that is too high
+// overloads a target.
+func (t *Table) Sum(now time.Time, targets []Fallback, fresh time.Duration) Sum {
+	var load float64
 	var out Sum
 	for _, f := range targets {
 		e, ok := t.entries[f.Resource]
@@ -177,9 +179,16 @@
 		default:
 			out.Capacity += int(e.Slots)
 		}
-		if now.Sub(e.At) <= limit {
-			out.Load += int(e.Load)
-		}
+		load += float64(e.Load) * faded(now.Sub(e.At), fresh)
 	}
+	out.Load = int(load)
 	return out
 }
+
+// faded returns the share of a load that counts at an age.
+func faded(age, fresh time.Duration) float64 {
+	if age <= fresh {
+		return 1
+	}
+	return max(0, 1-float64(age-fresh)/float64(2*fresh))
+}
--- a/internal/core/membership/pacer.go
+++ b/internal/core/membership/pacer.go
@@ -24,12 +24,12 @@
 // NewPacer returns a pacer at the configured period.
 func NewPacer() *Pacer { return &Pacer{stretch: 1} }
 
-// Observe takes the bytes that were sent in the last interval.
-func (p *Pacer) Observe(sent uint64, interval time.Duration, bytesPerSecond int) {
+// Observe takes the bytes of control traffic in the last interval.
+func (p *Pacer) Observe(bytes uint64, interval time.Duration, bytesPerSecond int) {
 	if interval <= 0 || bytesPerSecond <= 0 {
 		return
 	}
-	use := float64(sent) / interval.Seconds() / float64(bytesPerSecond)
+	use := float64(bytes) / interval.Seconds() / float64(bytesPerSecond)
 	switch {
 	case use > stretchAbove:
 		if use > shedAbove && p.stretch >= maxStretch {
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -25,7 +25,10 @@
 	listHash  uint32
 	rowsHash  uint16
 	changedAt time.Time
-	changed   bool
+	// listedAt is the time of the last change of any row.
+	listedAt time.Time
+	beats    int
+	changed  bool
 }
 
 type record struct {
@@ -118,7 +121,9 @@
 	for _, vm := range own {
 		_, _ = h.WriteString(string(vm.State) + "\x00" + vm.PeerAddr + "\x00")
 	}
-	v.rowsHash = uint16(h.Sum64())
+	if rows := uint16(h.Sum64()); rows != v.rowsHash {
+		v.rowsHash, v.listedAt = rows, now
+	}
 	if v.listHash != 0 && sum != v.listHash {
 		v.changed, v.changedAt = true, now
 	}
@@ -147,7 +152,10 @@
 	r.incarnation = hb.Incarnation
 	r.period = hb.Period
 	r.leaving = hb.Leaving
-	r.listHash, r.settling = hb.ListHash, hb.Settling
+	r.settling = hb.Settling
+	if hb.ListHash != 0 {
+		r.listHash = hb.ListHash
+	}
 	r.direct = now
 	v.heardAt(r, now, now)
 	v.applyAges(now, hb)
@@ -319,16 +327,22 @@
 	return true
 }
 
+// hashEvery is the number of heartbeats of which one carries the hashes of a
+// list that has not changed lately.
+const hashEvery = 8
+
 // Own returns this router's heartbeat. Period is the time until the next one.
 func (v *View) Own(now time.Time, period time.Duration, withAges bool) Heartbeat {
 	hb := Heartbeat{
 		Incarnation: v.records[v.self].incarnation,
 		Period:      period,
 		Leaving:     v.leaving,
-		ListHash:    v.listHash,
-		RowsHash:    v.rowsHash,
 		Settling:    v.Settling(now),
 	}
+	v.beats++
+	if withAges || v.beats%hashEvery == 1 || now.Sub(v.listedAt) < v.params.SettleTime {
+		hb.ListHash, hb.RowsHash = v.listHash, v.rowsHash
+	}
 	if withAges {
 		hb.Ages = v.ages(now)
 	}
--- a/internal/core/ownership/exchange.go
+++ b/internal/core/ownership/exchange.go
@@ -9,15 +9,12 @@
 
 // claim queues a claim for one voter; flush sends all claims for the same
 // voter in one request.
-func (n *Node) claim(to fleet.VM, h *holder, kind ClaimKind) {
-	n.pending[to] = append(n.pending[to], Claim{
-		ID:      h.id,
-		Kind:    kind,
-		Ceiling: h.ceiling,
-		Pending: h.pending,
-		Term:    h.term,
-		Sets:    h.sets.hashes(),
-	})
+func (n *Node) claim(now time.Time, to fleet.VM, h *holder, kind ClaimKind) {
+	c := Claim{ID: h.id, Kind: kind, Ceiling: h.ceiling, Pending: h.pending, Term: h.term}
+	if sets := h.sets.hashes(now); kind != ClaimRenew || !slices.Equal(sets, h.acks[to].sets) {
+		c.Sets = sets
+	}
+	n.pending[to] = append(n.pending[to], c)
 }
 
 // flush sends what is queued and returns the actions so far.
@@ -38,6 +35,7 @@
 		n.seq++
 		req := &Request{Seq: n.seq, Process: n.process, Claims: claims}
 		n.sent[req.Seq] = sentRequest{to: to, at: now, claims: claims}
+		n.noteNamed(to, req)
 		if to == n.self {
 			n.replied(now, n.self, n.vote(now, n.self, req))
 			continue
@@ -46,6 +44,22 @@
 	}
 }
 
+// noteNamed remembers the last claim that named voter sets to a voter: only its
+// grant tells which sets the voter holds on to.
+func (n *Node) noteNamed(to fleet.VM, req *Request) {
+	for _, c := range req.Claims {
+		h, ok := n.holders[c.ID]
+		if !ok || c.Sets == nil {
+			continue
+		}
+		h.named[to] = req.Seq
+		if a, ok := h.acks[to]; ok {
+			a.sets = nil
+			h.acks[to] = a
+		}
+	}
+}
+
 func (n *Node) nextPending() fleet.VM {
 	vms := make([]fleet.VM, 0, len(n.pending))
 	for vm := range n.pending {
@@ -115,13 +129,13 @@
 // judged takes the verdict on one claim.
 func (n *Node) judged(now time.Time, from fleet.VM, h *holder, c Claim, seq uint64, sentAt time.Time, v Verdict) {
 	for _, set := range v.Sets {
-		h.sets.learn(set, now.Add(n.params.Remember))
+		h.sets.learn(set, now.Add(n.params.Lease), now.Add(2*n.params.Lease))
 	}
 	if c.Kind == ClaimRelease || c.Kind == ClaimHandOver || !h.current(c) {
 		return
 	}
 	if v.Code == Granted {
-		h.granted(from, seq, sentAt, c.Kind, n.seq, v)
+		h.granted(from, grantedClaim{claim: c, seq: seq, sentAt: sentAt, last: n.seq, verdict: v})
 	} else if v.Code != Stale {
 		delete(h.acks, from)
 	}
--- a/internal/core/ownership/holder.go
+++ b/internal/core/ownership/holder.go
@@ -42,7 +42,9 @@
 	// since is the time at which the phase began.
 	since time.Time
 	// acks holds the latest grants by voter.
-	acks    map[fleet.VM]ack
+	acks map[fleet.VM]ack
+	// named is the number of the last request that named sets to a voter.
+	named   map[fleet.VM]uint64
 	ceiling uint32
 	pending uint32
 	// renewAt is the time of the next renewal or of the next try.
@@ -77,7 +79,9 @@
 	// already, the last sequence number before its first grant; zero once the
 	// other voters have attested the tenure after that.
 	introduced uint64
-	verdict    Verdict
+	// sets are those that the voter knows the holder to count.
+	sets    []SetHash
+	verdict Verdict
 }
 
 // round is one confirmation in progress.
@@ -95,6 +99,7 @@
 		resource: r,
 		id:       IDOf(r.Name),
 		acks:     make(map[fleet.VM]ack),
+		named:    make(map[fleet.VM]uint64),
 		since:    now,
 		ownerAt:  now,
 	}
@@ -144,15 +149,27 @@
 	return h.phase == held && now.Before(h.leaseEnd(p))
 }
 
-// granted notes a grant of a voter.
-func (h *holder) granted(voter fleet.VM, seq uint64, sentAt time.Time, kind ClaimKind, last uint64, verdict Verdict) {
+// grantedClaim is a claim that a voter granted.
+type grantedClaim struct {
+	claim   Claim
+	seq     uint64
+	sentAt  time.Time
+	last    uint64
+	verdict Verdict
+}
+
+// granted notes a grant of a voter. Last is the last sequence number so far.
+func (h *holder) granted(voter fleet.VM, g grantedClaim) {
 	old, known := h.acks[voter]
-	if known && old.seq >= seq {
+	if known && old.seq >= g.seq {
 		return
 	}
-	a := ack{seq: seq, sentAt: sentAt, introduced: old.introduced, verdict: verdict}
-	if !known && h.phase == held && kind == ClaimAcquire {
-		a.introduced = last
+	a := ack{seq: g.seq, sentAt: g.sentAt, introduced: old.introduced, sets: old.sets, verdict: g.verdict}
+	if g.claim.Sets != nil && h.named[voter] == g.seq {
+		a.sets = g.claim.Sets
+	}
+	if !known && h.phase == held && g.claim.Kind == ClaimAcquire {
+		a.introduced = g.last
 	}
 	h.acks[voter] = a
 	h.attest()
--- a/internal/core/ownership/message.go
+++ b/internal/core/ownership/message.go
@@ -36,7 +36,8 @@
 	Pending uint32
 	// Term numbers the tenures of owners; zero while acquiring.
 	Term uint64
-	// Sets are the hashes of the voter sets that the sender counts.
+	// Sets are the hashes of the voter sets that the sender counts. A renewal
+	// without any counts the same as the last claim that the voter granted.
 	Sets []SetHash
 }
 
--- a/internal/core/ownership/node.go
+++ b/internal/core/ownership/node.go
@@ -187,10 +187,10 @@
 	}
 	n.SetCeiling(id, ceiling, pending)
 	for _, vm := range h.sets.all() {
-		n.claim(vm, h, ClaimRelease)
+		n.claim(now, vm, h, ClaimRelease)
 	}
 	if h.preferred != "" && h.preferred != n.self {
-		n.claim(h.preferred, h, ClaimHandOver)
+		n.claim(now, h.preferred, h, ClaimHandOver)
 		h.owner, h.ownerTerm, h.ownerAt = h.preferred, h.term, now
 	}
 	n.toIdle(now, h, n.ownerTrust())
@@ -251,7 +251,7 @@
 	h.askAt = time.Time{}
 	for _, vm := range h.sets.all() {
 		if _, granted := h.acks[vm]; !granted {
-			n.claim(vm, h, ClaimAcquire)
+			n.claim(now, vm, h, ClaimAcquire)
 		}
 	}
 }
@@ -282,7 +282,7 @@
 	for _, vm := range voters {
 		a, ok := h.acks[vm]
 		if !ok || a.introduced != 0 || now.Sub(a.sentAt) > n.params.Lease/renewals/2 {
-			n.claim(vm, h, n.renewKind(h, vm))
+			n.claim(now, vm, h, n.renewKind(h, vm))
 		}
 	}
 }
@@ -324,7 +324,7 @@
 	h.ceiling, h.pending = 0, 0
 	clear(h.acks)
 	for _, vm := range h.sets.all() {
-		n.claim(vm, h, ClaimAcquire)
+		n.claim(now, vm, h, ClaimAcquire)
 	}
 }
 
@@ -332,7 +332,7 @@
 func (n *Node) giveUp(now time.Time, h *holder) {
 	for _, vm := range h.sets.all() {
 		if _, granted := h.acks[vm]; granted {
-			n.claim(vm, h, ClaimRelease)
+			n.claim(now, vm, h, ClaimRelease)
 		}
 	}
 	n.toIdle(now, h, n.backoff(h))
@@ -417,7 +417,7 @@
 	h.round = round{tickets: h.waiting, after: n.seq, askAt: now.Add(n.params.ConfirmRetry)}
 	h.waiting = nil
 	for _, vm := range n.nearestMajority(now, h) {
-		n.claim(vm, h, ClaimRenew)
+		n.claim(now, vm, h, ClaimRenew)
 	}
 	n.flushTo(now)
 }
@@ -426,7 +426,7 @@
 	h.round.askAt = now.Add(n.params.ConfirmRetry)
 	for _, vm := range h.sets.all() {
 		if a := h.acks[vm]; a.seq <= h.round.after {
-			n.claim(vm, h, n.renewKind(h, vm))
+			n.claim(now, vm, h, n.renewKind(h, vm))
 		}
 	}
 }
--- a/internal/core/ownership/sets.go
+++ b/internal/core/ownership/sets.go
@@ -23,6 +23,10 @@
 	hash SetHash
 	// until is the time to forget a replaced set; zero for the current one.
 	until time.Time
+	// nameUntil is the time from which claims no longer name a told set, so
+	// that voters tell of it again if they still count it. It is forgotten
+	// later, when no answer to a claim that named it is waited for.
+	nameUntil time.Time
 	// told is true for a set that only others have told of. It is not passed
 	// on, or routers would keep it alive among each other.
 	told bool
@@ -41,17 +45,17 @@
 }
 
 // learn adds a set that a voter counts.
-func (s *voterSets) learn(voters []fleet.VM, until time.Time) {
+func (s *voterSets) learn(voters []fleet.VM, nameUntil, until time.Time) {
 	for i := range s.sets {
 		if sameVoters(s.sets[i].voters, voters) {
 			if s.sets[i].told && until.After(s.sets[i].until) {
-				s.sets[i].until = until
+				s.sets[i].until, s.sets[i].nameUntil = until, nameUntil
 			}
 			return
 		}
 	}
 	set := newSet(voters)
-	set.until, set.told = until, true
+	set.until, set.nameUntil, set.told = until, nameUntil, true
 	s.sets = append(s.sets, set)
 }
 
@@ -83,11 +87,13 @@
 	return out
 }
 
-// hashes identifies the sets.
-func (s *voterSets) hashes() []SetHash {
-	out := make([]SetHash, len(s.sets))
+// hashes identifies the sets that claims name now.
+func (s *voterSets) hashes(now time.Time) []SetHash {
+	out := make([]SetHash, 0, len(s.sets))
 	for i := range s.sets {
-		out[i] = s.sets[i].hash
+		if !s.sets[i].told || now.Before(s.sets[i].nameUntil) {
+			out = append(out, s.sets[i].hash)
+		}
 	}
 	return out
 }
--- a/internal/core/ownership/voter.go
+++ b/internal/core/ownership/voter.go
@@ -25,6 +25,8 @@
 	seq      uint64
 	term     uint64
 	released bool
+	// sets are those that the holder's last claim counts.
+	sets []SetHash
 	// exact is true when the owner of the last term gave the resource back.
 	exact   bool
 	expires time.Time
@@ -88,6 +90,12 @@
 	} else {
 		out.Memory = v.memory(now)
 	}
+	if g := v.grants[c.ID]; out.Code == Granted && c.Kind != ClaimRelease {
+		if c.Sets == nil {
+			c.Sets = g.sets
+		}
+		g.sets = c.Sets
+	}
 	if e.sets != nil {
 		out.Sets = e.sets.missing(c.Sets)
 	}
--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -36,6 +36,8 @@
 	// time between reads that a peer's different list causes.
 	listRetry   = time.Second
 	listTimeout = 2 * time.Second
+	// headerBytes stands for the headers of one read of the VM list.
+	headerBytes = 350
 	// paceInterval is the time over which control traffic is averaged.
 	paceInterval = 2 * time.Second
 )
@@ -59,12 +61,14 @@
 	listNow    chan struct{}
 	beatNow    chan struct{}
 
-	mu         sync.Mutex
-	random     *rand.Rand
-	control    config.Control
-	view       *membership.View
-	pacer      *membership.Pacer
-	listBytes  int
+	mu        sync.Mutex
+	random    *rand.Rand
+	control   config.Control
+	view      *membership.View
+	pacer     *membership.Pacer
+	listBytes int
+	// listTotal counts the bytes of all reads of the VM list.
+	listTotal  uint64
 	listed     []fleet.VM
 	neighbours []fleet.VM
 	// sparse is true when some routers are not neighbours of this one.
@@ -251,7 +255,8 @@
 // the lock.
 func (s *Service) connect(rows []fleet.VMInfo) {
 	if size, err := json.Marshal(rows); err == nil {
-		s.listBytes = len(size)
+		s.listBytes = len(size) + headerBytes
+		s.listTotal += uint64(s.listBytes)
 	}
 	self := s.identity.Self().VM
 	var infos []fleet.VMInfo
@@ -363,17 +368,18 @@
 	peer.KindHeartbeat, peer.KindLease, peer.KindConfig, peer.KindFigures, peer.KindOrders,
 }
 
-// pace returns a function that fits the heartbeat period to the budget.
+// pace returns a function that fits the heartbeat period to the budget. Bytes
+// count in both directions.
 func (s *Service) pace() func(time.Time) {
 	var last uint64
 	return func(time.Time) {
-		total := uint64(0)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		total := s.listTotal
 		traffic := s.peers.Traffic()
 		for _, kind := range controlKinds {
-			total += traffic[kind].Sent
+			total += traffic[kind].Sent + traffic[kind].Received
 		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
 		s.pacer.Observe(total-last, paceInterval, s.control.BytesPerSecond)
 		last = total
 	}
--- a/internal/service/owner/candidates.go
+++ b/internal/service/owner/candidates.go
@@ -126,7 +126,9 @@
 	}
 	s.refreshOwn(now)
 	for _, t := range s.targets {
-		if _, ok := s.table.Get(t.key); !ok && t.config.Mark != fleet.MarkDrain {
+		e, ok := s.table.Get(t.key)
+		known := ok && e.State.Health() != TargetUnknown
+		if !known && t.config.Mark != fleet.MarkDrain {
 			return false
 		}
 	}
--- a/internal/service/owner/digests.go
+++ b/internal/service/owner/digests.go
@@ -99,8 +99,8 @@
 	h := t.admission.Health()
 	d.State = digest.StateOf(h.State())
 	d.Slots = clip(h.Slots())
-	d.Load = clip(t.admission.Load(now))
-	d.Queued = clip(t.admission.Queued())
+	d.Load = clip(t.admission.Shown())
+	d.Queued = clip(t.admission.Queued() + t.admission.Load(now) - t.admission.Shown())
 	return d
 }
 
--- a/internal/service/owner/probe.go
+++ b/internal/service/owner/probe.go
@@ -52,13 +52,20 @@
 		return period
 	}
 	s.reported(t, report, asked.Add(-reportAge(report, lag)))
+	if t.admission.Unsettled(s.clock.Now()) {
+		return min(period, firstProbes)
+	}
 	return period
 }
 
+// firstProbes is the time between reads of reports while a target's state or
+// the work of earlier owners is not known.
+const firstProbes = 200 * time.Millisecond
+
 // reportAge returns the greatest age that a report's figures may have had when
 // it was asked for. A report that tells its age is believed.
 func reportAge(r target.Report, lag time.Duration) time.Duration {
-	if r.AgeMS > 0 {
+	if !r.At.IsZero() {
 		return time.Duration(r.AgeMS) * time.Millisecond
 	}
 	return lag
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -45,6 +45,9 @@
 
 // EncodeMsgpack writes the frame as an array.
 func (f *Frame) EncodeMsgpack(enc *msgpack.Encoder) error {
+	if f.short() {
+		return f.encodeShort(enc)
+	}
 	return errors.Join(
 		enc.EncodeArrayLen(frameFields),
 		enc.EncodeUint8(uint8(f.Type)),
@@ -64,6 +67,9 @@
 	if err != nil {
 		return err
 	}
+	if n == controlFields {
+		return f.decodeShort(dec)
+	}
 	if n < frameFields {
 		return fmt.Errorf("%d fields, want at least %d", n, frameFields)
 	}
