Spread ownership evenly and number resources in digests

Cause: rendezvous hashing alone gave one of nine routers 4 or 5 of 15 targets and others none, so their control traffic differed by a factor of three; each digest carried a key and three bytes of sequence. Before: 2.9 KB/s between peers at the router with most targets.

--- a/internal/core/digest/digest.go
+++ b/internal/core/digest/digest.go
@@ -54,9 +54,9 @@
 	Resource Key
 	// Owner is the key of the owner's VM, zero when it is the sender.
 	Owner Key
-	// Term and Seq order the digests of a resource.
+	// Term and Seq order the digests of a resource. Seq wraps around.
 	Term uint64
-	Seq  uint32
+	Seq  uint8
 	// Age is the time since the owner made the digest, in units of 50 ms.
 	Age   uint16
 	State State
@@ -82,12 +82,23 @@
 		return err
 	}
 	*d = Digest{
-		Resource: Key(v[0]), Term: v[1], Seq: uint32(v[2]), State: State(v[3]), Slots: uint16(v[4]),
+		Resource: Key(v[0]), Term: v[1], Seq: uint8(v[2]), State: State(v[3]), Slots: uint16(v[4]),
 		Load: uint16(v[5]), Queued: uint16(v[6]), Age: uint16(v[7]), Owner: Key(v[8]),
 	}
 	return nil
 }
 
+// Batch is what one heartbeat carries.
+type Batch struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack
+
+	// Names identifies the sender's list of resources.
+	Names uint16
+	// Indexed is true when Resource is a place in that list instead of a key.
+	Indexed bool
+	Digests []Digest
+}
+
 // Entry is a digest in a router's table.
 type Entry struct {
 	Digest
@@ -105,5 +116,5 @@
 	if d.Term != e.Term {
 		return d.Term > e.Term
 	}
-	return d.Seq > e.Seq
+	return int8(d.Seq-e.Seq) > 0
 }
--- a/internal/core/digest/table.go
+++ b/internal/core/digest/table.go
@@ -20,7 +20,7 @@
 	entries map[Key]*Entry
 	names   map[Key]fleet.VM
 	version uint64
-	seq     uint32
+	seq     uint8
 	// sent is the version up to which each neighbour has had the entries.
 	sent map[fleet.VM]uint64
 	own  map[Key]Digest
--- a/internal/core/membership/pacer.go
+++ b/internal/core/membership/pacer.go
@@ -5,7 +5,7 @@
 // Limits of the heartbeat period as a multiple of the configured one, and of
 // one adjustment.
 const (
-	maxStretch   = 4.0
+	maxStretch   = 2.0
 	stretchStep  = 1.25
 	shrinkBelow  = 0.7
 	stretchAbove = 0.95
--- a/internal/core/ownership/holder.go
+++ b/internal/core/ownership/holder.go
@@ -105,20 +105,31 @@
 	}
 }
 
-// setView takes a new view of the site. The ranking is kept when the caller
-// knows that it has not changed.
-func (h *holder) setView(now time.Time, self fleet.VM, v *View, p Params, keepRanking bool) {
-	if !keepRanking || len(h.ranking) != len(v.Routers) {
-		h.ranking = Rank(h.resource, v)
-	}
-	if v.HasList {
-		h.sets.setCurrent(VotersOf(v, h.ranking, p.Voters), now.Add(p.Remember))
+// rerank ranks the routers of a view anew.
+func (h *holder) rerank(v *View) { h.ranking = Rank(h.resource, v) }
+
+// moveToFront makes vm the head of the ranking.
+func (h *holder) moveToFront(v *View, vm fleet.VM) {
+	at := slices.IndexFunc(h.ranking, func(i int32) bool { return v.Routers[i].VM == vm })
+	if at > 0 {
+		head := h.ranking[at]
+		copy(h.ranking[1:at+1], h.ranking[:at])
+		h.ranking[0] = head
 	}
-	h.rank = eligibleRank(v, h.ranking, self)
-	preferred, _ := Candidate(v, h.ranking)
+}
+
+// prefer takes the router that should own the resource.
+func (h *holder) prefer(now time.Time, self, preferred fleet.VM) {
 	if preferred != h.preferred {
 		h.preferred, h.preferredAt = preferred, now
 	}
+	switch {
+	case h.rank < 0:
+	case preferred == self:
+		h.rank = 0
+	case h.rank == 0:
+		h.rank = 1
+	}
 }
 
 // leaseEnd returns the time at which the lease lapses unless it is renewed.
--- a/internal/core/ownership/node.go
+++ b/internal/core/ownership/node.go
@@ -66,16 +66,38 @@
 	keep := n.view.sameOrder(&v)
 	n.view = v
 	n.view.Index()
-	for _, id := range n.order {
-		n.holders[id].setView(now, n.self, &n.view, n.params, keep)
-	}
+	n.place(now, keep)
 	return n.Tick(now)
 }
 
+// place finds for each resource its ranking and voters, unless these are known
+// not to have changed, and the router that should own it.
+func (n *Node) place(now time.Time, keepRankings bool) {
+	holders := make([]*holder, len(n.order))
+	for i, id := range n.order {
+		holders[i] = n.holders[id]
+	}
+	if !keepRankings {
+		for _, h := range holders {
+			h.rerank(&n.view)
+		}
+		balance(&n.view, holders)
+	}
+	preferred := prefer(&n.view, holders)
+	for _, h := range holders {
+		if n.view.HasList {
+			h.sets.setCurrent(VotersOf(&n.view, h.ranking, n.params.Voters), now.Add(n.params.Remember))
+		}
+		h.rank = eligibleRank(&n.view, h.ranking, n.self)
+		h.prefer(now, n.self, preferred[h.id])
+	}
+}
+
 // SetResources replaces the resources that exist. One that is held and no
 // longer exists is lost.
 func (n *Node) SetResources(now time.Time, resources []Resource) Actions {
 	keep := make(map[ID]bool, len(resources))
+	changed := len(resources) != len(n.order)
 	n.order = n.order[:0]
 	for _, r := range resources {
 		id := IDOf(r.Name)
@@ -89,9 +111,8 @@
 			h = newHolder(r, now)
 			n.holders[id] = h
 		}
-		keepRanking := ok && h.resource == r
+		changed = changed || !ok || h.resource != r
 		h.resource = r
-		h.setView(now, n.self, &n.view, n.params, keepRanking)
 	}
 	for id, h := range n.holders {
 		if !keep[id] {
@@ -99,6 +120,7 @@
 			delete(n.holders, id)
 		}
 	}
+	n.place(now, !changed)
 	return n.Tick(now)
 }
 
@@ -128,7 +150,7 @@
 	case h.owner != n.self && n.view.eligible(h.owner) && now.Sub(h.ownerAt) < ownerBelief*n.ownerTrust():
 		return h.owner, true
 	}
-	return Candidate(&n.view, h.ranking)
+	return h.preferred, h.preferred != ""
 }
 
 // ownerBelief is the number of lease times for which word of an owner that is
--- a/internal/core/ownership/ownership.go
+++ b/internal/core/ownership/ownership.go
@@ -61,7 +61,7 @@
 		Voters:         5,
 		ConfirmRetry:   50 * time.Millisecond,
 		PauseLimit:     10 * time.Second,
-		RebalanceAfter: 10 * time.Second,
+		RebalanceAfter: 3 * time.Second,
 	}
 }
 
--- a/internal/service/owner/digests.go
+++ b/internal/service/owner/digests.go
@@ -40,12 +40,12 @@
 	s.mu.Lock()
 	now := s.clock.Now()
 	s.refreshOwn(now)
-	digests := s.table.ForPeer(now, to, relay)
+	batch := s.nameList.pack(to, s.table.ForPeer(now, to, relay))
 	s.mu.Unlock()
-	if len(digests) == 0 {
+	if len(batch.Digests) == 0 {
 		return nil
 	}
-	data, err := wire.Marshal(digests)
+	data, err := wire.Marshal(batch)
 	if err != nil {
 		s.logger.WithError(err).Error("Cannot encode digests.")
 		return nil
@@ -54,15 +54,15 @@
 }
 
 func (s *Service) consume(from fleet.VM, part []byte) {
-	var digests []digest.Digest
-	if err := wire.Unmarshal(part, &digests); err != nil {
+	var batch digest.Batch
+	if err := wire.Unmarshal(part, &batch); err != nil {
 		s.logger.WithError(err).WithField("peer", from).Warn("Digests dropped.")
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	for _, e := range s.table.Merge(now, from, digests) {
+	for _, e := range s.table.Merge(now, from, s.nameList.unpack(from, &batch)) {
 		if id, ok := s.idByKey[e.Resource]; ok && e.OwnerVM != "" {
 			s.node.NoteOwner(now, id, e.OwnerVM, e.Term)
 		}
@@ -108,6 +108,7 @@
 
 // indexKeys maps the keys of digests to resources. The caller holds the lock.
 func (s *Service) indexKeys(resources []ownership.Resource) {
+	s.nameList.set(resources)
 	clear(s.idByKey)
 	for _, r := range resources {
 		s.idByKey[digest.KeyOf(r.Name)] = ownership.IDOf(r.Name)
--- a/internal/service/owner/service.go
+++ b/internal/service/owner/service.go
@@ -75,6 +75,7 @@
 	idByKey  map[digest.Key]ownership.ID
 	table    *digest.Table
 	ownAt    time.Time
+	nameList *nameList
 	memory   *placement.Memory
 }
 
@@ -116,6 +117,7 @@
 	s.byID = make(map[ownership.ID]*ownedTarget)
 	s.byShort = make(map[uint32]*ownedTarget)
 	s.idByKey = make(map[digest.Key]ownership.ID)
+	s.nameList = newNameList()
 	s.table = digest.NewTable(s.self)
 	s.memory = placement.NewMemory(config.Defaults().Load.MemoryEntries, memoryTime, c.Clock.Now())
 	s.clients = newClients(c.Env)
