--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -75,6 +75,8 @@
 	// targets that it had before in its order of preference.
 	Target fleet.Target `msgpack:"tg,omitempty"`
 	Place  int          `msgpack:"tn,omitempty"`
+	// Recalled is true for a request that was sent to where its chat had gone.
+	Recalled bool `msgpack:"tr,omitempty"`
 	// Wait is true for a request that may wait at the target for its turn.
 	Wait bool `msgpack:"tw,omitempty"`
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -160,6 +160,9 @@
 	QueueLength int `toml:"queue_length" json:"queue_length"`
 	// QueueWait is the longest time that a request waits at one target.
 	QueueWait Duration `toml:"queue_wait" json:"queue_wait"`
+	// StickyWait is the longest time that a returning chat waits at the target
+	// that has its prompt in cache before it goes to another one.
+	StickyWait Duration `toml:"sticky_wait" json:"sticky_wait"`
 	// ProbePeriod is the time between an owner's reads of a target's report.
 	ProbePeriod Duration `toml:"probe_period" json:"probe_period"`
 	// ReportLag is the age that a target's report may have.
@@ -215,6 +218,7 @@
 			Bound:         1.25,
 			QueueLength:   64,
 			QueueWait:     Duration(time.Second),
+			StickyWait:    Duration(600 * time.Millisecond),
 			ProbePeriod:   Duration(time.Second),
 			ReportLag:     Duration(time.Second),
 			MemoryEntries: 200_000,
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -189,6 +189,7 @@
 	k.between("load.bound", c.Load.Bound, minBound, maxBound)
 	k.atLeast("load.queue_length", c.Load.QueueLength, 1)
 	k.positive("load.queue_wait", c.Load.QueueWait)
+	k.positive("load.sticky_wait", c.Load.StickyWait)
 	k.positive("load.probe_period", c.Load.ProbePeriod)
 	k.positive("load.report_lag", c.Load.ReportLag)
 	k.atLeast("load.memory_entries", c.Load.MemoryEntries, 1)
--- a/internal/core/admission/target.go
+++ b/internal/core/admission/target.go
@@ -27,6 +27,8 @@
 	residual ownership.Residual
 	// foreign is the work that the last report shows beside this owner's.
 	foreign int
+	// limitNow is the limit when it was last looked at.
+	limitNow int
 	// service is the running mean of the time that a request takes.
 	service time.Duration
 }
@@ -131,8 +133,9 @@
 // wait estimates how long a new request would wait.
 func (t *Target) wait(item fairness.Item) time.Duration {
 	ahead := t.queue.Ahead(item.Member, item.Account) + 1
-	slots := max(t.health.Slots(), 1)
-	return time.Duration(ahead * float64(t.service) / float64(slots))
+	// Slots free up as fast as the load allows; the bound moves with the mean.
+	parallel := float64(t.limitNow+t.health.Slots()) / 2
+	return time.Duration(ahead * float64(t.service) / max(parallel, 1))
 }
 
 func (t *Target) retryAfter(item fairness.Item) time.Duration {
@@ -149,7 +152,10 @@
 }
 
 // room reports whether one more request stays within the limit.
-func (t *Target) room(now time.Time) bool { return t.Load(now) < t.Limit(now) }
+func (t *Target) room(now time.Time) bool {
+	t.limitNow = t.Limit(now)
+	return t.Load(now) < t.limitNow
+}
 
 // Load returns the target's load now, pending requests included.
 func (t *Target) Load(now time.Time) int {
--- a/internal/core/placement/bounded.go
+++ b/internal/core/placement/bounded.go
@@ -6,10 +6,16 @@
 	"slices"
 )
 
-// Bounded ranks by weighted rendezvous hash of the chat, so that a chat returns
-// to the target that has its prefix in cache, and only the chats of a target
-// that joins or leaves move. Owners keep the load of each target under the
-// bound and remember the chats that they sent elsewhere.
+// GroupSpread is the number of targets over which the chats of one prompt
+// prefix spread. A prefix is computed once on each target that sees it.
+const GroupSpread = 4
+
+// Bounded ranks by weighted rendezvous hash, so that a chat returns to the
+// target that has its prompt in cache, and only the chats of a target that
+// joins or leaves move. The prompt prefix that a chat shares with others ranks
+// all targets, and the chat itself ranks the first few of these: a new chat
+// finds the shared prefix in cache, and so does one that is sent on. Owners
+// keep the load of each target under the bound and remember where chats went.
 //
 // A request without a chat or a known prefix goes to the target with the
 // lowest load.
@@ -19,13 +25,16 @@
 func (Bounded) Name() string { return DefaultPolicy }
 
 // Rules tells that the load is bounded and spilled chats are remembered.
-func (Bounded) Rules() Rules { return Rules{Bounded: true, Remembers: true} }
+func (Bounded) Rules() Rules { return Rules{Bounded: true, Remembers: true, SpreadStep: 0.1} }
 
 // Rank appends the candidates by score.
 func (Bounded) Rank(r *Request, candidates []Candidate, out []int) []int {
-	key, sticky := r.Key()
 	first := len(out)
 	scores := make([]float64, len(candidates))
+	key, sticky := r.Key()
+	if r.Group != 0 {
+		key = r.Group
+	}
 	for i := range candidates {
 		c := &candidates[i]
 		if sticky {
@@ -35,14 +44,27 @@
 		}
 		out = append(out, i)
 	}
-	slices.SortFunc(out[first:], func(a, b int) int {
+	sortByScore(candidates, scores, out[first:])
+	if r.Group != 0 && r.Chat != 0 {
+		spread := out[first:min(first+GroupSpread, len(out))]
+		for _, i := range spread {
+			scores[i] = Score(r.Chat, candidates[i].Hash, candidates[i].Capacity)
+		}
+		sortByScore(candidates, scores, spread)
+	}
+	return out
+}
+
+// sortByScore sorts positions: targets that are ready first, the highest score
+// first.
+func sortByScore(candidates []Candidate, scores []float64, positions []int) {
+	slices.SortFunc(positions, func(a, b int) int {
 		return cmp.Or(
 			compareBool(candidates[b].Ready, candidates[a].Ready),
 			cmp.Compare(scores[b], scores[a]),
 			cmp.Compare(candidates[a].Hash, candidates[b].Hash),
 		)
 	})
-	return out
 }
 
 // Score is the weighted rendezvous score of a key at a target. The share of
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -75,6 +75,9 @@
 	// Remembers: the owner of a chat's first target remembers where the chat
 	// went when it was sent to another one.
 	Remembers bool
+	// SpreadStep is the difference in load for each slot from which a new chat
+	// goes to a lighter target than its first.
+	SpreadStep float64
 }
 
 // Policy ranks targets. It is used by one goroutine at a time.
--- a/internal/lab/capacity/state.go
+++ b/internal/lab/capacity/state.go
@@ -52,7 +52,7 @@
 	})
 }
 
-func targetDigest(i int, seq uint32) digest.Digest {
+func targetDigest(i int, seq uint8) digest.Digest {
 	return digest.Digest{
 		Resource: digest.KeyOf(fmt.Sprintf("target/engine-%d", i)),
 		Term:     1,
@@ -69,7 +69,7 @@
 	var out []Point
 	for _, n := range sizes {
 		t := digest.NewTable("self")
-		seq := uint32(0)
+		seq := uint8(0)
 		took := timeOf(func() {
 			seq++
 			for i := range n {
--- a/internal/service/owner/enter.go
+++ b/internal/service/owner/enter.go
@@ -11,7 +11,7 @@
 )
 
 // Enter waits until the request may go to its target.
-func (s *Service) Enter(ctx context.Context, req *call.Request) (*Pass, error) {
+func (s *Service) Enter(ctx context.Context, req *call.Request, patience time.Duration) (*Pass, error) {
 	e := &entrant{outcome: make(chan outcome, 1)}
 	s.mu.Lock()
 	t, ok := s.targets[req.Target]
@@ -23,7 +23,7 @@
 	s.nextID++
 	e.id = s.nextID
 	t.waiting[e.id] = e
-	s.apply(t, t.admission.Arrive(now, s.item(now, e.id, req), req.Wait))
+	s.apply(t, t.admission.Arrive(now, s.item(now, e.id, req, patience), patience > 0))
 	s.mu.Unlock()
 	select {
 	case o := <-e.outcome:
@@ -60,10 +60,10 @@
 	}
 }
 
-// item is the request as the target's queue sees it. It may wait as long as
-// configuration allows, and while its deadline leaves time to run.
-func (s *Service) item(now time.Time, id uint64, req *call.Request) fairness.Item {
-	startBy := now.Add(s.current.Load.QueueWait.Std())
+// item is the request as the target's queue sees it. It may wait while its
+// patience and its deadline allow.
+func (s *Service) item(now time.Time, id uint64, req *call.Request, patience time.Duration) fairness.Item {
+	startBy := now.Add(patience)
 	if !req.Deadline.IsZero() && req.Deadline.Before(startBy) {
 		startBy = req.Deadline
 	}
--- a/internal/service/owner/owner.go
+++ b/internal/service/owner/owner.go
@@ -93,14 +93,14 @@
 type Admitter interface {
 	// Candidates returns the targets that can run a class of work.
 	Candidates(class placement.Class) []placement.Candidate
-	// Enter waits until the request may go to its target. The error is a
-	// *call.Error whose Run is call.RunNot.
-	Enter(ctx context.Context, req *call.Request) (*Pass, error)
+	// Enter waits, for at most patience, until the request may go to its
+	// target. The error is a *call.Error whose Run is call.RunNot.
+	Enter(ctx context.Context, req *call.Request, patience time.Duration) (*Pass, error)
 	// SetRules tells how the policy in force wants requests to be treated. It
 	// must be called while services are provisioned.
 	SetRules(r placement.Rules)
-	// Remember notes that a chat whose first target this router owns goes to
-	// another one. Recall returns where it went.
+	// Remember notes where a chat whose first target this router owns goes.
+	// Recall returns where it went last.
 	Remember(chat uint64, target fleet.Target)
 	Recall(chat uint64) (fleet.Target, bool)
 }
--- a/internal/service/route/place.go
+++ b/internal/service/route/place.go
@@ -99,6 +99,30 @@
 	return -1
 }
 
+// load returns the work at a place for each slot of the warm target.
+func (r *ranking) load(place int) float64 {
+	c := &r.candidates[r.order[place]]
+	return float64(c.Running+c.Queued) / float64(max(c.Capacity, 1))
+}
+
+// lightest returns the place with the lowest load among the first few that have
+// room, else the first one with room, or -1. The target except is left out.
+func (r *ranking) lightest(except fleet.Target) int {
+	best := -1
+	for place := range min(len(r.order), placement.GroupSpread) {
+		if r.place(place) == except || !r.hasRoom(place) {
+			continue
+		}
+		if best < 0 || r.load(place) < r.load(best) {
+			best = place
+		}
+	}
+	if best < 0 {
+		best = r.roomAfter(0, map[fleet.Target]bool{except: true})
+	}
+	return best
+}
+
 // shortestWait returns the place with the least work for each slot, the first
 // in the order among equals.
 func (r *ranking) shortestWait(tried map[fleet.Target]bool) int {
--- a/internal/service/route/run.go
+++ b/internal/service/route/run.go
@@ -199,20 +199,41 @@
 		// The target let it wait in vain, or has too many waiting.
 		return false
 	}
+	if e.Step == stepPlacement && !j.req.Recalled {
+		return j.recall(e.Next)
+	}
+	if j.req.Recalled && j.req.Place > 0 {
+		// The chat's target is full: back to the first, which finds another.
+		j.tried[j.req.Target] = true
+		j.choose(0)
+		return true
+	}
 	j.tried[j.req.Target] = true
 	if place := j.ranking.find(e.Next); place >= 0 && !j.tried[e.Next] {
 		j.choose(place)
 		j.req.Place = max(place, 1)
+		j.req.Recalled = false
 		return true
 	}
 	if place := j.ranking.roomAfter(0, j.tried); place >= 0 && len(j.tried) < maxRoomTries {
 		j.choose(place)
 		j.req.Place = max(place, 1)
+		j.req.Recalled = false
 		return true
 	}
 	return j.wait()
 }
 
+// recall goes to the target that the chat went to last. When that one is not
+// among the targets any more, the first one places the chat anew.
+func (j *journey) recall(home fleet.Target) bool {
+	j.req.Recalled = true
+	if place := j.ranking.find(home); place > 0 {
+		j.choose(place)
+	}
+	return true
+}
+
 // maxRoomTries is the number of targets that are asked for room before the
 // request waits.
 const maxRoomTries = 4
@@ -226,7 +247,7 @@
 	}
 	j.service.meters.waited.Inc(1)
 	j.choose(place)
-	j.req.Wait = true
+	j.req.Wait, j.req.Recalled = true, false
 	return true
 }
 
@@ -242,6 +263,6 @@
 		return false
 	}
 	j.choose(place)
-	j.req.Place = max(place, 1)
+	j.req.Place, j.req.Recalled = max(place, 1), false
 	return true
 }
--- a/internal/service/route/serve.go
+++ b/internal/service/route/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
@@ -17,15 +18,23 @@
 // believed to own.
 func (s *Service) runOwned(ctx context.Context, req *call.Request, sink call.Sink) error {
 	chat := s.remembered(req)
-	if chat != 0 {
-		if err := s.recall(req, chat); err != nil {
+	home := s.home(chat)
+	if home != "" && home != req.Target && !req.Recalled {
+		s.meters.recalled.Inc(1)
+		return redirect(req, home)
+	}
+	if home == "" && chat != 0 {
+		if err := s.spread(req, chat); err != nil {
 			return err
 		}
 	}
-	pass, err := s.targets.Enter(ctx, req)
+	pass, err := s.targets.Enter(ctx, req, s.patience(req, home))
 	if err != nil {
 		return s.advise(req, chat, err)
 	}
+	if chat != 0 && home != req.Target {
+		s.targets.Remember(chat, req.Target)
+	}
 	return pass.Run(ctx, req, sink)
 }
 
@@ -38,31 +47,38 @@
 	return chatKey(req)
 }
 
-// recall sends a chat that went to another target before to that one, when it
-// has room.
-func (s *Service) recall(req *call.Request, chat uint64) error {
-	before, ok := s.targets.Recall(chat)
-	if !ok || before == req.Target {
-		return nil
+// home returns the target that a chat went to last, empty when none is known.
+func (s *Service) home(chat uint64) fleet.Target {
+	if chat == 0 {
+		return ""
 	}
-	r := s.rank(req)
-	place := r.find(before)
-	if place < 0 || !r.hasRoom(place) {
-		return nil
+	home, _ := s.targets.Recall(chat)
+	return home
+}
+
+// patience returns how long a request may wait for its target: long when it
+// was sent to wait, a little when the target has its chat in cache.
+func (s *Service) patience(req *call.Request, home fleet.Target) time.Duration {
+	rules := s.config.Current().Load
+	switch {
+	case req.Wait:
+		return rules.QueueWait.Std()
+	case home == req.Target || req.Recalled && req.Place > 0:
+		return rules.StickyWait.Std()
+	default:
+		return 0
 	}
-	s.meters.recalled.Inc(1)
-	return redirect(req, before, "chat is at another target")
 }
 
 // advise adds the next target to the refusal of a request that is at its first
 // target, and remembers where the chat goes.
 func (s *Service) advise(req *call.Request, chat uint64, err error) error {
 	var e *call.Error
-	if !errors.As(err, &e) || e.Code != call.CodeOverloaded || req.Wait || chat == 0 {
+	if !errors.As(err, &e) || e.Code != call.CodeOverloaded || chat == 0 {
 		return err
 	}
 	r := s.rank(req)
-	next := r.roomAfter(0, map[fleet.Target]bool{req.Target: true})
+	next := r.lightest(req.Target)
 	if next < 0 {
 		return err
 	}
@@ -72,13 +88,31 @@
 	return e
 }
 
-func redirect(req *call.Request, next fleet.Target, why string) *call.Error {
+// spread sends a new chat, which has no prompt in any cache yet, to a target of
+// the first few that has clearly less load, so that later returns of chats find
+// room where they were.
+func (s *Service) spread(req *call.Request, chat uint64) error {
+	r := s.rank(req)
+	own := r.find(req.Target)
+	best := r.lightest(req.Target)
+	if own < 0 || best < 0 || r.load(own)-r.load(best) < s.rules.SpreadStep {
+		return nil
+	}
+	s.targets.Remember(chat, r.place(best))
+	s.meters.spilled.Inc(1)
+	return redirect(req, r.place(best))
+}
+
+// stepPlacement is the step of errors that send a chat to where it went last.
+const stepPlacement = "placement"
+
+func redirect(req *call.Request, home fleet.Target) *call.Error {
 	return &call.Error{
 		Code:    call.CodeOverloaded,
-		Message: why,
-		Step:    "placement",
+		Message: "chat is at another target",
+		Step:    stepPlacement,
 		Peer:    string(req.Target),
 		Run:     call.RunNot,
-		Next:    next,
+		Next:    home,
 	}
 }
