--- a/internal/service/callerapi/harness_test.go
+++ b/internal/service/callerapi/harness_test.go
@@ -137,7 +137,7 @@
 	return c
 }
 
-func newBench(t *testing.T, network kernel.Network, callerSettings string) *bench {
+func newBench(t testing.TB, network kernel.Network, callerSettings string) *bench {
 	t.Helper()
 	file, err := settings.Parse("test", []byte("[caller]\n"+callerSettings))
 	must.NoError(t, err)
@@ -198,7 +198,7 @@
 	return resp, string(data)
 }
 
-func (b *bench) open(t *testing.T, method, path, body string, header map[string]string) *http.Response {
+func (b *bench) open(t testing.TB, method, path, body string, header map[string]string) *http.Response {
 	t.Helper()
 	r, err := http.NewRequestWithContext(t.Context(), method, b.URL()+path, strings.NewReader(body))
 	must.NoError(t, err)
--- a/internal/service/peer/harness_test.go
+++ b/internal/service/peer/harness_test.go
@@ -46,7 +46,7 @@
 }
 
 // startRouter starts a peer service on network; setUp may add handlers.
-func startRouter(t *testing.T, name string, network kernel.Network, extra string, setUp func(*Service)) *router {
+func startRouter(t testing.TB, name string, network kernel.Network, extra string, setUp func(*Service)) *router {
 	t.Helper()
 	text := fmt.Sprintf("[vm]\nname=%q\ndata_centre=\"dc\"\nsite=\"site\"\n[peer]\nlisten=\"127.0.0.1:0\"\n%s", name, extra)
 	file, err := settings.Parse("test", []byte(text))
@@ -66,7 +66,7 @@
 	return &router{Service: s, kernel: k, metrics: registry}
 }
 
-func (r *router) info(t *testing.T) fleet.VMInfo {
+func (r *router) info(t testing.TB) fleet.VMInfo {
 	t.Helper()
 	id, err := kernel.Find[identity.Identity](r.kernel, identity.Name)
 	must.NoError(t, err)
@@ -74,7 +74,7 @@
 }
 
 // introduceAll makes all routers peers of each other.
-func introduceAll(t *testing.T, routers ...*router) {
+func introduceAll(t testing.TB, routers ...*router) {
 	t.Helper()
 	var vms []fleet.VMInfo
 	for _, r := range routers {
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -24,9 +24,15 @@
 // can claim.
 const readStep = 64 << 10
 
+// frameRoom is the space for all but the texts and the body of a frame.
+const frameRoom = 64
+
 // Append encodes f behind dst, length included.
 func Append(dst []byte, f *Frame) ([]byte, error) {
 	start := len(dst)
+	if dst == nil {
+		dst = make([]byte, 0, frameRoom+len(f.Kind)+len(f.Request)+len(f.Body))
+	}
 	out := bytes.NewBuffer(append(dst, make([]byte, HeaderBytes)...))
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
