--- a/internal/lab/caller/order.go
+++ b/internal/lab/caller/order.go
@@ -17,7 +17,10 @@
 
 // order sends an order under one idempotency key until it has an answer.
 func (c *Client) order(ctx context.Context, a workload.Arrival, intended time.Time) history.Request {
-	key := c.newKey()
+	key := a.Key
+	if key == "" {
+		key = c.newKey()
+	}
 	out := history.Request{
 		ID:       a.ID,
 		Kind:     history.KindOrder,
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -133,7 +133,7 @@
 	}
 }
 
-// order sends one order.
+// order sends an order, and once more under the same key.
 func (d *demo) order(ctx context.Context) error {
 	load := caller.NewLoad(d.bed, nil, seed)
 	defer load.Close()
@@ -144,19 +144,24 @@
 		Account: account,
 		Order:   `{"plates":2,"text":"MANGO 9.95"}`,
 	}
-	r := load.Clients[account.Name].Do(ctx, a, time.Now())
-	if !r.Whole() || r.Answer != r.Want {
-		return fmt.Errorf("order had no right answer: %+v", r.Last())
+	first := load.Clients[account.Name].Do(ctx, a, time.Now())
+	a.Key = first.Key
+	again := load.Clients[account.Name].Do(ctx, a, time.Now())
+	for _, r := range []history.Request{first, again} {
+		if !r.Whole() || r.Answer != r.Want {
+			return fmt.Errorf("order had no right answer: %+v", r.Last())
+		}
 	}
 	var ran []fleet.Target
 	for _, run := range d.bed.History().WorkerRuns {
-		if run.Key == r.Key {
+		if run.Key == first.Key {
 			ran = append(ran, run.Target)
 		}
 	}
 	if len(ran) != 1 {
 		return fmt.Errorf("order ran %d times, on %v", len(ran), ran)
 	}
-	d.say("Order: ran once, on %s, answered after %s.", ran[0], r.Latency().Round(time.Millisecond))
+	d.say("Order, sent twice under one key: ran once, on %s; answered after %s by way of %s, the second time after %s by way of %s.", ran[0],
+		first.Latency().Round(time.Millisecond), first.Last().VM, again.Latency().Round(time.Millisecond), again.Last().VM)
 	return nil
 }
--- a/internal/lab/demo/load.go
+++ b/internal/lab/demo/load.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"github.com/zinniafork/zinniafork/internal/lab/caller"
@@ -16,6 +17,7 @@
 	"github.com/zinniafork/zinniafork/internal/lab/check/reuse"
 	"github.com/zinniafork/zinniafork/internal/lab/check/service"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
+	"github.com/zinniafork/zinniafork/internal/lab/testbed"
 	"github.com/zinniafork/zinniafork/internal/lab/workload"
 )
 
@@ -94,11 +96,7 @@
 
 // keep leaves the fleet running until ctx ends.
 func (d *demo) keep(ctx context.Context) {
-	var address string
-	for _, vm := range d.shape.VMs {
-		address = d.bed.Addresses()[vm.Name]
-		break
-	}
+	vm := d.shape.VMs[0].Name
 	fmt.Fprintf(d.opt.Out, `
 The fleet goes on until you press Ctrl-C. Try:
 
@@ -106,9 +104,16 @@
   -d '{"model":"%[3]s","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"Hello"}]}'
 
 curl http://%[1]s/v1/services/%[4]s/orders -H 'Authorization: Bearer %[2]s' \
-  -H "Idempotency-Key: $(uuidgen -t)" -d '{"plates":2}'
+  -H 'Idempotency-Key: %[8]s' -d '{"plates":2}'
+
+curl 'http://%[1]s/v1/entry?chat=my-chat' -H 'Authorization: Bearer %[2]s'
+
+Operators: the status page is http://%[5]s/ with the key %[6]s, and
 
-curl http://%[1]s/readyz
-`, address, d.shape.Accounts[0].Key, d.shape.Model, d.shape.Services[0])
+echo %[6]s >operator.key
+go run ./cmd/zfctl status --router http://%[5]s --key-file operator.key
+go run ./cmd/zfctl drain data-centre %[7]s --router http://%[5]s --key-file operator.key
+`, d.bed.Addresses()[vm], d.shape.Accounts[0].Key, d.shape.Model, d.shape.Services[0],
+		d.bed.AdminAddress(vm), testbed.OperatorKey, d.shape.DataCentres[0], uuid.Must(uuid.NewV7()))
 	<-ctx.Done()
 }
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -180,6 +180,15 @@
 	return out
 }
 
+// AdminAddress returns the address of a VM's administration interface.
+func (b *Testbed) AdminAddress(vm fleet.VM) string {
+	r, err := b.router(vm)
+	if err != nil {
+		return ""
+	}
+	return r.addr(adminPort)
+}
+
 // Note adds an event to the history.
 func (b *Testbed) Note(format string, args ...any) {
 	b.mu.Lock()
--- a/internal/lab/workload/workload.go
+++ b/internal/lab/workload/workload.go
@@ -26,8 +26,9 @@
 	// Chat requests.
 	Chat   string
 	Prompt engined.ChatRequest
-	// Orders.
+	// Orders. Key is the idempotency key; empty takes a new one.
 	Order string
+	Key   string
 	// Direct requests go to an engine outside the fleet.
 	Direct bool
 }
