Go on with answers that broke off, and look up outcomes first

Cause: an answer that had begun was never tried again, so the loss of an owner or engine cut every stream behind it; an engine that does not resume would have begun again at an offset, and its start been taken for the rest. An unknown outcome was told before the targets were asked, and an open order of a dead router was looked up only after its deadline and the clock skew. Now a journey resumes at the same target by its next owner, or runs again elsewhere and sends only what follows the same prefix; a differing run is an error that says so. Lookups start with the first wait.

--- a/internal/core/orders/dispatch.go
+++ b/internal/core/orders/dispatch.go
@@ -77,9 +77,15 @@
 	if l.ticket {
 		m.finishTicket(k, l)
 	}
-	if o.Run == RunUnknown {
-		m.lookLater(now, k, l.identity)
+	if o.Run == RunUnknown && len(m.waiting[k]) > 0 {
+		m.lookNow(now, k, l.identity)
+		return // the targets' word comes first
 	}
+	m.answerWaiting(k, o)
+}
+
+// answerWaiting answers all who wait for an order.
+func (m *Machine) answerWaiting(k Key, o Outcome) {
 	waiters := m.waiting[k]
 	delete(m.waiting, k)
 	for _, s := range waiters {
@@ -148,6 +154,12 @@
 	m.lookups[k] = lookup{identity: id, at: now.Add(lookupFirst), pause: lookupFirst}
 }
 
+// lookNow asks the targets for the outcome of an order at once.
+func (m *Machine) lookNow(now time.Time, k Key, id Identity) {
+	m.lookups[k] = lookup{identity: id, at: now.Add(lookupFirst), pause: lookupFirst}
+	m.emit(Lookup{Key: k, Identity: id})
+}
+
 // look asks for the outcomes that are due. After the last try a lookup stays
 // noted for as long again, so that repeats of the key do not restart it at
 // once.
@@ -169,23 +181,42 @@
 	}
 }
 
-// lookedUp records the outcome that a target has told.
+// lookedUp takes the word of the targets. Only a yes is an outcome.
 func (m *Machine) lookedUp(now time.Time, in LookedUp) {
+	if !in.Found {
+		if m.unknownHere(in.Key) {
+			m.answerWaiting(in.Key, Outcome{})
+		}
+		return
+	}
 	p, ok := m.lookups[in.Key]
-	if !ok || !in.Found {
+	if !ok {
 		return
 	}
 	delete(m.lookups, in.Key)
 	m.answers.Add(in.Key, in.Outcome.Body)
-	if t := m.tickets[in.Key]; t != nil && t.outcome.Run != RunDone {
+	m.outbox.push(now, m.foundRecord(in, p.identity), false)
+	in.Outcome.Body = nil
+	here := m.unknownHere(in.Key)
+	if t := m.tickets[in.Key]; t != nil {
 		t.outcome = in.Outcome
-		t.outcome.Body = nil
 	}
 	if l := m.local[in.Key]; l != nil && l.state == localOver {
 		l.outcome = in.Outcome
-		l.outcome.Body = nil
 	}
-	m.outbox.push(now, m.foundRecord(in, p.identity), false)
+	if here {
+		m.answerWaiting(in.Key, in.Outcome)
+	}
+}
+
+// unknownHere reports whether this router sent the order and did not learn its
+// outcome.
+func (m *Machine) unknownHere(k Key) bool {
+	if l := m.local[k]; l != nil {
+		return l.state == localOver && l.outcome.Run == RunUnknown
+	}
+	t := m.tickets[k]
+	return t != nil && t.outcome.Run == RunUnknown
 }
 
 // foundRecord says what a target has told, under the nonce that stands.
@@ -194,6 +225,9 @@
 	if t := m.tickets[in.Key]; t != nil {
 		nonce = t.nonce
 	}
+	if l := m.local[in.Key]; l != nil {
+		nonce = l.nonce
+	}
 	if e := m.ledger.Entry(in.Key); e != nil && e.Phase != PhaseFree {
 		nonce = e.Nonce
 	}
--- a/internal/core/orders/machine_test.go
+++ b/internal/core/orders/machine_test.go
@@ -177,3 +177,26 @@
 	must.Eq(t, orders.KindCarried, carried[0].Kind)
 	must.Eq(t, orders.PhaseUnknown, carried[0].Phase)
 }
+
+// The targets are asked before a caller is told that an outcome is unknown.
+func TestUnknownOutcomeIsLookedUpFirst(t *testing.T) {
+	for name, c := range map[string]struct {
+		found bool
+		want  orders.Run
+	}{"target knows": {true, orders.RunDone}, "target does not": {false, orders.RunUnknown}} {
+		t.Run(name, func(t *testing.T) {
+			n := newNode(t)
+			n.own()
+			n.submit(1, key)
+			n.step(orders.Appended{Batch: take[orders.Append](n).Batch, First: 1})
+			d := take[orders.Dispatch](n)
+			n.step(orders.Dispatched{Key: d.Key, Nonce: d.Nonce})
+			must.False(t, has[orders.Answer](n))
+			l := take[orders.Lookup](n)
+			n.step(orders.LookedUp{Key: l.Key, Found: c.found, Outcome: orders.Outcome{Run: orders.RunDone, Body: []byte("ok")}})
+			must.Eq(t, c.want, take[orders.Answer](n).Reply.Run)
+			n.submit(2, key)
+			must.Eq(t, c.want, take[orders.Answer](n).Reply.Run)
+		})
+	}
+}
--- a/internal/core/orders/submit.go
+++ b/internal/core/orders/submit.go
@@ -137,11 +137,11 @@
 	case PhaseFree:
 		return false
 	case PhaseOpen:
+		m.lookLater(now, e.Key, e.Identity)
 		if now.Before(e.Until.Add(m.cfg.Skew)) {
 			m.wait(s)
 			return true
 		}
-		m.lookLater(now, e.Key, e.Identity)
 		m.answer(s.ID, Reply{Run: RunUnknown, Reason: ReasonUnknown})
 	case PhaseUnknown:
 		m.lookLater(now, e.Key, e.Identity)
--- a/internal/lab/explore/explore_test.go
+++ b/internal/lab/explore/explore_test.go
@@ -35,6 +35,7 @@
 		opt.Routers, opt.Keys, opt.Budget = 3, 3, RandomBudget()
 		var counts Counts
 		for seed := range uint64(randomSeeds) {
+			opt.Delays = seed%2 == 0
 			r := Random(opt, seed, randomSteps)
 			if r.Violation != nil {
 				t.Fatalf("%s, seed %d: %s", w.name, seed, r.String())
--- a/internal/lab/explore/run.go
+++ b/internal/lab/explore/run.go
@@ -64,7 +64,8 @@
 	}
 }
 
-// Run carries out the plan. The seed of a random schedule chooses its world.
+// Run carries out the plan. The seed of a random schedule chooses its world,
+// and whether answers are delayed in it.
 func Run(ctx context.Context, p Plan) (*Report, error) {
 	begin := time.Now()
 	report := &Report{Pass: true, StatesBy: make(map[string]int)}
@@ -84,6 +85,7 @@
 		worlds := namedWorlds()
 		w := worlds[seed%uint64(len(worlds))]
 		w.opt.Routers, w.opt.Keys, w.opt.Budget = p.Routers, p.Keys, RandomBudget()
+		w.opt.Delays = (seed/uint64(len(worlds)))%2 == 0
 		report.follow(w, seed, p.Steps)
 		if p.Progress != nil && (i+1)%progressEvery == 0 {
 			p.Progress(i+1, time.Since(begin))
--- a/internal/lab/explore/search.go
+++ b/internal/lab/explore/search.go
@@ -164,7 +164,7 @@
 			return weightUsual
 		}
 		return weightFault
-	case pass, heal, lateArrives, lookupAnswered, mint:
+	case pass, heal, lateArrives, lookupAnswered, mint, appendServed, readServed, confirmServed:
 		return weightUsual
 	default:
 		return weightFault
--- a/internal/lab/explore/steps.go
+++ b/internal/lab/explore/steps.go
@@ -36,6 +36,9 @@
 	tick
 	closeRouter
 	drop
+	appendServed
+	readServed
+	confirmServed
 )
 
 var kindNames = []string{
@@ -43,6 +46,7 @@
 	"read answered", "read fails", "confirm answered", "confirm fails",
 	"dispatch runs", "dispatch runs, outcome lost", "dispatch lost", "dispatch refused", "orphan runs",
 	"lookup answered", "crash", "takeover", "tell", "cut", "heal", "time passes", "tick", "close", "drop",
+	"append takes effect", "read sees the log", "confirm sees the owner",
 }
 
 // step is one event: its kind, the router it meets, and an index whose
@@ -84,6 +88,7 @@
 
 func (w *world) logSteps(out []step, i int) []step {
 	r := w.routers[i]
+	out = w.serveSteps(out, i)
 	for n := range r.appends {
 		if !r.cut {
 			out = append(out, step{appendAnswered, i, n})
@@ -112,6 +117,26 @@
 	return out
 }
 
+// serveSteps lists what may take effect before its answer arrives.
+func (w *world) serveSteps(out []step, i int) []step {
+	r := w.routers[i]
+	if !w.opt.Delays {
+		return out
+	}
+	for n := range r.appends {
+		if !r.cut && !r.appends[n].done {
+			out = append(out, step{appendServed, i, n})
+		}
+	}
+	if !r.cut && r.read != nil && r.read.page == nil {
+		out = append(out, step{readServed, i, 0})
+	}
+	if len(r.confirms) > 0 && !r.confirms[0].done {
+		out = append(out, step{confirmServed, i, 0})
+	}
+	return out
+}
+
 func (w *world) targetSteps(out []step, i int) []step {
 	r := w.routers[i]
 	for n := range r.dispatches {
@@ -176,7 +201,7 @@
 	switch s.kind {
 	case submit, mint:
 		w.doCaller(s)
-	case appendAnswered, appendUnanswered, appendLate, lateArrives, readAnswered, readFails, drop:
+	case appendAnswered, appendUnanswered, appendLate, lateArrives, readAnswered, readFails, drop, appendServed, readServed:
 		w.doLog(s)
 	case dispatchRuns, dispatchUnsure, dispatchLost, dispatchRefused, orphanRuns, lookupAnswered:
 		w.doTarget(s)
@@ -224,30 +249,41 @@
 	r := w.mutable(s.router)
 	switch s.kind {
 	case appendAnswered:
-		a := takeAt(&r.appends, s.index)
-		first := w.write(a.Records)
+		a := w.served(takeAt(&r.appends, s.index))
+		first := a.first
 		if w.opt.Sabotage == SabotageOffset {
 			first = min(first, r.machine.Ledger().Next())
 		}
 		w.input(s.router, orders.Appended{Batch: a.Batch, First: first})
 	case appendUnanswered:
 		w.left.Losses--
-		a := takeAt(&r.appends, s.index)
-		w.write(a.Records)
+		a := w.served(takeAt(&r.appends, s.index))
 		w.input(s.router, orders.AppendLost{Batch: a.Batch})
 	case appendLate:
 		if !r.cut {
 			w.left.Losses--
 		}
 		a := takeAt(&r.appends, s.index)
-		w.late = append(w.late, a.Records)
+		if !a.done {
+			w.late = append(w.late, a.Records)
+		}
 		w.input(s.router, orders.AppendLost{Batch: a.Batch})
 	case lateArrives:
 		w.write(takeAt(&w.late, s.index))
 	case readAnswered:
-		from := r.read.From
+		page := r.read.page
+		if page == nil {
+			now := w.page(s.router, r.read.From)
+			page = &now
+		}
 		r.read = nil
-		w.input(s.router, w.page(s.router, from))
+		w.input(s.router, *page)
+	case appendServed:
+		r.appends = slices.Clone(r.appends)
+		r.appends[s.index] = w.served(r.appends[s.index])
+	case readServed:
+		page := w.page(s.router, r.read.From)
+		r.read = &pendingRead{Read: r.read.Read, page: &page}
 	case readFails:
 		if !r.cut {
 			w.left.Losses--
@@ -260,6 +296,15 @@
 	}
 }
 
+// served makes an append take effect once.
+func (w *world) served(a pendingAppend) pendingAppend {
+	if !a.done {
+		a.done = true
+		a.first = w.write(a.Records)
+	}
+	return a
+}
+
 func (w *world) doTarget(s step) {
 	if s.kind == orphanRuns {
 		w.execute(takeAt(&w.orphans, s.index))
@@ -305,13 +350,19 @@
 	r := w.mutable(s.router)
 	switch s.kind {
 	case confirmAnswered, confirmFails:
-		round := takeAt(&r.confirms, 0)
-		ok := w.confirms(s.router)
+		c := takeAt(&r.confirms, 0)
+		ok := c.ok
+		if !c.done {
+			ok = w.confirms(s.router)
+		}
 		if s.kind == confirmFails {
 			w.left.Losses--
 			ok = false
 		}
-		w.input(s.router, orders.Confirmed{Round: round, OK: ok})
+		w.input(s.router, orders.Confirmed{Round: c.round, OK: ok})
+	case confirmServed:
+		r.confirms = slices.Clone(r.confirms)
+		r.confirms[0].done, r.confirms[0].ok = true, w.confirms(s.router)
 	case crash:
 		w.left.Crashes--
 		w.crash(s.router)
@@ -342,7 +393,9 @@
 func (w *world) crash(i int) {
 	r := w.routers[i]
 	for _, a := range r.appends {
-		w.late = append(w.late, a.Records)
+		if !a.done {
+			w.late = append(w.late, a.Records)
+		}
 	}
 	w.orphans = append(w.orphans, r.dispatches...)
 	for n := range w.attempts {
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -60,7 +60,10 @@
 	// every confirmation succeed. Then "not run" cannot be relied on, but no
 	// order may run twice.
 	TwoOwners bool
-	Sabotage  Sabotage
+	// Delays lets answers of the log and confirmations be on their way while
+	// other things happen.
+	Delays   bool
+	Sabotage Sabotage
 }
 
 // Start is the state in which a world begins.
@@ -114,13 +117,33 @@
 	cut     bool
 	ticked  time.Time
 
-	appends    []orders.Append
-	read       *orders.Read
-	confirms   []uint64
+	appends    []pendingAppend
+	read       *pendingRead
+	confirms   []pendingConfirm
 	dispatches []orders.Dispatch
 	lookups    []orders.Lookup
 }
 
+// pendingAppend is an append that was sent. Its answer may be on the way.
+type pendingAppend struct {
+	orders.Append
+	done  bool
+	first uint64
+}
+
+// pendingRead is a read that was sent, with its answer once that is on the way.
+type pendingRead struct {
+	orders.Read
+	page *orders.ReadPage
+}
+
+// pendingConfirm is a confirmation that was asked for.
+type pendingConfirm struct {
+	round uint64
+	done  bool
+	ok    bool
+}
+
 // attempt is one submission of a caller.
 type attempt struct {
 	key    int
@@ -267,11 +290,11 @@
 	for _, a := range r.machine.Step(w.now, in) {
 		switch a := a.(type) {
 		case orders.Append:
-			r.appends = append(r.appends, a)
+			r.appends = append(r.appends, pendingAppend{Append: a})
 		case orders.Read:
-			r.read = &a
+			r.read = &pendingRead{Read: a}
 		case orders.Confirm:
-			r.confirms = append(r.confirms, a.Round)
+			r.confirms = append(r.confirms, pendingConfirm{round: a.Round})
 		case orders.Dispatch:
 			o := &w.orders[w.find(a.Key)]
 			o.live = append(slices.Clone(o.live), a.Nonce)
--- a/internal/service/journal/lookup.go
+++ b/internal/service/journal/lookup.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/orders"
 	"github.com/zinniafork/zinniafork/internal/target/plain"
 )
@@ -15,23 +16,38 @@
 	s.meters.lookups.Inc(1)
 	in := orders.LookedUp{Key: l.Key}
 	cfg := s.config.Current()
-	service := cfg.Service(l.Identity.Service)
-	if service != nil && service.StatusPath != "" {
-		for i := range cfg.Targets {
-			t := &cfg.Targets[i]
-			if t.Service != service.Name {
-				continue
-			}
-			worker := plain.New(t.Name, t.URL, s.http)
-			if in.Found, in.Outcome = s.askWorker(ctx, worker, service.StatusPath, l.Key, cfg.Deadlines.Progress.Std()); in.Found {
-				in.Outcome.Target = t.Name
-				break
-			}
-		}
+	if service := cfg.Service(l.Identity.Service); service != nil && service.StatusPath != "" {
+		in.Found, in.Outcome = s.askWorkers(ctx, cfg, service, l.Key)
 	}
 	p.step(in)
 }
 
+// askWorkers asks all workers of a service at once and returns the first
+// outcome.
+func (s *Service) askWorkers(ctx context.Context, cfg *config.Effective, service *config.Service, k orders.Key) (bool, orders.Outcome) {
+	limit := cfg.Deadlines.Progress.Std()
+	answers := make(chan orders.Outcome, len(cfg.Targets))
+	asked := 0
+	for i := range cfg.Targets {
+		t := &cfg.Targets[i]
+		if t.Service != service.Name {
+			continue
+		}
+		asked++
+		go func() {
+			_, o := s.askWorker(ctx, plain.New(t.Name, t.URL, s.http), service.StatusPath, k, limit)
+			o.Target = t.Name
+			answers <- o
+		}()
+	}
+	for range asked {
+		if o := <-answers; o.Run == orders.RunDone {
+			return true, o
+		}
+	}
+	return false, orders.Outcome{}
+}
+
 // askWorker asks one worker. Only the answer of a call that is done counts: a
 // worker that knows nothing of an order may still receive it.
 func (s *Service) askWorker(ctx context.Context, w plain.Worker, path string, k orders.Key, limit time.Duration) (bool, orders.Outcome) {
--- a/internal/service/route/meters.go
+++ b/internal/service/route/meters.go
@@ -10,10 +10,11 @@
 	recalled metrics.Counter
 	// moved counts refusals after which the next target was tried, waited the
 	// requests that were let wait, retried those that were tried again after
-	// they may have run.
+	// they may have run, resumed those of them whose answer went on.
 	moved   metrics.Counter
 	waited  metrics.Counter
 	retried metrics.Counter
+	resumed metrics.Counter
 	refused metrics.Counter
 }
 
@@ -24,6 +25,7 @@
 		moved:    metrics.GetOrRegisterCounter("route.moved", r),
 		waited:   metrics.GetOrRegisterCounter("route.waited", r),
 		retried:  metrics.GetOrRegisterCounter("route.retried", r),
+		resumed:  metrics.GetOrRegisterCounter("route.resumed", r),
 		refused:  metrics.GetOrRegisterCounter("route.refused", r),
 	}
 }
--- a/internal/service/route/run.go
+++ b/internal/service/route/run.go
@@ -31,7 +31,7 @@
 		service: s,
 		began:   s.clock.Now(),
 		req:     *req,
-		sink:    &startedSink{Sink: sink},
+		sink:    newJoinedSink(sink),
 		tried:   make(map[fleet.Target]bool),
 	}
 	s.countRequest(req)
@@ -39,10 +39,15 @@
 	if err == nil {
 		return nil
 	}
+	if j.sink.broken != nil {
+		err = j.sink.broken
+	}
 	if err.Run == call.RunNot {
 		s.meters.refused.Inc(1)
 	}
-	return final(err)
+	out := final(err)
+	s.failures.note(s.clock.Now(), req, out)
+	return out
 }
 
 // final turns the last error of a journey into what callers see. Who owns what
@@ -62,13 +67,16 @@
 	service *Service
 	began   time.Time
 	req     call.Request
-	sink    *startedSink
+	sink    *joinedSink
 	ranking *ranking
 	tried   map[fleet.Target]bool
 	moves   int
 	// misses counts tries at the present target that found no owner.
 	misses int
 	last   *call.Error
+	// resumeUntil ends the wait for a target's next owner while an answer that
+	// has begun waits for its rest; zero when none does.
+	resumeUntil time.Time
 }
 
 func (j *journey) run(ctx context.Context) *call.Error {
@@ -143,6 +151,9 @@
 	if e.Run != call.RunNot {
 		return j.again(e)
 	}
+	if j.resuming() {
+		return j.afterResume(ctx, e)
+	}
 	j.moves++
 	switch e.Code {
 	case call.CodeNotOwner:
@@ -161,21 +172,6 @@
 	return false
 }
 
-// again tries a request that may have run at another target. Only work that is
-// repeatable and whose answer has not begun is tried again, within the budgets.
-func (j *journey) again(e *call.Error) bool {
-	c := j.service.config.Current()
-	if !j.req.Repeatable || j.sink.started || int(j.req.Attempt) >= c.Retry.MaxAttempts {
-		return false
-	}
-	if e.Code == call.CodeCanceled || e.Code == call.CodeDeadline || !j.service.mayRetry(&j.req) {
-		return false
-	}
-	j.service.meters.retried.Inc(1)
-	j.req.Attempt++
-	return j.elsewhere()
-}
-
 // waitForOwner gives a target whose owner is changing a little time.
 func (j *journey) waitForOwner(ctx context.Context) bool {
 	s := j.service
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -35,6 +35,7 @@
 	{name: "route.moved", help: "Refusals after which the next target was tried."},
 	{name: "route.waited", help: "Requests that waited at a target."},
 	{name: "route.retried", help: "Requests tried again after they may have run."},
+	{name: "route.resumed", help: "Answers that broke off and went on at their target."},
 	{name: "route.refused", help: "Requests refused without a run."},
 	{name: "orders", help: "What happened to orders, by event.", label: "event"},
 	{name: "config.records", help: "Configuration records by what became of them.", label: "outcome"},
--- a/internal/target/engine/contract_test.go
+++ b/internal/target/engine/contract_test.go
@@ -161,7 +161,7 @@
 }
 
 func TestResumeFromAnOffset(t *testing.T) {
-	_, _, client := serve(t, engined.Options{ResumeGrace: 10 * time.Second})
+	_, _, client := serve(t, engined.Options{ResumeGrace: 10 * time.Second}, engine.WithResume())
 	whole := new(standintest.Answer)
 	must.NoError(t, client.Run(t.Context(), chat("r", "hello", true), whole))
 	req := chat("r", "hello", true)
@@ -176,6 +176,18 @@
 	must.Eq(t, call.CodeResumeImpossible, call.AsError(err).Code)
 }
 
+// An engine that does not know how to resume would begin the answer again, and
+// its start would be taken for the rest.
+func TestEngineThatDoesNotResumeIsNotAsked(t *testing.T) {
+	_, s, client := serve(t, engined.Options{})
+	req := chat("r", "hello", true)
+	req.ResumeFrom = 100
+	err := client.Run(t.Context(), req, new(tail))
+	must.Eq(t, call.CodeResumeImpossible, call.AsError(err).Code)
+	must.Eq(t, call.RunNot, call.AsError(err).Run)
+	must.Len(t, 0, s.Runs())
+}
+
 // tail collects an answer that begins at any offset.
 type tail struct {
 	first uint64
--- a/internal/target/engine/engine.go
+++ b/internal/target/engine/engine.go
@@ -80,6 +80,9 @@
 // Run sends a chat request and streams its answer. An answer that is cut off
 // is resumed where the engine can.
 func (c *Client) Run(ctx context.Context, req *call.Request, sink call.Sink) error {
+	if req.ResumeFrom > 0 && !c.resumes {
+		return &call.Error{Code: call.CodeResumeImpossible, Step: "target", Peer: string(c.api.Target), Run: call.RunNot, Message: "engine does not resume answers"}
+	}
 	run := &target.HTTPRun{
 		Client:  c.api.Client,
 		Target:  c.api.Target,
