--- a/scripts/smoke.sh
+++ b/scripts/smoke.sh
@@ -165,11 +165,12 @@
 answered() { order "${url[$1]}" "$2" | grep -q '"echo"'; }
 k=$(new_key)
 poll "an answer to an order" answered vm1 "$k"
-answered vm2 "$k" || true
+poll "the recorded answer by way of another router" answered vm2 "$k"
 [ "$(ran "$k")" = 1 ] || fail "the order ran $(ran "$k") times"
 printf 'orders: ran once\n'
 
 kill -KILL "${id[vm3]}"
+wait "${id[vm3]}" 2>/dev/null || true
 poll "a whole chat after the loss of a router" whole_chat vm1 chat-lost
 k=$(new_key)
 poll "an answer to an order after the loss of a router" answered vm1 "$k"
