Keep operators from undoing each other's changes

Change: zfctl get writes the version into the file, publish hands it on, and the router refuses a text whose document has changed since. Marks, and texts that only changes to other documents overtook, are made and checked again on top, up to five times. Overlays of sites that the base does not list are refused.

--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -173,6 +173,9 @@
 	// Parent is the log offset of the version that the author saw; nil means
 	// that any newest version will do.
 	Parent *uint64 `json:"parent,omitempty"`
+	// Seen is the log offset of the version from which the author took the
+	// document. The change is refused when the document has changed since.
+	Seen *uint64 `json:"seen,omitempty"`
 	// DryRun checks everything and publishes nothing.
 	DryRun bool `json:"dry_run,omitempty"`
 	// Nonce identifies the publication, so that a repeated call publishes
--- a/internal/config/effective.go
+++ b/internal/config/effective.go
@@ -90,6 +90,7 @@
 func Check(docs configstate.Documents, suffix string) error {
 	var all Problems
 	seen := make(map[string]bool)
+	all = append(all, unknownSites(docs, suffix)...)
 	for _, site := range SitesOf(docs) {
 		merged, err := Merge(site, DocumentsOf(site, docs, suffix))
 		if err == nil {
@@ -109,6 +110,34 @@
 	return all.Err()
 }
 
+// unknownSites refuses overlays of sites that the base does not list.
+func unknownSites(docs configstate.Documents, suffix string) Problems {
+	sites := listedSites(docs)
+	if len(sites) == 0 {
+		return nil
+	}
+	listed := setOf(sites, func(s *SiteRow) fleet.Site { return s.Name })
+	var out Problems
+	for _, scope := range docs.Scopes() {
+		if site, ok := scope.Site(); ok && !listed[site] {
+			out = append(out, &Problem{
+				File: string(scope) + suffix, Key: "site", Message: fmt.Sprintf("the base lists no site %q", string(site)),
+				Next: "add it to [[sites]] of the base first, or correct the name",
+			})
+		}
+	}
+	return out
+}
+
+// listedSites returns the sites of the base, none when it cannot be decoded.
+func listedSites(docs configstate.Documents) []SiteRow {
+	text, _ := docs.Text(configstate.Base)
+	if base, err := Decode(string(configstate.Base), []byte(text)); err == nil {
+		return base.Sites
+	}
+	return nil
+}
+
 // SitesOf returns the sites that the documents name, or one site without a
 // name when they name none.
 func SitesOf(docs configstate.Documents) []fleet.Site {
--- a/internal/service/adminapi/config_read.go
+++ b/internal/service/adminapi/config_read.go
@@ -178,6 +178,11 @@
 
 func (s *Service) publication(_ *request, in admin.PublicationQuery) (*admin.Publication, error) {
 	fate, ok := s.config.Fate(in.Nonce)
+	for try := 2; try <= publishTries && !fate.Accepted; try++ {
+		if later, found := s.config.Fate(retryNonce(in.Nonce, try)); found {
+			fate, ok = later, true
+		}
+	}
 	switch {
 	case !ok:
 		return &admin.Publication{State: "unknown"}, nil
--- a/internal/service/adminapi/config_write.go
+++ b/internal/service/adminapi/config_write.go
@@ -14,8 +14,13 @@
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 )
 
-// publishLimit is the time that a publication gets to show in the log.
-const publishLimit = 20 * time.Second
+const (
+	// publishLimit is the time that a publication gets to show in the log.
+	publishLimit = 20 * time.Second
+	// publishTries limits how often a change is tried again on top of changes
+	// to other documents.
+	publishTries = 5
+)
 
 // plan is one document that an operator wants to publish.
 type plan struct {
@@ -23,25 +28,81 @@
 	text    string
 	comment string
 	parent  *uint64
-	nonce   string
-	dryRun  bool
+	// seen is the version from which the author took the document.
+	seen   *uint64
+	nonce  string
+	dryRun bool
 	// keepCapacity refuses a plan that leaves a model or plain service without
 	// capacity that has some now.
 	keepCapacity bool
-	affected     *admin.Affected
+	// remade is true for a plan that is made anew from the newest text.
+	remade   bool
+	affected *admin.Affected
 }
 
 func (s *Service) publish(c *request, in admin.PublishRequest) (*admin.Published, error) {
-	return s.carryOut(c, plan{
-		scope: in.Scope, text: in.Text, comment: in.Comment, parent: in.Parent, nonce: in.Nonce, dryRun: in.DryRun,
-	})
+	return s.carryOut(c, fixed(plan{
+		scope: in.Scope, text: in.Text, comment: in.Comment, parent: in.Parent, seen: in.Seen, nonce: in.Nonce, dryRun: in.DryRun,
+	}))
+}
+
+// planner makes the plan of a change on top of documents.
+type planner func(docs configstate.Documents) (plan, error)
+
+// fixed returns a planner whose plan does not depend on the documents.
+func fixed(p plan) planner {
+	return func(configstate.Documents) (plan, error) { return p, nil }
 }
 
-// carryOut checks a plan, and publishes it unless it is a dry run.
-func (s *Service) carryOut(c *request, p plan) (*admin.Published, error) {
-	c.note.Subject, c.note.Detail = string(p.scope), p.comment
+// carryOut makes and checks a plan, and publishes it unless it is a dry run.
+// When another change comes first, it does so again on top of that one, unless
+// the author expected a version or both change the same document.
+func (s *Service) carryOut(c *request, make planner) (*admin.Published, error) {
+	entry, docs := s.config.Newest()
+	for try := 1; ; try++ {
+		p, err := make(docs)
+		if err != nil {
+			return nil, err
+		}
+		if try > 1 {
+			p.nonce = retryNonce(p.nonce, try)
+		}
+		out, err := s.attempt(c, p, entry, docs)
+		if err == nil || p.parent != nil || try == publishTries || !overtaken(err) {
+			return out, err
+		}
+		newEntry, newDocs := s.config.Newest()
+		before, _ := docs.Text(p.scope)
+		after, _ := newDocs.Text(p.scope)
+		if newEntry.Version == entry.Version || before != after && !p.remade {
+			return out, err
+		}
+		entry, docs = newEntry, newDocs
+	}
+}
+
+// retryNonce returns the nonce of a later try of a publication.
+func retryNonce(nonce string, try int) string {
+	if nonce == "" {
+		return ""
+	}
+	return fmt.Sprintf("%s/%d", nonce, try)
+}
+
+// overtaken reports whether another change was accepted first.
+func overtaken(err error) bool {
+	code := asError(err).Code
+	return code == admin.CodeLost || code == admin.CodeStale
+}
+
+// attempt checks a plan on top of a version and publishes it there.
+func (s *Service) attempt(c *request, p plan, entry configstate.Entry, before configstate.Documents) (*admin.Published, error) {
+	if c.note.Subject == "" {
+		c.note.Subject = string(p.scope)
+	}
+	c.note.Detail = p.comment
 	if p.dryRun {
-		c.note.Subject += " (dry run)"
+		c.note.Detail += " (dry run)"
 	}
 	if !p.scope.Valid() {
 		return nil, badRequest("scope: want \"base\" or \"site/NAME\", have %q", p.scope)
@@ -49,10 +110,12 @@
 	if err := mayChange(c.operator, p.scope); err != nil {
 		return nil, err
 	}
-	entry, before := s.config.Newest()
 	if p.parent != nil && *p.parent != entry.Version.Offset {
 		return nil, staleParent(*p.parent, entry)
 	}
+	if err := s.unchangedSince(p, before); err != nil {
+		return nil, err
+	}
 	after := before.With(p.scope, p.text)
 	if err := config.Check(after, ""); err != nil {
 		return nil, err
@@ -108,6 +171,27 @@
 	return accepted, failure
 }
 
+// unchangedSince refuses a text that was taken from an older one of its
+// document, so that it does not undo what others changed meanwhile.
+func (s *Service) unchangedSince(p plan, newest configstate.Documents) error {
+	if p.seen == nil {
+		return nil
+	}
+	_, docs, err := s.version(p.seen)
+	if err != nil {
+		return err
+	}
+	was, _ := docs.Text(p.scope)
+	if is, _ := newest.Text(p.scope); is == was {
+		return nil
+	}
+	return &admin.Error{
+		Code:    admin.CodeStale,
+		Message: fmt.Sprintf("%s has changed since version %d, which your text was taken from", p.scope, *p.seen),
+		Next:    fmt.Sprintf("see zfctl diff %d, then put your change on top of zfctl get %s", *p.seen, p.scope),
+	}
+}
+
 func staleParent(expected uint64, newest configstate.Entry) *admin.Error {
 	return &admin.Error{
 		Code: admin.CodeStale, Newest: &newest,
@@ -224,9 +308,9 @@
 	if in.Comment == "" {
 		in.Comment = fmt.Sprintf("back to version %d by %s", old.Version.Offset, old.Author)
 	}
-	return s.carryOut(c, plan{
+	return s.carryOut(c, fixed(plan{
 		scope: in.Scope, text: text, comment: in.Comment, parent: in.Parent, dryRun: in.DryRun,
-	})
+	}))
 }
 
 // onlyDifference returns the one document that differs between two versions.
--- a/internal/service/adminapi/marks.go
+++ b/internal/service/adminapi/marks.go
@@ -33,24 +33,30 @@
 	if err := mayOperate(c.operator, in.Site); err != nil {
 		return nil, err
 	}
-	_, docs := s.config.Newest()
+	if in.Comment == "" {
+		in.Comment = strings.TrimSpace(fmt.Sprintf("%s %s %s", verb(in.Mark), in.Kind, in.Name))
+	}
+	return s.carryOut(c, func(docs configstate.Documents) (plan, error) {
+		return s.markPlan(section, in, docs)
+	})
+}
+
+// markPlan sets the mark in the site's overlay.
+func (s *Service) markPlan(section config.Markable, in admin.MarkRequest, docs configstate.Documents) (plan, error) {
 	affected, err := s.affected(section, in, docs)
 	if err != nil {
-		return nil, err
+		return plan{}, err
 	}
 	scope := configstate.Overlay(in.Site)
 	text, _ := docs.Text(scope)
 	text, err = config.SetMark(config.Document{Name: string(scope), Text: []byte(text)}, section, in.Name, in.Mark)
 	if err != nil {
-		return nil, err
-	}
-	if in.Comment == "" {
-		in.Comment = strings.TrimSpace(fmt.Sprintf("%s %s %s", verb(in.Mark), in.Kind, in.Name))
+		return plan{}, err
 	}
-	return s.carryOut(c, plan{
+	return plan{
 		scope: scope, text: text, comment: in.Comment, parent: in.Parent, dryRun: in.DryRun,
-		keepCapacity: !in.Force, affected: affected,
-	})
+		keepCapacity: !in.Force, remade: true, affected: affected,
+	}, nil
 }
 
 func verb(m fleet.Mark) string {
--- a/internal/zfctl/documents.go
+++ b/internal/zfctl/documents.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 
 	"github.com/jedib0t/go-pretty/v6/table"
@@ -76,8 +77,25 @@
 	if err != nil {
 		return err
 	}
-	g.note("# version %s of %s", versionText(doc.Version.Version), c.Scope)
-	return g.show(doc, func() { g.printf("%s", doc.Text) })
+	return g.show(doc, func() { g.printf("%s%d\n%s", seenPrefix, doc.Version.Version.Offset, doc.Text) })
+}
+
+// seenPrefix begins the line that get puts in front of a document: publish takes
+// it off again and refuses a document that has changed since.
+const seenPrefix = "# zfctl: taken from version "
+
+// splitSeen takes the line off a text.
+func splitSeen(text string) (rest string, seen *uint64) {
+	line, after, _ := strings.Cut(text, "\n")
+	number, ok := strings.CutPrefix(line, seenPrefix)
+	if !ok {
+		return text, nil
+	}
+	offset, err := strconv.ParseUint(strings.TrimSpace(number), 10, 64)
+	if err != nil {
+		return text, nil
+	}
+	return after, &offset
 }
 
 type renderCommand struct {
--- a/internal/zfctl/publish.go
+++ b/internal/zfctl/publish.go
@@ -46,29 +46,36 @@
 	if err != nil {
 		return err
 	}
+	text, seen := splitSeen(text)
 	nonce := uuid.NewString()
 	out, err := post[admin.Published](ctx, g, admin.PathPublish, admin.PublishRequest{
 		Scope:   configstate.Scope(c.Scope),
 		Text:    text,
 		Comment: c.Message,
 		Parent:  c.Parent,
+		Seen:    seen,
 		DryRun:  c.DryRun,
 		Nonce:   nonce,
 	})
 	if err != nil {
-		return c.explain(err, nonce)
+		return c.explain(err, nonce, seen != nil)
 	}
 	return c.finish(ctx, g, out)
 }
 
 // explain names the operator's own file in problems, and the nonce when the
-// outcome is not known.
-func (c *publishCommand) explain(err error, nonce string) error {
+// outcome is not known. A file whose first line was taken off has its lines one
+// further down.
+func (c *publishCommand) explain(err error, nonce string, shifted bool) error {
 	var e *admin.Error
 	if errors.As(err, &e) {
 		for _, p := range e.Problems {
-			if p.File == c.Scope {
-				p.File = c.File
+			if p.File != c.Scope {
+				continue
+			}
+			p.File = c.File
+			if shifted && p.Line > 0 {
+				p.Line++
 			}
 		}
 		return err
--- a/internal/zfctl/zfctl_test.go
+++ b/internal/zfctl/zfctl_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/cli"
+	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
@@ -192,3 +193,22 @@
 	must.Eq(t, 64, len(k.Hash))
 	must.Eq(t, 43, len(k.Key))
 }
+
+// TestSeenLine takes the line of get off again, and keeps the file's own line
+// numbers in problems.
+func TestSeenLine(t *testing.T) {
+	rest, seen := splitSeen(seenPrefix + "41\n[load]\n")
+	must.Eq(t, "[load]\n", rest)
+	must.Eq(t, uint64(41), *seen)
+	for _, text := range []string{"[load]\n", seenPrefix + "x\n[load]\n", ""} {
+		rest, seen = splitSeen(text)
+		must.Eq(t, text, rest)
+		must.Nil(t, seen)
+	}
+	url := api(t, map[string]any{admin.PathPublish: &admin.Error{
+		Code: admin.CodeInvalid, Message: "refused", Problems: []*config.Problem{{File: "base", Line: 1, Message: "bad"}},
+	}})
+	file := write(t, "base.toml", seenPrefix+"41\n[load]\n")
+	_, err := run(t, url, "publish", "base", file)
+	must.ErrorContains(t, err, file+":2: bad")
+}
