--- a/cmd/zf-lab/run.go
+++ b/cmd/zf-lab/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/zinniafork/zinniafork/internal/lab/history"
 	"github.com/zinniafork/zinniafork/internal/lab/scenario"
 )
 
@@ -26,6 +27,7 @@
 	Duration time.Duration `help:"Length of the load." default:"20s"`
 	Policy   string        `help:"Placement policy; empty takes the default."`
 	Log      string        `help:"File for the routers' logs." type:"path"`
+	History  string        `help:"File for all that was observed, as JSON." type:"path"`
 }
 
 // Run runs the scenario and prints its result as the last line.
@@ -49,6 +51,9 @@
 	if err != nil {
 		return err
 	}
+	if err := c.writeHistory(out.History); err != nil {
+		return err
+	}
 	line, err := json.Marshal(out.Result)
 	if err != nil {
 		return err
@@ -60,6 +65,17 @@
 	return nil
 }
 
+func (c *runCommand) writeHistory(h *history.History) error {
+	if c.History == "" {
+		return nil
+	}
+	data, err := json.Marshal(h)
+	if err != nil {
+		return fmt.Errorf("write history: %w", err)
+	}
+	return os.WriteFile(c.History, data, 0o600)
+}
+
 // openLog returns a logger that writes to a file, or nil for no file.
 func openLog(path string) (*logrus.Logger, func(), error) {
 	if path == "" {
--- a/internal/admin/types_state.go
+++ b/internal/admin/types_state.go
@@ -147,6 +147,8 @@
 	Account fleet.Account `json:"account"`
 	Service fleet.Service `json:"service"`
 	Target  fleet.Target  `json:"target,omitempty"`
+	// Router is the VM that ran the order or may have run it.
+	Router fleet.VM `json:"router,omitempty"`
 	// Run is "ran", "not_run" or "unknown"; Running is true while an answer
 	// may still come.
 	Run     call.Run  `json:"run"`
--- a/internal/core/configstate/spread.go
+++ b/internal/core/configstate/spread.go
@@ -23,8 +23,8 @@
 // digestLength is the size of a digest: two offsets and half a hash.
 const digestLength = 8 + hashLength/4 + 8
 
-// ErrDigest means that a digest has the wrong length.
-var ErrDigest = errors.New("configuration digest has the wrong length")
+// ErrDigest means that a digest is too short.
+var ErrDigest = errors.New("configuration digest is too short")
 
 // Digest tells a peer which version a router knows and which is in force.
 type Digest struct {
@@ -55,9 +55,10 @@
 	return binary.BigEndian.AppendUint64(out, d.InForce)
 }
 
-// DecodeDigest reads the bytes of a digest.
+// DecodeDigest reads the bytes of a digest. Bytes that a later release may add
+// are left out.
 func DecodeDigest(data []byte) (Digest, error) {
-	if len(data) != digestLength {
+	if len(data) < digestLength {
 		return Digest{}, ErrDigest
 	}
 	return Digest{
--- a/internal/lab/caller/order.go
+++ b/internal/lab/caller/order.go
@@ -64,7 +64,7 @@
 		Key  string `json:"key"`
 		Echo string `json:"echo"`
 	}
-	if json.Unmarshal(data, &in) != nil {
+	if json.Unmarshal(data, &in) != nil || in.Key == "" {
 		*answer = string(data)
 		return at, verdict{stop: true}
 	}
--- a/internal/lab/check/load/load.go
+++ b/internal/lab/check/load/load.go
@@ -48,6 +48,8 @@
 	// rounding of the rule is taken out: it is above the bound exactly when
 	// the rule is broken.
 	SkewMax float64
+	// SkewP99 is the skew that 99 in 100 starts of requests stay within.
+	SkewP99 float64
 	// OverBound counts the requests begun above the bound.
 	OverBound int
 	// ColdOverload counts the requests begun on a cold engine above what it
@@ -60,13 +62,15 @@
 func Check(h *history.History, bound float64) (Result, []check.Violation) {
 	r := newReplay(h)
 	var (
-		out Result
-		log check.Log
+		out   Result
+		log   check.Log
+		skews []float64
 	)
 	r.run(func(e *engine, run history.EngineRun) {
 		allowed := r.allowed(e, bound)
 		skew := bound * float64(e.running) / float64(allowed)
 		out.SkewMax = max(out.SkewMax, skew)
+		skews = append(skews, skew)
 		if e.running > allowed {
 			out.OverBound++
 			if out.OverBound <= reported {
@@ -75,6 +79,10 @@
 			}
 		}
 	})
+	if n := len(skews); n > 0 {
+		slices.Sort(skews)
+		out.SkewP99 = skews[n*99/100]
+	}
 	out.judgeLimits(h, &log)
 	if n := h.WorkerRefusals; n > 0 {
 		out.Overload += n
--- a/internal/lab/check/service/service.go
+++ b/internal/lab/check/service/service.go
@@ -3,6 +3,12 @@
 package service
 
 import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/check"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
@@ -34,6 +40,8 @@
 	Worst fleet.Account
 	// Served and All count requests.
 	Served, All int
+	// Reasons counts the requests that were not served by what ended them.
+	Reasons map[string]int
 }
 
 type tally struct{ served, all int }
@@ -53,6 +61,7 @@
 	}
 	var total tally
 	accounts := make(map[fleet.Account]tally)
+	reasons := make(map[string]int)
 	for i := range h.Requests {
 		r := &h.Requests[i]
 		if limits.Without[r.Account] {
@@ -64,10 +73,12 @@
 		if served(r, runs) {
 			t.served++
 			total.served++
+		} else {
+			reasons[reason(r, runs)]++
 		}
 		accounts[r.Account] = t
 	}
-	out := Result{Service: total.share(), MinAccount: 1, Served: total.served, All: total.all}
+	out := Result{Service: total.share(), MinAccount: 1, Served: total.served, All: total.all, Reasons: reasons}
 	for name, t := range accounts {
 		if share := t.share(); share < out.MinAccount || share == out.MinAccount && name < out.Worst {
 			out.MinAccount, out.Worst = share, name
@@ -84,14 +95,49 @@
 	return r.Kind != history.KindOrder || runs[r.Key] == 1
 }
 
+// reason names what ended a request that was not served.
+func reason(r *history.Request, runs map[string]int) string {
+	last := r.Last()
+	switch {
+	case r.Whole() && r.Answer != r.Want:
+		return "wrong answer"
+	case r.Whole() && r.Latency() > r.Limit:
+		return "late"
+	case r.Whole():
+		return fmt.Sprintf("ran %d times", runs[r.Key])
+	case last.Code != "":
+		return last.Code + " at " + last.Step
+	case last.FirstByte.IsZero():
+		return "no answer began"
+	default:
+		return "answer not finished"
+	}
+}
+
+// topReasons lists the most frequent reasons.
+func (out Result) topReasons() string {
+	names := slices.Collect(maps.Keys(out.Reasons))
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(out.Reasons[b], out.Reasons[a]), cmp.Compare(a, b))
+	})
+	var parts []string
+	for _, name := range names[:min(len(names), shownReasons)] {
+		parts = append(parts, fmt.Sprintf("%s %d", name, out.Reasons[name]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// shownReasons is the number of reasons that a violation lists.
+const shownReasons = 4
+
 func (out Result) judge(limits Limits) []check.Violation {
 	var log check.Log
 	if out.All == 0 {
 		log.Add(Rule, "no request was sent")
 	}
 	if out.Service < limits.Overall {
-		log.Add(Rule, "%d of %d requests completed once and in time, %.4f, want %.4f",
-			out.Served, out.All, out.Service, limits.Overall)
+		log.Add(Rule, "%d of %d requests completed once and in time, %.4f, want %.4f: %s",
+			out.Served, out.All, out.Service, limits.Overall, out.topReasons())
 	}
 	if limits.AccountGap > 0 && out.MinAccount < out.Service-limits.AccountGap {
 		log.Add(RuleAccount, "%s got %.4f, all together %.4f, allowed gap %.4f",
--- a/internal/lab/check/service/service_test.go
+++ b/internal/lab/check/service/service_test.go
@@ -39,14 +39,15 @@
 		request history.Request
 		runs    []history.WorkerRun
 		served  int
+		reason  string
 	}{
-		{"in time", good, nil, 1},
-		{"late", late, nil, 0},
-		{"failed", failed, nil, 0},
-		{"wrong answer", wrong, nil, 0},
-		{"order once", order, once, 1},
-		{"order twice", order, append(once, once...), 0},
-		{"order never", order, nil, 0},
+		{"in time", good, nil, 1, ""},
+		{"late", late, nil, 0, "late"},
+		{"failed", failed, nil, 0, "no answer began"},
+		{"wrong answer", wrong, nil, 0, "wrong answer"},
+		{"order once", order, once, 1, ""},
+		{"order twice", order, append(once, once...), 0, "ran 2 times"},
+		{"order never", order, nil, 0, "ran 0 times"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -54,6 +55,9 @@
 			got, violations := service.Check(h, service.Limits{Overall: 0.5})
 			must.Eq(t, c.served, got.Served)
 			must.Len(t, 1-c.served, violations)
+			if c.served == 0 {
+				must.StrContains(t, violations[0].Text, c.reason+" 1")
+			}
 		})
 	}
 }
--- a/internal/lab/compare/compare.go
+++ b/internal/lab/compare/compare.go
@@ -36,6 +36,7 @@
 	Reuse         Spread `json:"cache_reuse"`
 	ReuseOfOracle Spread `json:"cache_reuse_of_oracle"`
 	Skew          Spread `json:"load_skew_max"`
+	SkewP99       Spread `json:"load_skew_p99"`
 	OverBound     Spread `json:"over_bound"`
 	ColdOverload  Spread `json:"cold_overload"`
 	Control       Spread `json:"control_bytes_per_s_max"`
@@ -88,6 +89,7 @@
 		Reuse:         spread(func(m scenario.Measures) float64 { return m.CacheReuse }),
 		ReuseOfOracle: spread(ofOracle),
 		Skew:          spread(func(m scenario.Measures) float64 { return m.LoadSkewMax }),
+		SkewP99:       spread(func(m scenario.Measures) float64 { return m.LoadSkewP99 }),
 		OverBound:     spread(func(m scenario.Measures) float64 { return float64(m.OverBound) }),
 		ColdOverload:  spread(func(m scenario.Measures) float64 { return float64(m.ColdOverload) }),
 		Control:       spread(func(m scenario.Measures) float64 { return m.ControlBytesPerSMax }),
@@ -132,13 +134,13 @@
 	t.SetOutputMirror(out)
 	t.SetStyle(table.StyleLight)
 	t.AppendHeader(table.Row{
-		"policy", "passed", "reuse", "of oracle", "skew max", "over bound",
+		"policy", "passed", "reuse", "of oracle", "skew max", "skew p99", "over bound",
 		"cold overload", "control B/s", "service", "worst account", "first token p95 ms",
 	})
 	for _, r := range rows {
 		t.AppendRow(table.Row{
 			r.Policy, fmt.Sprintf("%d/%d", r.Passed, r.Runs),
-			show("%.3f", r.Reuse), show("%.3f", r.ReuseOfOracle), show("%.2f", r.Skew), show("%.0f", r.OverBound),
+			show("%.3f", r.Reuse), show("%.3f", r.ReuseOfOracle), show("%.2f", r.Skew), show("%.2f", r.SkewP99), show("%.0f", r.OverBound),
 			show("%.0f", r.ColdOverload), show("%.0f", r.Control), show("%.4f", r.Service),
 			show("%.4f", r.MinAccount), show("%.0f", r.FirstTokenP95),
 		})
--- a/internal/lab/scenario/result.go
+++ b/internal/lab/scenario/result.go
@@ -31,6 +31,7 @@
 	CacheReuseOracle       float64 `json:"cache_reuse_oracle"`
 	CacheReuseUnlimited    float64 `json:"cache_reuse_unlimited"`
 	LoadSkewMax            float64 `json:"load_skew_max"`
+	LoadSkewP99            float64 `json:"load_skew_p99"`
 	Bound                  float64 `json:"bound"`
 	OverBound              int     `json:"over_bound"`
 	ColdOverload           int     `json:"cold_overload"`
@@ -78,7 +79,8 @@
 
 	l, v := load.Check(h, Bound)
 	collect(v)
-	m.LoadSkewMax, m.OverBound, m.ColdOverload, m.Overload = l.SkewMax, l.OverBound, l.ColdOverload, l.Overload
+	m.LoadSkewMax, m.LoadSkewP99, m.OverBound = l.SkewMax, l.SkewP99, l.OverBound
+	m.ColdOverload, m.Overload = l.ColdOverload, l.Overload
 
 	after, v := drain.Check(h)
 	collect(v)
--- a/internal/lab/suite/suite.go
+++ b/internal/lab/suite/suite.go
@@ -80,7 +80,7 @@
 	t := table.NewWriter()
 	t.SetOutputMirror(out)
 	t.AppendHeader(table.Row{
-		"site", "scenario", "seed", "pass", "service", "worst account", "reuse", "oracle", "skew", "over bound",
+		"site", "scenario", "seed", "pass", "service", "worst account", "reuse", "oracle", "skew max", "skew p99", "over bound",
 		"cold", "control B/s", "orders twice/lost/unknown", "false not run", "wrong answers",
 		"work after drain ms", "config ms", "cut", "first token p95 ms", "overhead p50/p99 ms",
 	})
@@ -88,7 +88,7 @@
 		m := r.Measures
 		t.AppendRow(table.Row{
 			r.Site, r.Scenario, r.Seed, r.Pass, fmt.Sprintf("%.4f", m.Service), fmt.Sprintf("%.4f", m.ServiceMinAccount),
-			fmt.Sprintf("%.3f", m.CacheReuse), fmt.Sprintf("%.3f", m.CacheReuseOracle), fmt.Sprintf("%.2f", m.LoadSkewMax), m.OverBound,
+			fmt.Sprintf("%.3f", m.CacheReuse), fmt.Sprintf("%.3f", m.CacheReuseOracle), fmt.Sprintf("%.2f", m.LoadSkewMax), fmt.Sprintf("%.2f", m.LoadSkewP99), m.OverBound,
 			m.ColdOverload, fmt.Sprintf("%.0f", m.ControlBytesPerSMax),
 			fmt.Sprintf("%d/%d/%d", m.OrdersDuplicated, m.OrdersLost, m.OrdersUnknown), m.FalseNotRun, m.AnswersWrong,
 			fmt.Sprintf("%.0f", m.NewWorkAfterDrainMS), fmt.Sprintf("%.0f", m.ConfigConvergeMSMax), m.StreamsCut,
--- a/internal/service/adminapi/errors.go
+++ b/internal/service/adminapi/errors.go
@@ -124,7 +124,10 @@
 }
 
 func callError(e *call.Error) *admin.Error {
-	out := &admin.Error{Code: admin.CodeUnavailable, Message: e.Error(), Next: "try again, or ask another router"}
+	out := &admin.Error{Code: admin.CodeUnavailable, Message: e.Step + ": " + e.Message, Next: "try again, or ask another router"}
+	if e.Peer != "" {
+		out.Message = e.Step + " at " + e.Peer + ": " + e.Message
+	}
 	switch e.Code {
 	case call.CodeNotFound:
 		out.Code, out.Next = admin.CodeNotFound, ""
--- a/internal/service/adminapi/orders.go
+++ b/internal/service/adminapi/orders.go
@@ -12,9 +12,6 @@
 const explainerName = route.Name
 
 func (s *Service) explain(c *request, in explain.Question) (*explain.Answer, error) {
-	if s.explainer == nil {
-		return nil, unavailable("", "this router cannot explain placements")
-	}
 	asked := 0
 	for _, set := range []bool{in.Request != "", in.Model != "", in.Service != ""} {
 		if set {
@@ -24,6 +21,12 @@
 	if asked != 1 {
 		return nil, badRequest("want one of a request, a model and a service")
 	}
+	if in.Request != "" {
+		return s.figures.Failure(in.Request)
+	}
+	if s.explainer == nil {
+		return nil, unavailable("", "this router cannot explain placements")
+	}
 	return s.explainer.Explain(c.Context(), in)
 }
 
@@ -41,7 +44,7 @@
 	for _, o := range orders {
 		// The answer itself belongs to the account that ordered.
 		out.Orders = append(out.Orders, admin.Order{
-			Key: o.Key, Account: o.Account, Service: o.Service, Target: o.Target, Run: o.Run,
+			Key: o.Key, Account: o.Account, Service: o.Service, Target: o.Target, Router: o.Router, Run: o.Run,
 			Running: o.Running, At: o.At, Status: o.Status, SettledBy: o.SettledBy,
 		})
 	}
--- a/internal/service/callerapi/serve.go
+++ b/internal/service/callerapi/serve.go
@@ -107,6 +107,8 @@
 		Kind:    x.req.Kind,
 		Run:     call.RunDone,
 		Total:   now.Sub(arrived),
+		Request: x.req,
+		Err:     e,
 	}
 	if !firstByte.IsZero() {
 		sample.FirstByte = firstByte.Sub(arrived)
--- a/internal/service/figures/figures.go
+++ b/internal/service/figures/figures.go
@@ -11,6 +11,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/usage"
+	"github.com/zinniafork/zinniafork/internal/explain"
 )
 
 // Name is the service's name in the kernel.
@@ -32,6 +33,10 @@
 	Total     time.Duration
 	// InTime is true for a whole answer within its deadlines.
 	InTime bool
+	// Request and Err tell of a failed request what operators may ask later;
+	// both may be nil.
+	Request *call.Request
+	Err     *call.Error
 }
 
 // Recorder takes samples from the caller interface.
@@ -71,6 +76,9 @@
 	// Summaries returns the newest summary of each site, sorted by site, from
 	// the log. With an error it returns those that were read last.
 	Summaries(ctx context.Context) ([]Summary, error)
+	// Failure tells why a request failed on this router. It is an error when
+	// the router does not remember it.
+	Failure(id call.ID) (*explain.Answer, error)
 }
 
 // sampleCounts returns what one sample adds.
--- a/internal/service/figures/service.go
+++ b/internal/service/figures/service.go
@@ -51,6 +51,8 @@
 	clock   kernel.Clock
 	logger  *logrus.Entry
 
+	failures *failures
+
 	mu       sync.Mutex
 	ring     usage.Ring
 	children map[fleet.VM]report
@@ -82,6 +84,7 @@
 	s.log, s.clock, s.logger = p.Log(), c.Clock, c.Logger()
 	s.children = make(map[fleet.VM]report)
 	s.known = make(map[fleet.Site]Summary)
+	s.failures = newFailures()
 	s.changed = make(chan struct{}, 1)
 	s.config.Watch(s.noteChange)
 	s.peers.HandleControl(peer.KindFigures, s.hear)
@@ -98,6 +101,7 @@
 func (s *Service) Record(sample Sample) {
 	id := usage.ID{Member: sample.Member, Account: sample.Account}
 	now := s.clock.Now()
+	s.failures.note(now, &sample)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ring.Add(now, id, sampleCounts(sample))
--- a/internal/service/route/explain.go
+++ b/internal/service/route/explain.go
@@ -4,9 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"time"
-
-	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
@@ -14,44 +11,9 @@
 	"github.com/zinniafork/zinniafork/internal/service/owner"
 )
 
-// failuresKept is the number of failed requests that a router remembers.
-const failuresKept = 1024
-
-// failures remembers the newest failed requests.
-type failures struct {
-	byID *lru.Cache[call.ID, explain.Failure]
-}
-
-func newFailures() *failures {
-	cache, err := lru.New[call.ID, explain.Failure](failuresKept)
-	if err != nil {
-		panic(err) // only a size below one is an error
-	}
-	return &failures{byID: cache}
-}
-
-func (f *failures) note(now time.Time, req *call.Request, e *call.Error) {
-	f.byID.Add(req.ID, explain.Failure{
-		Request: req.ID,
-		At:      now.UTC(),
-		Member:  req.Member,
-		Account: req.Account,
-		Model:   req.Model,
-		Service: req.Service,
-		Code:    e.Code,
-		Step:    e.Step,
-		Peer:    e.Peer,
-		Run:     e.Run,
-		Message: e.Message,
-	})
-}
-
 // Explain tells where a request would go now, by what the owners' digests
-// show, or why a request failed here.
+// show.
 func (s *Service) Explain(_ context.Context, q explain.Question) (*explain.Answer, error) {
-	if q.Request != "" {
-		return s.explainFailure(q.Request)
-	}
 	req := &call.Request{Kind: call.KindChat, Model: q.Model, Service: q.Service, Chat: q.Chat, Account: q.Account}
 	if q.Service != "" {
 		req.Kind = call.KindService
@@ -70,18 +32,6 @@
 	return out, nil
 }
 
-func (s *Service) explainFailure(id call.ID) (*explain.Answer, error) {
-	f, ok := s.failures.byID.Get(id)
-	if !ok {
-		return nil, &call.Error{
-			Code: call.CodeNotFound, Step: Name, Run: call.RunNot,
-			Message: fmt.Sprintf("no failed request %q is remembered on this router", id),
-		}
-	}
-	reason := fmt.Sprintf("%s: %s (%s)", f.Step, f.Message, f.Code)
-	return &explain.Answer{Steps: []explain.Step{}, Reason: reason, Failure: &f}, nil
-}
-
 // states returns the states of targets that owners report.
 func (s *Service) states() map[fleet.Target]string {
 	out := make(map[fleet.Target]string)
--- a/internal/service/route/failover_test.go
+++ b/internal/service/route/failover_test.go
@@ -116,7 +116,7 @@
 	return &Service{
 		config: cfg, targets: &fixedTargets{all: []placement.Candidate{a, b}}, owners: fixedOwners{vm: "vm-2"},
 		peers: peers, clock: kernel.SystemClock{}, self: "vm-1", logger: logrus.NewEntry(logger),
-		meters: newMeters(metrics.NewRegistry()), failures: newFailures(),
+		meters: newMeters(metrics.NewRegistry()),
 		policy: fixedOrder{}, rules: placement.Bounded{}.Rules(), random: rand.New(rand.NewPCG(1, 1)),
 		accounts: retry.NewBudgets[fleet.Account](1), byTarget: retry.NewBudgets[fleet.Target](1),
 	}, peers
--- a/internal/service/route/route.go
+++ b/internal/service/route/route.go
@@ -75,7 +75,6 @@
 	random   *rand.Rand
 	accounts *retry.Budgets[fleet.Account]
 	byTarget *retry.Budgets[fleet.Target]
-	failures *failures
 }
 
 // Name returns the service's name.
@@ -101,7 +100,6 @@
 	defaults := config.Defaults().Retry
 	s.accounts = retry.NewBudgets[fleet.Account](defaults.AccountRatio)
 	s.byTarget = retry.NewBudgets[fleet.Target](defaults.TargetRatio)
-	s.failures = newFailures()
 	s.config.Watch(s.configure)
 	s.peers.HandleCall(peer.KindRun, s.serve)
 	return nil
--- a/internal/service/route/run.go
+++ b/internal/service/route/run.go
@@ -45,9 +45,7 @@
 	if err.Run == call.RunNot {
 		s.meters.refused.Inc(1)
 	}
-	out := final(err)
-	s.failures.note(s.clock.Now(), req, out)
-	return out
+	return final(err)
 }
 
 // final turns the last error of a journey into what callers see. Who owns what
--- a/internal/zfctl/state.go
+++ b/internal/zfctl/state.go
@@ -165,9 +165,9 @@
 			if v.Running {
 				run += ", running"
 			}
-			rows = append(rows, table.Row{v.Key, v.Account, v.Service, run, dash(string(v.Target)), timeText(v.At), dash(v.SettledBy)})
+			rows = append(rows, table.Row{v.Key, v.Account, v.Service, run, dash(string(v.Target)), dash(string(v.Router)), timeText(v.At), dash(v.SettledBy)})
 		}
-		g.table(table.Row{"Key", "Account", "Service", "Outcome", "Target", "Since", "Settled by"}, rows)
+		g.table(table.Row{"Key", "Account", "Service", "Outcome", "Target", "Router", "Since", "Settled by"}, rows)
 	})
 }
 
