Read an unchanged VM list without its body

Cause: each router read the whole VM list at each poll. Conclusion: the cost no longer grows with the list while it stays the same.

--- a/internal/platform/vmlist/contract_test.go
+++ b/internal/platform/vmlist/contract_test.go
@@ -1,6 +1,9 @@
 package vmlist_test
 
 import (
+	"maps"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,3 +87,26 @@
 		must.NoError(t, err)
 	})
 }
+
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	s := vmlistd.New()
+	bodies := 0
+	served := standintest.Serve(t, kernel.SystemNetwork{}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		recorded := httptest.NewRecorder()
+		s.Handler().ServeHTTP(recorded, r)
+		if recorded.Body.Len() > 0 {
+			bodies++
+		}
+		maps.Copy(w.Header(), recorded.Header())
+		w.WriteHeader(recorded.Code)
+		_, _ = w.Write(recorded.Body.Bytes())
+	}))
+	client := vmlist.New(served.URL, served.Client)
+	for i, state := range []fleet.VMState{fleet.VMLive, fleet.VMLive, fleet.VMLeaving, fleet.VMLeaving} {
+		s.Put(row("a", state))
+		list, err := client.Fetch(t.Context())
+		must.NoError(t, err)
+		must.Eq(t, []fleet.VMInfo{row("a", state)}, list.VMs)
+		must.Eq(t, 1+i/2, bodies)
+	}
+}
--- a/internal/standin/vmlistd/vmlistd.go
+++ b/internal/standin/vmlistd/vmlistd.go
@@ -3,16 +3,19 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/platform/vmlist"
-	"github.com/zinniafork/zinniafork/internal/standin/fault"
 )
 
 // Options shape a VM list.
@@ -94,10 +97,27 @@
 // Handler serves the list.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/vms", func(w http.ResponseWriter, _ *http.Request) { fault.WriteJSON(w, s.List()) })
+	mux.HandleFunc("GET /v1/vms", s.serve)
 	return mux
 }
 
+// serve answers with the list, or with 304 when the reader has it.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := json.Marshal(s.List())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 16))
+	w.Header().Set("Etag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
 // AdminHandler changes the list: PUT and DELETE /admin/vms/{vm}.
 func (s *Server) AdminHandler() http.Handler {
 	mux := http.NewServeMux()
