--- a/internal/core/configstate/state.go
+++ b/internal/core/configstate/state.go
@@ -126,7 +126,9 @@
 func (s *State) Log(page Page, began, now time.Time) []Event {
 	var events []Event
 	if page.Earliest > s.next {
-		events = append(events, Event{Kind: EventGap, Offset: page.Earliest})
+		if s.next > 0 {
+			events = append(events, Event{Kind: EventGap, Offset: page.Earliest})
+		}
 		s.Restart(page.Earliest)
 	}
 	for _, r := range page.Records {
--- a/internal/service/adminapi/config_write.go
+++ b/internal/service/adminapi/config_write.go
@@ -11,7 +11,6 @@
 	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 )
 
 const (
@@ -57,10 +56,10 @@
 // carryOut makes and checks a plan, and publishes it unless it is a dry run.
 // When another change comes first, it does so again on top of that one, unless
 // the author expected a version or both change the same document.
-func (s *Service) carryOut(c *request, make planner) (*admin.Published, error) {
+func (s *Service) carryOut(c *request, build planner) (*admin.Published, error) {
 	entry, docs := s.config.Newest()
 	for try := 1; ; try++ {
-		p, err := make(docs)
+		p, err := build(docs)
 		if err != nil {
 			return nil, err
 		}
@@ -201,76 +200,6 @@
 	}
 }
 
-// capacityAfter compares the capacity of the sites whose capacity changes.
-func (s *Service) capacityAfter(before, after configstate.Documents) []admin.SiteCapacity {
-	out := []admin.SiteCapacity{}
-	for _, site := range config.SitesOf(after) {
-		now, then := capacities(site, before), capacities(site, after)
-		for _, c := range then {
-			entry := admin.SiteCapacity{Site: site, Capacity: c, Before: inService(now, c), Running: -1}
-			if entry.Before == c.InService {
-				continue
-			}
-			if site == s.identity.Self().Site {
-				entry.Running = s.running(c)
-			}
-			out = append(out, entry)
-		}
-	}
-	return out
-}
-
-func capacities(site fleet.Site, docs configstate.Documents) []config.Capacity {
-	c := merge(site, docs)
-	if c == nil {
-		return nil
-	}
-	return (&config.Effective{Config: c}).Capacities()
-}
-
-func inService(all []config.Capacity, like config.Capacity) int {
-	for _, c := range all {
-		if c.Kind == like.Kind && c.Name == like.Name {
-			return c.InService
-		}
-	}
-	return 0
-}
-
-// running counts the requests that run on the targets of a model or service.
-func (s *Service) running(c config.Capacity) int {
-	e := s.config.Current()
-	if s.targets == nil || e == nil {
-		return -1
-	}
-	sum := 0
-	for _, r := range s.targets.Targets() {
-		t := e.Target(r.Target)
-		if t == nil {
-			continue
-		}
-		if c.Kind == "service" && string(t.Service) == c.Name || slices.Contains(t.Models, fleet.Model(c.Name)) {
-			sum += r.Running
-		}
-	}
-	return sum
-}
-
-// keepsCapacity refuses a change after which something that can be served now
-// cannot be served any more.
-func keepsCapacity(all []admin.SiteCapacity) error {
-	for _, c := range all {
-		if c.Before > 0 && c.InService == 0 {
-			return &admin.Error{
-				Code:    admin.CodeCapacity,
-				Message: fmt.Sprintf("no capacity would be left for %s %q at site %q", c.Kind, c.Name, c.Site),
-				Next:    "bring other targets back first, or force it",
-			}
-		}
-	}
-	return nil
-}
-
 // keepsAdministrator refuses a base that nobody could change again.
 func keepsAdministrator(docs configstate.Documents) error {
 	text, _ := docs.Text(configstate.Base)
@@ -289,47 +218,3 @@
 		Next:    "add one; zfctl key new makes a key",
 	}}
 }
-
-func (s *Service) rollback(c *request, in admin.RollbackRequest) (*admin.Published, error) {
-	old, docs, err := s.version(&in.Version)
-	if err != nil {
-		return nil, err
-	}
-	_, newest := s.config.Newest()
-	if in.Scope == "" {
-		if in.Scope, err = onlyDifference(docs, newest); err != nil {
-			return nil, err
-		}
-	}
-	text, ok := docs.Text(in.Scope)
-	if !ok {
-		return nil, badRequest("version %d has no document %q", in.Version, in.Scope)
-	}
-	if in.Comment == "" {
-		in.Comment = fmt.Sprintf("back to version %d by %s", old.Version.Offset, old.Author)
-	}
-	return s.carryOut(c, fixed(plan{
-		scope: in.Scope, text: text, comment: in.Comment, parent: in.Parent, dryRun: in.DryRun,
-	}))
-}
-
-// onlyDifference returns the one document that differs between two versions.
-func onlyDifference(old, newest configstate.Documents) (configstate.Scope, error) {
-	var differ []configstate.Scope
-	for _, scope := range scopesOf(old, newest) {
-		a, _ := old.Text(scope)
-		b, _ := newest.Text(scope)
-		if a != b {
-			differ = append(differ, scope)
-		}
-	}
-	switch len(differ) {
-	case 0:
-		return "", &admin.Error{Code: admin.CodeUnchanged, Message: "nothing would change"}
-	case 1:
-		return differ[0], nil
-	}
-	e := badRequest("several documents differ: %v", differ)
-	e.Next = "name one of them with --scope, and go back one document at a time"
-	return "", e
-}
