Claim anew in each tenure, and let repeats wait for a release

After: a tenure starts without a claim; a repeat waits until the release is read and then runs, or is refused by confirmation. Unit tests hold both.

--- a/internal/core/orders/claim.go
+++ b/internal/core/orders/claim.go
@@ -92,14 +92,15 @@
 	m.claim.retryAt = now.Add(claimRetry)
 }
 
-// owned follows the ownership of the partition.
+// owned follows the ownership of the partition. Each tenure needs a claim of
+// its own, because others may have claimed and run orders between two.
 func (m *Machine) owned(held bool) {
 	m.held = held
+	m.claim.phase = claimNone
+	m.claim.retryAt = time.Time{}
 	if held {
 		return
 	}
-	m.claim.phase = claimNone
-	m.claim.retryAt = time.Time{}
 	left := m.parked
 	m.parked = nil
 	for _, k := range sortedKeys(m.waiting) {
--- a/internal/core/orders/log.go
+++ b/internal/core/orders/log.go
@@ -206,6 +206,8 @@
 	for _, k := range sortedKeys(m.local) {
 		l := m.local[k]
 		switch {
+		case l.freed():
+			m.refuseWaiting(k, ReasonLogUnavailable)
 		case l.state != localWaiting:
 		case l.ticket:
 			m.runTicket(now, k, l)
--- a/internal/core/orders/machine_test.go
+++ b/internal/core/orders/machine_test.go
@@ -200,3 +200,40 @@
 		})
 	}
 }
+
+// Another router may have claimed the partition and run orders between two
+// tenures, although this one never noticed that it had lost the first.
+func TestEachTenureNeedsItsOwnClaim(t *testing.T) {
+	n := newNode(t)
+	n.own()
+	n.step(orders.Owned{Held: true})
+	must.False(t, n.m.Serves())
+	claimed := take[orders.Append](n)
+	must.Eq(t, orders.KindClaim, claimed.Records[0].Kind)
+}
+
+// A release that is on its way may have been read, and the order run, by the
+// next owner. So a repeat waits until it is read here.
+func TestRepeatWaitsForTheRelease(t *testing.T) {
+	n := newNode(t)
+	n.own()
+	n.submit(1, key)
+	n.step(orders.Appended{Batch: take[orders.Append](n).Batch, First: 1})
+	d := take[orders.Dispatch](n)
+	n.step(orders.Dispatched{Key: d.Key, Nonce: d.Nonce, Outcome: orders.Outcome{Run: orders.RunNot}})
+	must.Eq(t, orders.RunNot, take[orders.Answer](n).Reply.Run)
+	n.submit(2, key)
+	must.False(t, has[orders.Answer](n))
+
+	n.now = n.now.Add(time.Second)
+	n.step(orders.Tick{})
+	released := take[orders.Append](n)
+	must.Eq(t, orders.KindReleased, released.Records[0].Kind)
+	n.step(orders.Appended{Batch: released.Batch, First: 3})
+	must.False(t, has[orders.Answer](n))
+	must.False(t, has[orders.Append](n))
+	n.step(orders.ReadPage{Next: 4, Records: []orders.Logged{
+		logged(2, n.now, about(orders.KindUnknown, "another", ownB)), logged(3, n.now, released.Records[0]),
+	}})
+	must.Eq(t, orders.KindIntent, take[orders.Append](n).Records[0].Kind)
+}
--- a/internal/core/orders/submit.go
+++ b/internal/core/orders/submit.go
@@ -114,13 +114,19 @@
 	switch {
 	case l.identity != s.Identity:
 		m.answer(s.ID, Reply{Run: RunNot, Reason: ReasonKeyReused})
-	case l.state == localOver:
+	case l.freed() && m.log.down:
+		m.refuse(s, ReasonLogUnavailable)
+	case l.state == localOver && !l.freed():
 		m.answer(s.ID, m.outcomeReply(s.Key.Key, l.outcome, true))
 	default:
 		m.wait(s)
 	}
 }
 
+// freed reports whether the order was not sent and its release is on the way
+// to the log. Once the release is read, the order may run again.
+func (l *local) freed() bool { return l.state == localOver && l.outcome.Run == RunNot }
+
 func (m *Machine) wait(s Submit) {
 	m.expect(s.Deadline)
 	m.waiting[s.Key.Key] = append(m.waiting[s.Key.Key], s)
@@ -243,11 +249,12 @@
 
 func (m *Machine) endRefusal(now time.Time, r refusal) {
 	k := r.submit.Key.Key
-	if l := m.local[k]; l != nil {
+	l := m.local[k]
+	if l != nil && !l.freed() {
 		m.join(r.submit, l)
 		return
 	}
-	if e := m.ledger.Entry(k); e != nil && m.answerEntry(now, r.submit, e) {
+	if e := m.ledger.Entry(k); l == nil && e != nil && m.answerEntry(now, r.submit, e) {
 		return
 	}
 	run := RunNot
@@ -268,6 +275,10 @@
 // giveUp ends a local order that was not sent. Its nonce is never used.
 func (m *Machine) giveUp(now time.Time, k Key, reason Reason) {
 	m.abandon(now, k)
+	m.refuseWaiting(k, reason)
+}
+
+func (m *Machine) refuseWaiting(k Key, reason Reason) {
 	waiters := m.waiting[k]
 	delete(m.waiting, k)
 	for _, s := range waiters {
