Split the connection and merge what stood twice

Before: one file. After: conn, outbox, closing and silence; one function reads, checks and runs an exchange; tests of silence share their start.

--- a/internal/service/callerapi/chat.go
+++ b/internal/service/callerapi/chat.go
@@ -22,21 +22,6 @@
 	Messages []json.RawMessage `json:"messages"`
 }
 
-// chat runs a chat-completions request.
-func (s *Service) chat(w http.ResponseWriter, r *http.Request, account *config.Account) {
-	body, e := s.readBody(w, r)
-	if e != nil {
-		writeError(w, e)
-		return
-	}
-	x, e := s.chatExchange(r, account, body)
-	if e != nil {
-		writeError(w, e)
-		return
-	}
-	s.serve(w, r, account, x)
-}
-
 // chatExchange checks a chat request.
 func (s *Service) chatExchange(r *http.Request, account *config.Account, body []byte) (*exchange, *call.Error) {
 	cfg := s.config.Current()
--- a/internal/service/callerapi/handler.go
+++ b/internal/service/callerapi/handler.go
@@ -19,9 +19,9 @@
 	mux.HandleFunc("GET /readyz", s.ready)
 	mux.HandleFunc("GET /v1/entry", s.withAccount(s.entry))
 	mux.HandleFunc("GET /v1/models", s.withAccount(s.models))
-	mux.HandleFunc("POST /v1/chat/completions", s.withAccount(s.chat))
+	mux.HandleFunc("POST /v1/chat/completions", s.withAccount(s.exchanges(s.chatExchange)))
 	s.handleOrders(mux)
-	service := s.withAccount(s.service)
+	service := s.withAccount(s.exchanges(s.serviceExchange))
 	other := s.withAccount(func(w http.ResponseWriter, _ *http.Request, _ *config.Account) {
 		writeError(w, problem(call.CodeNotFound, "no such path or method", nil))
 	})
--- a/internal/service/callerapi/serve.go
+++ b/internal/service/callerapi/serve.go
@@ -25,6 +25,24 @@
 	from answers.Position
 }
 
+// exchanges returns a handler that reads the body of a request, has it checked,
+// and runs it.
+func (s *Service) exchanges(check func(*http.Request, *config.Account, []byte) (*exchange, *call.Error)) accountHandler {
+	return func(w http.ResponseWriter, r *http.Request, account *config.Account) {
+		body, e := s.readBody(w, r)
+		if e != nil {
+			writeError(w, e)
+			return
+		}
+		x, e := check(r, account, body)
+		if e != nil {
+			writeError(w, e)
+			return
+		}
+		s.serve(w, r, account, x)
+	}
+}
+
 // serve runs an exchange and answers the caller.
 func (s *Service) serve(w http.ResponseWriter, r *http.Request, account *config.Account, x *exchange) {
 	if e := s.limits.enter(account); e != nil {
--- a/internal/service/callerapi/services.go
+++ b/internal/service/callerapi/services.go
@@ -11,21 +11,6 @@
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 )
 
-// service runs a call of a plain service.
-func (s *Service) service(w http.ResponseWriter, r *http.Request, account *config.Account) {
-	body, e := s.readBody(w, r)
-	if e != nil {
-		writeError(w, e)
-		return
-	}
-	x, e := s.serviceExchange(r, account, body)
-	if e != nil {
-		writeError(w, e)
-		return
-	}
-	s.serve(w, r, account, x)
-}
-
 // serviceExchange checks a call of a plain service.
 func (s *Service) serviceExchange(r *http.Request, account *config.Account, body []byte) (*exchange, *call.Error) {
 	cfg := s.config.Current()
--- a/internal/service/peer/serve.go
+++ b/internal/service/peer/serve.go
@@ -232,9 +232,7 @@
 	if err != nil {
 		return
 	}
-	if c.offer(c.bulk, i) != nil {
-		go func() { _ = c.push(context.Background(), c.bulk, i) }()
-	}
+	c.pushLater(i)
 }
 
 // remoteSink sends an answer to the router that asked for it.
--- /dev/null
+++ b/internal/service/peer/silence.go
@@ -0,0 +1,70 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/wire"
+)
+
+// tick probes a connection that is in use and silent. A probe that stays
+// unanswered makes the connection suspect, so that another one is opened. It is
+// closed when that other one works, which shows that the router is alive, or
+// when the silence lasts too long.
+func (c *conn) tick(now time.Time) {
+	at := now.UnixNano()
+	if p := c.pinged.Load(); p != 0 {
+		c.judge(time.Duration(at - p))
+		return
+	}
+	opened, served := c.streams()
+	limit := c.host.settings.Ping.Std()
+	received := c.received.Load()
+	if opened > 0 || served > 0 {
+		limit /= 2
+	} else if c.sent.Load() <= received {
+		return
+	}
+	if at-received > int64(limit) {
+		c.ping(at)
+	}
+}
+
+// judge decides on a connection whose probe has been unanswered for a time.
+func (c *conn) judge(unanswered time.Duration) {
+	limit := c.host.settings.Silence.Std()
+	if c.host.links.replaced(c) {
+		limit = min(limit, 2*c.host.settings.Suspect.Std())
+	}
+	switch {
+	case unanswered > limit:
+		c.host.metrics.silent.Inc(1)
+		c.host.logger.WithField("peer", c.vm).Warn("Connection went silent.")
+		c.close(errSilent)
+	case unanswered > c.host.settings.Suspect.Std():
+		c.host.links.suspect(c)
+	}
+}
+
+// excuse forgets how long the other side has been silent, because this one was
+// paused and has not read what came.
+func (c *conn) excuse(now time.Time) {
+	at := now.UnixNano()
+	c.received.Store(at)
+	if c.pinged.Load() != 0 {
+		c.pinged.Store(at)
+	}
+}
+
+// probe pings a connection that has been silent, before it is used.
+func (c *conn) probe() {
+	at := c.host.clock.Now().UnixNano()
+	if c.pinged.Load() == 0 && at-c.received.Load() > int64(c.host.settings.Ping) {
+		c.ping(at)
+	}
+}
+
+func (c *conn) ping(at int64) {
+	if c.pinged.CompareAndSwap(0, at) {
+		c.offerFrame(&wire.Frame{Type: wire.TypePing}, KindTransport)
+	}
+}
--- a/internal/service/peer/silence_test.go
+++ b/internal/service/peer/silence_test.go
@@ -28,20 +28,36 @@
 	}
 }
 
+// bubblePair starts two routers that know each other on a network of their
+// own; setUp adds handlers to the second.
+func bubblePair(t *testing.T, setUp func(*Service)) (network *kerneltest.Network, a, b *router) {
+	t.Helper()
+	network = kerneltest.NewNetwork()
+	a = startRouter(t, "a", network, "", nil)
+	b = startRouter(t, "b", network, "", setUp)
+	introduceAll(t, a, b)
+	return network, a, b
+}
+
+// startCall calls router b in the background and waits until it works on the
+// request.
+func startCall(t *testing.T, a *router) <-chan error {
+	t.Helper()
+	answer := make(chan error, 1)
+	go func() {
+		answer <- a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r", Attempt: 1}, new(recorded))
+	}()
+	synctest.Wait()
+	return answer
+}
+
 func TestSilentConnectionIsNoticedAndReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := kerneltest.NewNetwork()
-		a := startRouter(t, "a", network, "", nil)
-		b := startRouter(t, "b", network, "", func(s *Service) {
+		network, a, _ := bubblePair(t, func(s *Service) {
 			s.HandleCall(KindRun, slowly(time.Minute, 1))
 			s.HandleCall(KindSubmit, echo)
 		})
-		introduceAll(t, a, b)
-		answer := make(chan error, 1)
-		go func() {
-			answer <- a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r", Attempt: 1}, new(recorded))
-		}()
-		synctest.Wait()
+		answer := startCall(t, a)
 		start := time.Now()
 		network.SilenceOpen()
 		var e *call.Error
@@ -59,13 +75,10 @@
 // control messages only. They must get through again well within a lease.
 func TestControlMessagesMoveToANewConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := kerneltest.NewNetwork()
 		got := make(chan time.Time, 1000)
-		a := startRouter(t, "a", network, "", nil)
-		b := startRouter(t, "b", network, "", func(s *Service) {
+		network, a, _ := bubblePair(t, func(s *Service) {
 			s.HandleControl(KindLease, func(fleet.VM, []byte) { got <- time.Now() })
 		})
-		introduceAll(t, a, b)
 		period := 100 * time.Millisecond
 		beat := func(n int) {
 			for range n {
@@ -95,15 +108,8 @@
 // time.
 func TestUnreachableRouterIsGivenUpLater(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := kerneltest.NewNetwork()
-		a := startRouter(t, "a", network, "", nil)
-		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, slowly(time.Minute, 1)) })
-		introduceAll(t, a, b)
-		answer := make(chan error, 1)
-		go func() {
-			answer <- a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r", Attempt: 1}, new(recorded))
-		}()
-		synctest.Wait()
+		network, a, b := bubblePair(t, func(s *Service) { s.HandleCall(KindRun, slowly(time.Minute, 1)) })
+		answer := startCall(t, a)
 		start := time.Now()
 		network.SilenceOpen()
 		must.NoError(t, a.listener.Close())
@@ -117,10 +123,7 @@
 // way: it must read what has come before it blames the other side.
 func TestOwnPauseIsNoSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := kerneltest.NewNetwork()
-		a := startRouter(t, "a", network, "", nil)
-		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, slowly(time.Second, 1)) })
-		introduceAll(t, a, b)
+		_, a, _ := bubblePair(t, func(s *Service) { s.HandleCall(KindRun, slowly(time.Second, 1)) })
 		answer := make(chan error, 1)
 		go func() {
 			answer <- a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r", Attempt: 1}, new(recorded))
@@ -138,10 +141,7 @@
 
 func TestSlowButAliveAnswerIsNotCut(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := kerneltest.NewNetwork()
-		a := startRouter(t, "a", network, "", nil)
-		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, slowly(time.Second, 100)) })
-		introduceAll(t, a, b)
+		_, a, b := bubblePair(t, func(s *Service) { s.HandleCall(KindRun, slowly(time.Second, 100)) })
 		must.NoError(t, a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r", Attempt: 1}, new(recorded)))
 		must.Eq(t, 0, a.count("connections_silent")+b.count("connections_silent"))
 	})
@@ -149,10 +149,7 @@
 
 func TestIdleConnectionCostsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := kerneltest.NewNetwork()
-		a := startRouter(t, "a", network, "", nil)
-		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, echo) })
-		introduceAll(t, a, b)
+		_, a, _ := bubblePair(t, func(s *Service) { s.HandleCall(KindRun, echo) })
 		must.NoError(t, a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r"}, new(recorded)))
 		time.Sleep(10 * time.Second)
 		before := a.total()
@@ -163,10 +160,7 @@
 
 func TestIdleSilentConnectionIsProbedBeforeUse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := kerneltest.NewNetwork()
-		a := startRouter(t, "a", network, "", nil)
-		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, echo) })
-		introduceAll(t, a, b)
+		network, a, _ := bubblePair(t, func(s *Service) { s.HandleCall(KindRun, echo) })
 		must.NoError(t, a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r"}, new(recorded)))
 		time.Sleep(time.Hour)
 		network.SilenceOpen()
@@ -179,17 +173,14 @@
 
 func TestDeadlineTravelsAsTimeLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := kerneltest.NewNetwork()
 		left := make(chan time.Duration, 1)
-		a := startRouter(t, "a", network, "", nil)
-		b := startRouter(t, "b", network, "", func(s *Service) {
+		_, a, _ := bubblePair(t, func(s *Service) {
 			s.HandleCall(KindRun, func(ctx context.Context, _ fleet.VM, req *call.Request, _ call.Sink) error {
 				left <- time.Until(req.Deadline)
 				<-ctx.Done()
 				return &call.Error{Code: call.CodeDeadline, Step: "queue", Run: call.RunNot, Message: "deadline passed in the queue"}
 			})
 		})
-		introduceAll(t, a, b)
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		defer cancel()
 		req := &call.Request{ID: "r", Deadline: time.Now().Add(3 * time.Second)}
@@ -203,15 +194,8 @@
 
 func TestUnlistedRouterIsLeftAfterTheGrace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := kerneltest.NewNetwork()
-		a := startRouter(t, "a", network, "", nil)
-		b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, slowly(time.Minute, 1)) })
-		introduceAll(t, a, b)
-		answer := make(chan error, 1)
-		go func() {
-			answer <- a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r"}, new(recorded))
-		}()
-		synctest.Wait()
+		_, a, b := bubblePair(t, func(s *Service) { s.HandleCall(KindRun, slowly(time.Minute, 1)) })
+		answer := startCall(t, a)
 		a.SetPeers(nil)
 		time.Sleep(40 * time.Second)
 		must.Eq(t, 1, len(a.links.all()), must.Sprint("the running answer keeps its connection"))
