Say wrong types in the words of TOML, and nothing of what was not sent

Cause: bad inputs tried by hand: a text for a number was answered with Go types and a struct field's name; zfctl publish without a router said that the change may have been published; a refused connection had no next step. Change: the decoder's message is rewritten for configuration and settings; errors that arise before anything is sent say so; a connection that cannot be opened suggests another router.

--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -129,7 +129,7 @@
 			w.problems = append(w.problems, &Problem{
 				File: w.doc.name, Line: w.doc.at.Line(at), Key: key,
 				Message: fmt.Sprintf("%s, the base has %v", reason, show(dst)),
-				Next:    "remove the key here, or propose the change to the base " + w.out.base,
+				Next:    "remove the key here, or have it changed in the base",
 			})
 			return
 		}
--- a/internal/tomldoc/explain.go
+++ b/internal/tomldoc/explain.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"reflect"
+	"regexp"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -29,12 +30,38 @@
 		if key == "" {
 			key = Locate(text).KeyAt(row)
 		}
-		message := strings.TrimPrefix(wrong.Error(), "toml: ")
+		message := plainWords(strings.TrimPrefix(wrong.Error(), "toml: "))
 		return Problems{{File: name, Line: row, Key: key, Message: message, Next: "correct the value or the syntax"}}
 	}
 	return Problems{{File: name, Message: err.Error()}}
 }
 
+// wrongType matches the decoder's message about a value of the wrong type.
+var wrongType = regexp.MustCompile(`^cannot decode TOML (\S+) into (?:struct field \S+ of type |a Go value of type )(\S+)$`)
+
+// wantedValues describes values in the words of TOML.
+var wantedValues = map[string]string{
+	"float64":  "a number such as 1.25",
+	"int":      "a whole number",
+	"int64":    "a whole number",
+	"string":   "a text in quotes",
+	"bool":     "true or false",
+	"[]string": "a list of texts",
+}
+
+// plainWords rewrites the decoder's message without types of this program.
+func plainWords(message string) string {
+	m := wrongType.FindStringSubmatch(message)
+	if m == nil {
+		return message
+	}
+	wanted, ok := wantedValues[m[2]]
+	if !ok {
+		wanted = "another kind of value"
+	}
+	return "want " + wanted + ", have " + m[1]
+}
+
 // SpanKeys returns the paths of the fields of struct type t, tables included,
 // whose type is span.
 func SpanKeys(prefix string, t, span reflect.Type) []string {
--- a/internal/zfctl/connect.go
+++ b/internal/zfctl/connect.go
@@ -31,7 +31,24 @@
 	clients []*admin.Client
 }
 
+// unsentError is an error that arose before anything was sent.
+type unsentError struct {
+	error
+}
+
+// Unwrap returns the error beneath.
+func (e *unsentError) Unwrap() error { return e.error }
+
+// connect prepares calls to the routers that the flags name.
 func (g *Globals) connect() (*connection, error) {
+	c, err := g.prepare()
+	if err != nil {
+		return nil, &unsentError{err}
+	}
+	return c, nil
+}
+
+func (g *Globals) prepare() (*connection, error) {
 	if len(g.Router) == 0 {
 		return nil, errors.New("no router is named\n  next: set --router or ZF_ROUTERS to a URL such as http://10.1.1.5:7003")
 	}
@@ -111,6 +128,9 @@
 			errs = append(errs, err)
 		}
 	}
+	if len(errs) > 0 && !arrived(errs[len(errs)-1]) {
+		errs = append(errs, errors.New("  next: name a router that runs with --router or ZF_ROUTERS"))
+	}
 	return errors.Join(errs...)
 }
 
@@ -121,8 +141,12 @@
 	return errors.As(err, &e) && e.Code != admin.CodeUnavailable && e.Code != admin.CodeNotFound
 }
 
-// arrived reports whether the call may have reached the router.
+// arrived reports whether the call may have reached a router.
 func arrived(err error) bool {
+	var unsent *unsentError
+	if errors.As(err, &unsent) {
+		return false
+	}
 	var dial *net.OpError
 	return !errors.As(err, &dial) || dial.Op != "dial"
 }
--- a/internal/zfctl/zfctl_test.go
+++ b/internal/zfctl/zfctl_test.go
@@ -109,6 +109,12 @@
 func TestNoRouterAndNoKey(t *testing.T) {
 	_, err := run(t, "", "status")
 	must.ErrorContains(t, err, "set --router or ZF_ROUTERS")
+	_, err = run(t, "", "publish", "base", write(t, "base.toml", ""))
+	must.ErrorContains(t, err, "no router is named")
+	must.StrNotContains(t, err.Error(), "may have been published")
+	_, err = run(t, "http://127.0.0.1:1", "publish", "base", write(t, "base.toml", ""))
+	must.ErrorContains(t, err, "name a router that runs")
+	must.StrNotContains(t, err.Error(), "may have been published")
 	_, err = run(t, "nonsense", "status")
 	must.ErrorContains(t, err, "is not a URL")
 	g := &Globals{Router: []string{"http://127.0.0.1:1"}}
