--- a/cmd/zf-lab/capacity.go
+++ b/cmd/zf-lab/capacity.go
@@ -8,8 +8,8 @@
 )
 
 type capacityCommand struct {
-	Routers []int     `help:"Numbers of routers of the idle fleets." default:"3,9,18,30"`
-	Orders  []float64 `help:"Orders a second of the loaded fleets." default:"5,20,60"`
+	Routers []int     `help:"Numbers of routers of the idle fleets." default:"9,18,30,60,120"`
+	Orders  []float64 `help:"Orders a second of the loaded fleets." default:"20,60,180"`
 }
 
 // Run prints the table of docs/CAPACITY.md from fresh measurements.
--- a/internal/lab/capacity/fleet.go
+++ b/internal/lab/capacity/fleet.go
@@ -27,11 +27,15 @@
 	routers, targets int
 	// chats and orders are arrivals a second; zero for an idle fleet.
 	chats, orders float64
+	// changes is the number of configuration changes while it is measured.
+	changes int
 }
 
 // sample is what one fleet needed.
 type sample struct {
 	fleetSize
+	// seconds is how long the fleet was measured.
+	seconds float64
 	// cores and heap are for each router, without the stand-ins.
 	cores float64
 	heap  float64
@@ -102,12 +106,7 @@
 		return sample{}, err
 	}
 	counted := bed.Count()
-	if size.chats+size.orders > 0 {
-		plan := workload.Plan(workload.Options{Shape: bed.Shape(), Seed: 1, Duration: loadTime})
-		load := caller.NewLoad(bed, plan, 1)
-		load.Run(ctx, time.Now())
-		load.Close()
-	} else if err := wait(ctx, idleTime); err != nil {
+	if err := occupy(ctx, bed, size); err != nil {
 		return sample{}, err
 	}
 	delta := bed.Count().Since(counted)
@@ -116,23 +115,49 @@
 		return sample{}, err
 	}
 	seconds := end.at.Sub(start.at).Seconds()
+	routers := float64(max(size.routers, 1))
 	out := sample{
 		fleetSize:   size,
+		seconds:     seconds,
 		cores:       (end.cpu - start.cpu).Seconds() / seconds,
 		heap:        start.bytes - before.bytes,
 		control:     make(map[string]float64),
 		busiest:     delta.Busiest / seconds,
-		messages:    float64(delta.Messages) / seconds / float64(max(size.routers, 1)),
+		messages:    float64(delta.Messages) / seconds / routers,
 		appends:     float64(delta.Appends) / seconds,
 		reads:       float64(delta.Reads) / seconds,
 		appendBytes: float64(delta.AppendBytes) / seconds,
 	}
 	for kind, bytes := range delta.Control {
-		out.control[kind] = bytes / seconds / float64(max(size.routers, 1))
+		out.control[kind] = bytes / seconds / routers
 	}
 	return out, nil
 }
 
+// occupy gives the fleet what its size asks for: a load, changes of its
+// configuration, or nothing.
+func occupy(ctx context.Context, bed *testbed.Testbed, size fleetSize) error {
+	if size.chats+size.orders > 0 {
+		plan := workload.Plan(workload.Options{Shape: bed.Shape(), Seed: 1, Duration: loadTime})
+		load := caller.NewLoad(bed, plan, 1)
+		load.Run(ctx, time.Now())
+		load.Close()
+		return nil
+	}
+	if size.changes == 0 {
+		return wait(ctx, idleTime)
+	}
+	for range size.changes {
+		if _, err := bed.Race(ctx, 1); err != nil {
+			return err
+		}
+		if err := wait(ctx, idleTime/time.Duration(size.changes)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func wait(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/lab/capacity/rows.go
+++ b/internal/lab/capacity/rows.go
@@ -26,7 +26,6 @@
 	if err != nil {
 		return nil, err
 	}
-	document := Fit(size).At(PlannedTargets)
 	reading := Fit(seconds).At(PlannedTargets)
 	changes := PlannedChanges / day.Seconds()
 	return []Row{
@@ -39,11 +38,6 @@
 			Planned: reading * changes, Limit: LimitCore, Unit: UnitCores,
 			Mechanism: fmt.Sprintf("%d changes a day", PlannedChanges),
 		},
-		{
-			Role: "config", Resource: "traffic of changes, were each a whole document", Measured: "from the size of the document",
-			Planned: document * changes, Limit: LimitTraffic, Unit: UnitBytesPerSec,
-			Mechanism: "a record carries the changed document alone, compressed",
-		},
 	}, nil
 }
 
--- a/internal/lab/capacity/table.go
+++ b/internal/lab/capacity/table.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/zinniafork/zinniafork/internal/lab/testbed"
+	"github.com/zinniafork/zinniafork/internal/service/peer"
 )
 
 // Options shape the measurements.
@@ -28,6 +29,11 @@
 	// loadedRouters and loadedTargets are the fleet that takes orders.
 	loadedRouters = 9
 	loadedTargets = 15
+	// changesPerFleet is the number of changes during one measurement.
+	changesPerFleet = 4
+	// boundedFrom is the number of routers above which each exchanges
+	// heartbeats with a bounded number of others.
+	boundedFrom = 17
 	// orderShare is the share of orders among requests, as on today's sites.
 	orderShare = 0.13
 )
@@ -40,6 +46,7 @@
 	}
 	rows := m.daemonRows()
 	rows = append(rows, m.logRows()...)
+	rows = append(rows, m.changeRows()...)
 	more, err := decisionRows()
 	if err != nil {
 		return nil, err
@@ -52,6 +59,9 @@
 	empty  sample
 	idle   []sample
 	orders []sample
+	// changes are fleets of loadedRouters while their configuration changes,
+	// by the number of targets.
+	changes []sample
 }
 
 func (m *measurement) fleets(ctx context.Context) error {
@@ -73,11 +83,19 @@
 		}
 		m.orders = append(m.orders, s)
 	}
+	for _, targets := range []int{15, 60, 180} {
+		s, err := m.fleet(ctx, fleetSize{routers: loadedRouters, targets: targets, changes: changesPerFleet})
+		if err != nil {
+			return err
+		}
+		m.changes = append(m.changes, s)
+	}
 	return nil
 }
 
 func (m *measurement) fleet(ctx context.Context, size fleetSize) (sample, error) {
-	fmt.Fprintf(m.opt.Progress, "fleet of %d routers and %d targets, %.0f orders a second\n", size.routers, size.targets, size.orders)
+	fmt.Fprintf(m.opt.Progress, "fleet of %d routers and %d targets, %.0f orders a second, %d changes\n",
+		size.routers, size.targets, size.orders, size.changes)
 	s, err := measureFleet(ctx, size)
 	if err != nil {
 		return s, fmt.Errorf("fleet of %d routers: %w", size.routers, err)
@@ -164,14 +182,30 @@
 	}
 }
 
+// daemonRow fits a figure of the idle fleets. Where three sizes have bounded
+// neighbours the line goes through these alone, since smaller fleets follow
+// another one.
 func (m *measurement) daemonRow(role, resource string, unit Unit, limit float64, figure func(sample) float64, mechanism string) Row {
-	var points []Point
+	var all, bounded []Point
 	for _, s := range m.idle {
-		points = append(points, Point{Size: float64(s.routers), Value: figure(s)})
+		p := Point{Size: float64(s.routers), Value: figure(s)}
+		all = append(all, p)
+		if s.routers >= boundedFrom {
+			bounded = append(bounded, p)
+		}
+	}
+	row := fitted(role, resource, "routers", all, PlannedRouters, unit, limit, mechanism)
+	if len(bounded) < leastPoints {
+		return row
 	}
-	return fitted(role, resource, "routers", points, PlannedRouters, unit, limit, mechanism)
+	line := fitted(role, resource, "routers", bounded, PlannedRouters, unit, limit, mechanism)
+	row.Slope, row.Planned = line.Slope, line.Planned
+	return row
 }
 
+// leastPoints is the least number of sizes for a line.
+const leastPoints = 3
+
 // fitted returns the row of figures that grow with a size.
 func fitted(role, resource, of string, points []Point, planned float64, unit Unit, limit float64, mechanism string) Row {
 	line := Fit(points)
@@ -201,6 +235,9 @@
 		return out
 	}
 	planned := PlannedRequests * orderShare
+	traffic := fitted("journal", "traffic with the log, all routers", "orders/s",
+		points(func(s sample) float64 { return s.control[testbed.KindLog] * float64(s.routers) }),
+		planned, UnitBytesPerSec, 0, "partitions are spread over the routers")
 	return []Row{
 		fitted("log streams", "appends", "orders/s", points(func(s sample) float64 { return s.appends }),
 			planned, UnitPerSec, LimitAppends, "many intents in one append, budget for the whole fleet"),
@@ -208,8 +245,38 @@
 			planned, UnitBytesPerSec, 0, "the same"),
 		fitted("log streams", "reads", "orders/s", points(func(s sample) float64 { return s.reads }),
 			planned, UnitPerSec, 0, "owners read their partitions alone"),
-		fitted("journal", "traffic with the log, mean router", "orders/s",
-			points(func(s sample) float64 { return s.control[testbed.KindLog] }),
-			planned, UnitBytesPerSec, LimitTraffic, "partitions are spread over the routers"),
+		traffic,
+		partOf(traffic, "traffic with the log, one of 8 partitions", todaysPartitions, "the default of today's sites"),
+		partOf(traffic, "traffic with the log, one of 390 partitions", PlannedRouters, "as many partitions as routers"),
+	}
+}
+
+// partOf returns the row of one of several equal parts.
+func partOf(whole Row, resource string, parts float64, mechanism string) Row {
+	return Row{
+		Role:      whole.Role,
+		Resource:  resource,
+		Measured:  "from all routers",
+		Planned:   whole.Planned / parts,
+		Limit:     LimitTraffic,
+		Unit:      whole.Unit,
+		Mechanism: mechanism,
+	}
+}
+
+// changeRows are the lines of changes of the configuration, by the number of
+// targets, beyond what an idle fleet needs.
+func (m *measurement) changeRows() []Row {
+	var points []Point
+	for _, s := range m.changes {
+		bytes := (s.control[testbed.KindLog] + s.control[string(peer.KindConfig)]) * s.seconds
+		points = append(points, Point{Size: float64(s.targets), Value: bytes / changesPerFleet})
 	}
+	change := fitted("config", "traffic of one change at a router", "targets", points, PlannedTargets, UnitBytes, 0,
+		"a record holds the changed document, compressed; peers send a body once")
+	return []Row{change, {
+		Role: "config", Resource: "traffic of all changes at a router", Measured: "from one change",
+		Planned: change.Planned * PlannedChanges / day.Seconds(), Limit: LimitTraffic, Unit: UnitBytesPerSec,
+		Mechanism: fmt.Sprintf("%d changes a day", PlannedChanges),
+	}}
 }
--- a/internal/lab/testbed/config.go
+++ b/internal/lab/testbed/config.go
@@ -192,7 +192,8 @@
 	)
 	for i := range authors {
 		next := base.clone()
-		next.queueLength += i
+		b.races++
+		next.queueLength += b.races
 		text, err := b.document(next)
 		if err != nil {
 			return 0, err
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -65,6 +65,8 @@
 	logFaults *logFaults
 	// publishing lets one operator change the configuration at a time.
 	publishing sync.Mutex
+	// races counts the documents of racing operators, which all differ.
+	races int
 
 	mu      sync.Mutex
 	routers map[fleet.VM]*router
