--- a/internal/core/orders/machine.go
+++ b/internal/core/orders/machine.go
@@ -24,7 +24,7 @@
 	// append with.
 	lazyFlush = 100 * time.Millisecond
 	// idlePoll is the period of reads while nothing is expected.
-	idlePoll = 2 * time.Second
+	idlePoll = 5 * time.Second
 	// longPoll is the time for which a read may wait for another router's
 	// outcome.
 	longPoll = 2 * time.Second
