Let a returned engine take its share of the mean

The ramp was meant to excuse the other engines while one that came back may not take work; it also limited the returned engine itself, which is warm after a mark.

--- a/internal/lab/check/load/load_test.go
+++ b/internal/lab/check/load/load_test.go
@@ -110,6 +110,20 @@
 	}
 }
 
+// TestReturnedEngineMayTakeItsShare gives a warm engine work right after its
+// mark was lifted.
+func TestReturnedEngineMayTakeItsShare(t *testing.T) {
+	h := &history.History{Start: start, Engines: engines()}
+	h.Marks = []history.Mark{{Target: "d", Accepted: at(10), Lifted: at(20)}}
+	h.EngineRuns = append([]history.EngineRun{run("a", 11, 12)}, even(3, "a", "b", "c")...)
+	h.EngineRuns = append(h.EngineRuns, many(4, "d", 40, 100)...)
+	got, _ := load.Check(h, bound)
+	must.LessEq(t, bound, got.SkewMax)
+	h.EngineRuns = append(h.EngineRuns, many(6, "d", 41, 100)...)
+	got, _ = load.Check(h, bound)
+	must.Greater(t, bound, got.SkewMax)
+}
+
 // at7 puts seven requests on each of three engines of four.
 func at7(from int) []history.EngineRun {
 	var out []history.EngineRun
