Ask routers for their version only when they have not told it lately

Cause: in sites above 16 routers only neighbours tell their version in heartbeats, so every look at the status page or a waiting zfctl asked all the others again, 390 queries for each look. Change: an answer counts for 30 s like a digest, so a router is asked once for each version and then twice a minute.

--- a/internal/core/configstate/spread.go
+++ b/internal/core/configstate/spread.go
@@ -18,6 +18,8 @@
 	// failed to help.
 	fetchBackoff = time.Second
 	fetchLimit   = 3 * time.Second
+	// digestTrust is the age up to which a digest tells what a peer uses.
+	digestTrust = 30 * time.Second
 )
 
 // digestLength is the size of a digest: two offsets and half a hash.
@@ -87,6 +89,8 @@
 
 type heard struct {
 	digest Digest
+	// at is the time of the last digest.
+	at time.Time
 	// since is the time at which the peer first told this version.
 	since time.Time
 	// notBefore is the time before which the peer is not asked.
@@ -106,7 +110,7 @@
 	if h.since.IsZero() || h.digest.Offset != d.Offset || h.digest.HashPrefix != d.HashPrefix {
 		h.since = now
 	}
-	h.digest = d
+	h.digest, h.at = d, now
 }
 
 // Forget drops peers that are gone.
@@ -118,11 +122,13 @@
 	}
 }
 
-// Digests returns the newest digest of each peer.
-func (s *Spread) Digests() map[fleet.VM]Digest {
+// Digests returns the newest digest of each peer that has told one lately.
+func (s *Spread) Digests(now time.Time) map[fleet.VM]Digest {
 	out := make(map[fleet.VM]Digest, len(s.peers))
 	for vm, h := range s.peers {
-		out[vm] = h.digest
+		if now.Sub(h.at) <= digestTrust {
+			out[vm] = h.digest
+		}
 	}
 	return out
 }
--- a/internal/core/configstate/state_test.go
+++ b/internal/core/configstate/state_test.go
@@ -428,6 +428,9 @@
 	must.True(t, ok)
 	must.Eq(t, fleet.VM("vm-3"), vm)
 
+	must.MapLen(t, 3, s.Digests(at.Add(digestTrust)))
+	must.MapEmpty(t, s.Digests(at.Add(digestTrust+1)))
+
 	decoded, err := DecodeDigest(newer.Encode())
 	must.NoError(t, err)
 	must.Eq(t, newer, decoded)
--- a/internal/service/configsync/status.go
+++ b/internal/service/configsync/status.go
@@ -43,14 +43,14 @@
 	}
 }
 
-// Status asks every live router that has not told in a heartbeat that the
-// newest version is in force there.
+// Status asks every live router that has not told lately, in a heartbeat or in
+// an earlier answer, that the newest version is in force there.
 func (s *Service) Status(ctx context.Context) Status {
 	own := s.own()
 	s.mu.Lock()
 	entry, _ := s.state.Current()
 	out := Status{Site: s.site, Newest: entry, Confirmed: s.state.Confirmed(), LogRead: s.lastRead}
-	digests := s.spread.Digests()
+	digests := s.spread.Digests(s.clock.Now())
 	s.mu.Unlock()
 	out.Routers = []RouterStatus{own}
 	var ask []fleet.VM
@@ -95,5 +95,8 @@
 	if err := msgpack.Unmarshal(data, &out); err != nil || out.VM != vm {
 		return RouterStatus{VM: vm, Unreachable: true}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spread.Heard(vm, configstate.DigestOf(out.Newest, out.InForce.Offset), s.clock.Now())
 	return out
 }
