Let operators take things out while the log is away

Cause: a drain is a version and needs the log, so a data centre that went during an outage of the log could not be taken out.

--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -25,6 +25,7 @@
 	PathPublish     = Prefix + "/config/publish"
 	PathRollback    = Prefix + "/config/rollback"
 	PathMark        = Prefix + "/config/mark"
+	PathEmergency   = Prefix + "/config/emergency"
 	PathStatus      = Prefix + "/status"
 	PathTargets     = Prefix + "/targets"
 	PathAccounts    = Prefix + "/accounts"
@@ -237,6 +238,31 @@
 	DryRun  bool    `json:"dry_run,omitempty"`
 }
 
+// EmergencyRequest takes a thing of the router's own site out while the log is
+// away, or lifts that.
+type EmergencyRequest struct {
+	// Kind is "data-centre", "vm" or "target".
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// Lift ends an emergency drain.
+	Lift bool `json:"lift,omitempty"`
+	// For is the time for which it holds.
+	For config.Duration `json:"for,omitempty"`
+	// Force drains also while the log can be read, or when a model or plain
+	// service keeps no capacity.
+	Force   bool   `json:"force,omitempty"`
+	Comment string `json:"comment,omitempty"`
+	DryRun  bool   `json:"dry_run,omitempty"`
+}
+
+// Emergency tells what an emergency drain does.
+type Emergency struct {
+	DryRun   bool                      `json:"dry_run"`
+	Mark     configstate.EmergencyMark `json:"mark"`
+	Affected *Affected                 `json:"affected,omitempty"`
+	Capacity []SiteCapacity            `json:"capacity"`
+}
+
 // PublicationQuery asks for the outcome of a publication.
 type PublicationQuery struct {
 	Nonce string `url:"nonce"`
--- a/internal/admin/types_state.go
+++ b/internal/admin/types_state.go
@@ -42,6 +42,8 @@
 	DataCentres []DataCentre      `json:"data_centres"`
 	Capacity    []config.Capacity `json:"capacity"`
 	Spread      Spread            `json:"spread"`
+	// Emergencies are drains that hold beside the version in force.
+	Emergencies []configstate.EmergencyMark `json:"emergencies"`
 }
 
 // Router is one router of the site.
--- a/internal/config/edit_test.go
+++ b/internal/config/edit_test.go
@@ -59,3 +59,16 @@
 		must.StrNotContains(t, v.Value, hash[:16])
 	}
 }
+
+func TestWithDrains(t *testing.T) {
+	e, err := Effect("gent", configstate.Version{Offset: 4, Hash: "h"}, docs(testBase, ""))
+	must.NoError(t, err)
+	must.True(t, e == e.WithDrains(nil))
+	out := e.WithDrains([]Drained{{MarkTarget, "engine-1"}, {MarkVM, "vm7"}, {MarkDataCentre, "nowhere"}})
+	must.True(t, out.TargetDrained(out.Target("engine-1")))
+	must.True(t, out.VMDrained("vm7", "dc1"))
+	must.False(t, out.VMDrained("vm8", "dc1"))
+	must.Eq(t, uint64(4), out.Offset)
+	must.False(t, e.TargetDrained(e.Target("engine-1")))
+	must.False(t, e.VMDrained("vm7", "dc1"))
+}
--- a/internal/service/adminapi/capacity.go
+++ b/internal/service/adminapi/capacity.go
@@ -14,17 +14,23 @@
 func (s *Service) capacityAfter(before, after configstate.Documents) []admin.SiteCapacity {
 	out := []admin.SiteCapacity{}
 	for _, site := range config.SitesOf(after) {
-		now, then := capacities(site, before), capacities(site, after)
-		for _, c := range then {
-			entry := admin.SiteCapacity{Site: site, Capacity: c, Before: inService(now, c), Running: -1}
-			if entry.Before == c.InService {
-				continue
-			}
-			if site == s.identity.Self().Site {
-				entry.Running = s.running(c)
-			}
-			out = append(out, entry)
+		out = append(out, s.capacityChanges(site, capacities(site, before), capacities(site, after))...)
+	}
+	return out
+}
+
+// capacityChanges lists what changes from now to then.
+func (s *Service) capacityChanges(site fleet.Site, now, then []config.Capacity) []admin.SiteCapacity {
+	out := []admin.SiteCapacity{}
+	for _, c := range then {
+		entry := admin.SiteCapacity{Site: site, Capacity: c, Before: inService(now, c), Running: -1}
+		if entry.Before == c.InService {
+			continue
+		}
+		if site == s.identity.Self().Site {
+			entry.Running = s.running(c)
 		}
+		out = append(out, entry)
 	}
 	return out
 }
--- a/internal/service/adminapi/endpoints.go
+++ b/internal/service/adminapi/endpoints.go
@@ -31,6 +31,7 @@
 		op(http.MethodPost, admin.PathPublish, "Publish one document, or check what that would do.", s.publish).audited("publish"),
 		op(http.MethodPost, admin.PathRollback, "Publish a document as it was before.", s.rollback).audited("rollback"),
 		op(http.MethodPost, admin.PathMark, "Take a data centre, VM or target out, or bring it back.", s.mark).audited("mark"),
+		op(http.MethodPost, admin.PathEmergency, "Take a thing of this site out while the log is away.", s.emergency).audited("emergency"),
 
 		op(http.MethodGet, admin.PathStatus, "The state of this router's site.", s.status),
 		op(http.MethodGet, admin.PathTargets, "The targets of the site with their load.", s.listTargets),
--- a/internal/service/adminapi/harness_test.go
+++ b/internal/service/adminapi/harness_test.go
@@ -35,6 +35,8 @@
 	ctx  context.Context
 	log  *logd.Server
 	base string
+	// cutLog takes the log away for good.
+	cutLog func()
 	// caller is the base URL of the caller interface.
 	caller string
 
@@ -53,6 +55,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &rig{t: t, ctx: ctx, log: logd.New(), contract: newContract(t)}
 	logServer := httptest.NewServer(r.log.Handler())
+	r.cutLog = func() {
+		_ = logServer.Listener.Close()
+		logServer.CloseClientConnections()
+	}
 	list := vmlistd.New()
 	listServer := httptest.NewServer(list.Handler())
 	file, err := settings.Parse("test", fmt.Appendf(nil, `
--- a/internal/service/adminapi/marks.go
+++ b/internal/service/adminapi/marks.go
@@ -36,9 +36,13 @@
 	if in.Comment == "" {
 		in.Comment = strings.TrimSpace(fmt.Sprintf("%s %s %s", verb(in.Mark), in.Kind, in.Name))
 	}
-	return s.carryOut(c, func(docs configstate.Documents) (plan, error) {
+	out, err := s.carryOut(c, func(docs configstate.Documents) (plan, error) {
 		return s.markPlan(section, in, docs)
 	})
+	if err == nil && !in.DryRun && in.Mark == fleet.MarkNone {
+		s.liftEmergency(section, in.Name, c.operator.Name)
+	}
+	return out, err
 }
 
 // markPlan sets the mark in the site's overlay.
--- a/internal/service/adminapi/state.go
+++ b/internal/service/adminapi/state.go
@@ -37,6 +37,8 @@
 		RulesHash: e.RulesHash(),
 		Capacity:  e.Capacities(),
 		Spread:    s.siteSpread(c),
+
+		Emergencies: s.config.Emergencies(),
 	}
 	out.Routers = s.routers(e, out.Spread)
 	out.DataCentres = s.dataCentres(e, out.Routers)
--- a/internal/service/configsync/configsync.go
+++ b/internal/service/configsync/configsync.go
@@ -67,6 +67,12 @@
 	spread    *configstate.Spread
 	sent      map[fleet.VM]sentDigest
 	problem   Problem
+	// emergencies are the drains set beside versions; emergencyRound rises
+	// with each change of them.
+	emergencies    configstate.Emergencies
+	emergencyRound int
+	sentMarks      map[fleet.VM]sentMarks
+
 	lastRead  time.Time
 	snapshots time.Time
 }
@@ -101,7 +107,9 @@
 	s.changed = make(chan struct{})
 	s.spread = configstate.NewSpread()
 	s.sent = make(map[fleet.VM]sentDigest)
+	s.sentMarks = make(map[fleet.VM]sentMarks)
 	s.attach()
+	s.attachEmergencies()
 	return nil
 }
 
--- a/internal/service/configsync/configsync_test.go
+++ b/internal/service/configsync/configsync_test.go
@@ -203,6 +203,53 @@
 	})
 }
 
+// TestEmergencyDrain takes a target out while the log is away: every router
+// follows, also one that starts meanwhile, and the drain ends by itself, by
+// lifting it, and not by a new version.
+func TestEmergencyDrain(t *testing.T) {
+	start(t, func(n *network, a, b, c *node) {
+		drained := func(nd *node) bool { return nd.Current().VMDrained("vm-x", "dc1") }
+		all := func(want bool) {
+			t.Helper()
+			time.Sleep(convergeLimit)
+			for _, nd := range n.all() {
+				must.Eq(t, want, drained(nd), must.Sprint(nd.vm))
+			}
+		}
+		mark := func(nd *node, drain bool) {
+			now := time.Now()
+			nd.SetEmergency(configstate.EmergencyMark{
+				Site: "gent", Section: "vms", Name: "vm-x", Drain: drain, Author: "ada", Until: now.Add(10 * time.Minute),
+			})
+		}
+		must.True(t, a.LogAnswers(n.ctx))
+		for _, nd := range n.all() {
+			nd.log.Set(servicetest.LogFaults{Down: true})
+		}
+		must.False(t, a.LogAnswers(n.ctx))
+		mark(a, true)
+		all(true)
+		n.boot("vm-d", servicetest.LogFaults{Down: true})
+		time.Sleep(convergeLimit)
+		all(true)
+		for _, nd := range n.all() {
+			nd.log.Set(servicetest.LogFaults{})
+		}
+		time.Sleep(time.Minute)
+		n.mustPublish(b, 7)
+		n.mustConverge(7)
+		all(true)
+		mark(c, false)
+		all(false)
+		mark(b, true)
+		all(true)
+		must.Len(t, 1, c.Emergencies())
+		time.Sleep(10 * time.Minute)
+		all(false)
+		must.Len(t, 0, c.Emergencies())
+	})
+}
+
 // TestRetention keeps routers and log running far beyond the log's retention:
 // one router alone appends snapshots, and a new router can always start.
 func TestRetention(t *testing.T) {
--- a/internal/service/configsync/fakes_test.go
+++ b/internal/service/configsync/fakes_test.go
@@ -28,7 +28,7 @@
 	vm     fleet.VM
 	net    *network
 	log    *servicetest.LogClient
-	ext    members.Extension
+	exts   []members.Extension
 	answer peer.QueryHandler
 	cut    atomic.Bool
 	seenMu sync.Mutex
@@ -119,11 +119,13 @@
 func (n *network) heartbeats() {
 	for _, from := range n.all() {
 		for _, to := range n.all() {
-			if from.cut.Load() || to.cut.Load() {
+			if from == to || from.cut.Load() || to.cut.Load() {
 				continue
 			}
-			if part := from.ext.Produce(to.vm); from != to && part != nil {
-				to.ext.Consume(from.vm, part)
+			for i, ext := range from.exts {
+				if part := ext.Produce(to.vm); part != nil {
+					to.exts[i].Consume(from.vm, part)
+				}
 			}
 		}
 	}
@@ -135,7 +137,7 @@
 func (f fakeMembers) Self() fleet.VMInfo             { return fleet.VMInfo{VM: f.nd.vm, Site: "gent"} }
 func (f fakeMembers) Incarnation() fleet.Incarnation { return 1 }
 func (f fakeMembers) Watch(func(*members.Snapshot))  {}
-func (f fakeMembers) Attach(e members.Extension)     { f.nd.ext = e }
+func (f fakeMembers) Attach(e members.Extension)     { f.nd.exts = append(f.nd.exts, e) }
 func (f fakeMembers) Beat()                          {}
 func (f fakeMembers) Leave()                         {}
 func (f fakeMembers) Tune(config.Control)            {}
--- a/internal/service/configsync/follow.go
+++ b/internal/service/configsync/follow.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/platform/logstream"
@@ -127,52 +126,6 @@
 	return out, nil
 }
 
-// deliver puts new versions in force, in order, and tells the watchers.
-func (s *Service) deliver(ctx context.Context) {
-	var seen configstate.Version
-	for {
-		changed := s.waitChange()
-		s.mu.Lock()
-		entry, docs := s.state.Current()
-		s.mu.Unlock()
-		if entry.Version != seen {
-			seen = entry.Version
-			s.putInForce(entry, docs)
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// putInForce derives the effective configuration of this site. A version that
-// cannot be used leaves the one before in force.
-func (s *Service) putInForce(entry configstate.Entry, docs configstate.Documents) {
-	if entry.Version.Hash == "" {
-		return
-	}
-	effective, err := config.Effect(s.site, entry.Version, docs)
-	s.mu.Lock()
-	s.problem = Problem{}
-	if err != nil {
-		s.problem = Problem{Version: entry.Version, Message: err.Error()}
-	}
-	s.mu.Unlock()
-	if err != nil {
-		s.meters.unusable.Inc(1)
-		s.logger.WithError(err).WithField("offset", entry.Version.Offset).Error("Configuration version cannot be used.")
-		return
-	}
-	s.current.Store(effective)
-	s.meters.inForce.Update(int64(effective.Offset))
-	s.logger.WithField("offset", effective.Offset).WithField("hash", effective.Hash).Info("Configuration in force.")
-	for _, f := range s.watchers {
-		f(effective)
-	}
-}
-
 // appendRecord appends one record and gives up after a time limit, in case the
 // connection went silent.
 func appendRecord(ctx context.Context, clock kernel.Clock, log logstream.Log, data []byte) error {
--- a/internal/service/configsync/peers.go
+++ b/internal/service/configsync/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -123,11 +124,8 @@
 		return ok && m.Status != members.StateDead
 	}
 	s.spread.Forget(present)
-	for vm := range s.sent {
-		if !present(vm) {
-			delete(s.sent, vm)
-		}
-	}
+	maps.DeleteFunc(s.sent, func(vm fleet.VM, _ sentDigest) bool { return !present(vm) })
+	maps.DeleteFunc(s.sentMarks, func(vm fleet.VM, _ sentMarks) bool { return !present(vm) })
 }
 
 // answer serves the queries of other routers.
--- a/internal/service/configsync/publish.go
+++ b/internal/service/configsync/publish.go
@@ -61,6 +61,7 @@
 type Config interface {
 	Source
 	Publishing
+	Emergency
 }
 
 // host is what a publication needs from the reader that watches the log.
--- a/internal/zfctl/publish.go
+++ b/internal/zfctl/publish.go
@@ -10,6 +10,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"github.com/zinniafork/zinniafork/internal/admin"
+	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
 )
@@ -109,10 +110,16 @@
 	Name  string `arg:"" help:"Its name." predictor:"name"`
 	Site  string `help:"Site; the router's own by default." predictor:"site"`
 	Force bool   `help:"Mark also when no capacity would be left."`
+
+	Emergency bool          `help:"Without a version, for this router's site, while the log is away."`
+	For       time.Duration `help:"Time for which an emergency drain holds." default:"1h"`
 	changeFlags
 }
 
 func (c *markFlags) run(ctx context.Context, g *Globals, mark fleet.Mark) error {
+	if c.Emergency {
+		return c.emergency(ctx, g, mark)
+	}
 	out, err := post[admin.Published](ctx, g, admin.PathMark, admin.MarkRequest{
 		Site: fleet.Site(c.Site), Kind: c.Kind, Name: c.Name, Mark: mark, Force: c.Force,
 		Comment: c.Message, Parent: c.Parent, DryRun: c.DryRun,
@@ -123,6 +130,29 @@
 	return c.finish(ctx, g, out)
 }
 
+// emergency sets or lifts a drain beside versions.
+func (c *markFlags) emergency(ctx context.Context, g *Globals, mark fleet.Mark) error {
+	out, err := post[admin.Emergency](ctx, g, admin.PathEmergency, admin.EmergencyRequest{
+		Kind: c.Kind, Name: c.Name, Lift: mark == fleet.MarkNone, For: config.Duration(c.For),
+		Force: c.Force, Comment: c.Message, DryRun: c.DryRun,
+	})
+	if err != nil {
+		return err
+	}
+	return g.show(out, func() {
+		g.concerns(out.Affected)
+		g.capacityChanges(out.Capacity)
+		switch {
+		case out.DryRun:
+			g.printf("dry run: nothing was changed\n")
+		case out.Mark.Drain:
+			g.printf("taken out until %s; publish it with zfctl drain once the log is back\n", timeText(out.Mark.Until))
+		default:
+			g.printf("the emergency drain is lifted\n")
+		}
+	})
+}
+
 type drainCommand struct{ markFlags }
 
 // Run takes the thing out.
@@ -149,25 +179,9 @@
 }
 
 func (g *Globals) published(out *admin.Published) {
-	if out.Affected != nil {
-		g.printf("concerns VMs: %s\nconcerns targets: %s\n",
-			dash(join(out.Affected.VMs, shownNames)), dash(join(out.Affected.Targets, shownNames)))
-	}
+	g.concerns(out.Affected)
 	g.changes(out.Changes, shownChanges)
-	if len(out.Capacity) > 0 {
-		var rows []table.Row
-		for _, c := range out.Capacity {
-			running := "-"
-			if c.Running >= 0 {
-				running = fmt.Sprint(c.Running)
-			}
-			rows = append(rows, table.Row{
-				c.Site, c.Kind, c.Name, c.Before, c.InService, percent(c.Share()),
-				fmt.Sprintf("%d of %d", c.TargetsInService, c.Targets), running,
-			})
-		}
-		g.table(table.Row{"Site", "Kind", "Name", "Slots now", "Slots after", "Of all", "Targets after", "Running"}, rows)
-	}
+	g.capacityChanges(out.Capacity)
 	if out.DryRun {
 		g.printf("dry run: nothing was published; it would follow version %s\n", versionText(out.Version.Version))
 		return
@@ -175,6 +189,33 @@
 	g.printf("accepted as version %s\n", versionText(out.Version.Version))
 }
 
+// concerns prints what a mark takes out or brings back.
+func (g *Globals) concerns(a *admin.Affected) {
+	if a == nil {
+		return
+	}
+	g.printf("concerns VMs: %s\nconcerns targets: %s\n", dash(join(a.VMs, shownNames)), dash(join(a.Targets, shownNames)))
+}
+
+// capacityChanges prints the capacity that a change leaves.
+func (g *Globals) capacityChanges(all []admin.SiteCapacity) {
+	if len(all) == 0 {
+		return
+	}
+	var rows []table.Row
+	for _, c := range all {
+		running := "-"
+		if c.Running >= 0 {
+			running = fmt.Sprint(c.Running)
+		}
+		rows = append(rows, table.Row{
+			c.Site, c.Kind, c.Name, c.Before, c.InService, percent(c.Share()),
+			fmt.Sprintf("%d of %d", c.TargetsInService, c.Targets), running,
+		})
+	}
+	g.table(table.Row{"Site", "Kind", "Name", "Slots now", "Slots after", "Of all", "Targets after", "Running"}, rows)
+}
+
 // await polls until every live router of every site that is heard of uses the
 // version or a newer one.
 func (g *Globals) await(ctx context.Context, v configstate.Version, limit time.Duration) error {
--- a/internal/zfctl/state.go
+++ b/internal/zfctl/state.go
@@ -28,6 +28,9 @@
 		if len(s.Spread.Lagging) > 0 {
 			g.printf("routers that lag: %s\n", join(s.Spread.Lagging, shownNames))
 		}
+		for _, m := range s.Emergencies {
+			g.printf("emergency drain of %s in %s by %s until %s; publish it with zfctl drain\n", m.Name, m.Section, m.Author, timeText(m.Until))
+		}
 		g.dataCentres(s)
 		g.routers(s)
 		g.capacity(s)
