Keep tenures through the loss of a router in a young site

Found by counting claims and loads by the second: voters that are not asked never became usable in place of a dead one; voters that join a set in a young site refused the present holder; a list change counted before the new voters had been asked; a tenure that ended early left no complete witness; the digests were shed over budget, which stopped the mean. After: all voters are introduced when a tenure begins, a holder has half a lease to be granted by voters of a changed list while it relies on the set before (which voters that have forgotten it refuse), a voter that granted a tenure from its beginning vouches for it, digests are never shed, targets that leave or are out don't count for the mean, returned targets ramp, the pause limit is 3 s. Conclusion: the bound turns idle targets into a limit for all; time without an owner must stay short.

--- a/internal/core/digest/table.go
+++ b/internal/core/digest/table.go
@@ -174,6 +174,8 @@
 			continue
 		}
 		switch e.State.Health() {
+		case health.Leaving, health.Out:
+			continue
 		case health.Unknown, health.Suspect:
 			out.Capacity += max(f.Capacity, int(e.Slots))
 		default:
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -58,8 +58,11 @@
 
 // Target is the health of one target. It is not safe for concurrent use.
 type Target struct {
-	limits      Limits
-	slots       int
+	limits Limits
+	slots  int
+	// ramp limits the slots of a target that came back into service, whatever
+	// it says of itself; zero for no limit.
+	ramp        int
 	since       time.Time
 	known       bool
 	incarnation uint64
@@ -84,6 +87,9 @@
 
 // SetLimits takes new limits from configuration.
 func (t *Target) SetLimits(l Limits) {
+	if t.limits.Leaving && !l.Leaving {
+		t.ramp = max(l.Cold, 1)
+	}
 	t.limits = l
 	t.slots = min(t.slots, l.Capacity)
 }
@@ -94,6 +100,9 @@
 //	warming                 grows by one with each completion
 //	warm                    the capacity
 //	leaving, out            none
+//
+// A target that comes back into service warms up by completions even when it
+// says that it is warm.
 func (t *Target) Slots() int {
 	switch t.State() {
 	case Leaving, Out:
@@ -101,8 +110,15 @@
 	case Suspect:
 		return min(t.slots, t.limits.Cold)
 	default:
+		return t.ramped()
+	}
+}
+
+func (t *Target) ramped() int {
+	if t.ramp == 0 {
 		return t.slots
 	}
+	return min(t.slots, t.ramp)
 }
 
 // State returns the target's state.
@@ -116,9 +132,9 @@
 		return Suspect
 	case !t.known:
 		return Unknown
-	case t.slots >= t.limits.Capacity:
+	case t.ramped() >= t.limits.Capacity:
 		return Warm
-	case t.slots <= t.limits.Cold:
+	case t.ramped() <= t.limits.Cold:
 		return Cold
 	default:
 		return Warming
@@ -188,6 +204,12 @@
 // Completed notes a whole answer.
 func (t *Target) Completed(now time.Time) {
 	t.completions.add(now)
+	if t.ramp > 0 {
+		t.ramp++
+	}
+	if t.ramp >= t.limits.Capacity {
+		t.ramp = 0
+	}
 	if t.State() == Suspect || t.slots >= t.limits.Capacity {
 		return
 	}
--- a/internal/core/health/health_test.go
+++ b/internal/core/health/health_test.go
@@ -87,6 +87,21 @@
 		{"leaving", func(t *health.Target) {
 			t.SetLimits(health.Limits{Capacity: 8, Cold: 2, Leaving: true})
 		}, health.Leaving, 0},
+		{"back in service", func(t *health.Target) {
+			t.Reported(at(10), health.Report{Taken: at(5), Incarnation: 1, Slots: 8})
+			t.SetLimits(health.Limits{Capacity: 8, Cold: 2, Leaving: true})
+			t.SetLimits(limits)
+			t.Reported(at(20), health.Report{Taken: at(15), Incarnation: 1, Slots: 8})
+			t.Completed(at(30))
+		}, health.Warming, 3},
+		{"back in service and warm", func(t *health.Target) {
+			t.Reported(at(10), health.Report{Taken: at(5), Incarnation: 1, Slots: 8})
+			t.SetLimits(health.Limits{Capacity: 8, Cold: 2, Leaving: true})
+			t.SetLimits(limits)
+			for i := range 6 {
+				t.Completed(at(30 + i))
+			}
+		}, health.Warm, 8},
 		{"capacity lowered", func(t *health.Target) {
 			t.Reported(at(10), health.Report{Taken: at(5), Incarnation: 1, Slots: 8})
 			t.SetLimits(health.Limits{Capacity: 4, Cold: 2})
--- a/internal/core/ownership/encode.go
+++ b/internal/core/ownership/encode.go
@@ -57,7 +57,7 @@
 // EncodeMsgpack writes the verdict as a short array.
 func (v *Verdict) EncodeMsgpack(enc *msgpack.Encoder) error {
 	values := [verdictInts]uint64{
-		uint64(v.Code), uint64(v.Memory), v.Term, flag(v.Released),
+		uint64(v.Code), uint64(v.Memory), v.Term, flag(v.Complete),
 		uint64(v.Residual), uint64(v.ResidualMS), uint64(v.Pending), uint64(v.PendingMS), uint64(v.RetryMS),
 	}
 	if v.Holder == "" && v.Sets == nil {
@@ -83,7 +83,7 @@
 		return err
 	}
 	*v = Verdict{
-		Code: VerdictCode(x[0]), Memory: Memory(x[1]), Term: x[2], Released: x[3] != 0,
+		Code: VerdictCode(x[0]), Memory: Memory(x[1]), Term: x[2], Complete: x[3] != 0,
 		Residual: uint32(x[4]), ResidualMS: uint32(x[5]), Pending: uint32(x[6]), PendingMS: uint32(x[7]), RetryMS: uint32(x[8]),
 	}
 	if n <= verdictInts {
--- a/internal/core/ownership/encode_test.go
+++ b/internal/core/ownership/encode_test.go
@@ -31,7 +31,7 @@
 				Code:       ownership.VerdictCode(rapid.IntRange(1, 4).Draw(t, "code")),
 				Memory:     ownership.Memory(rapid.IntRange(0, 2).Draw(t, "memory")),
 				Term:       rapid.Uint64Range(0, 3).Draw(t, "term"),
-				Released:   rapid.Bool().Draw(t, "released"),
+				Complete:   rapid.Bool().Draw(t, "complete"),
 				Residual:   rapid.Uint32Range(0, 9).Draw(t, "residual"),
 				ResidualMS: rapid.Uint32().Draw(t, "ms"),
 				PendingMS:  rapid.Uint32Range(0, 1).Draw(t, "pendingMS"),
--- a/internal/core/ownership/exchange.go
+++ b/internal/core/ownership/exchange.go
@@ -131,7 +131,7 @@
 	for _, set := range v.Sets {
 		h.sets.learn(set, now.Add(n.params.Lease), now.Add(2*n.params.Lease))
 	}
-	if c.Kind == ClaimRelease || c.Kind == ClaimHandOver || !h.current(c) {
+	if c.Kind == ClaimRelease || c.Kind == ClaimHandOver || !h.current(c, seq) {
 		return
 	}
 	if v.Code == Granted {
@@ -149,19 +149,20 @@
 }
 
 // current reports whether a claim belongs to the present phase of the holder.
-func (h *holder) current(c Claim) bool {
+// A grant of the acquisition may come after those that decided it.
+func (h *holder) current(c Claim, seq uint64) bool {
 	switch h.phase {
 	case acquiring:
-		return c.Kind == ClaimAcquire && c.Term == 0
+		return c.begins() && seq > h.firstSeq
 	case held:
-		return c.Term == h.term
+		return c.Term == h.term || c.begins() && seq > h.firstSeq
 	default:
 		return false
 	}
 }
 
 func (n *Node) judgedAcquiring(now time.Time, h *holder, v Verdict) {
-	if h.acquired() && now.Before(h.leaseEnd(n.params)) {
+	if h.acquired() && now.Before(h.leaseEnd(now, n.params)) {
 		n.gain(now, h)
 		return
 	}
--- a/internal/core/ownership/explore_test.go
+++ b/internal/core/ownership/explore_test.go
@@ -97,6 +97,7 @@
 func (m *model) params() ownership.Params {
 	p := ownership.DefaultParams(2 * time.Second)
 	p.WorkLimit = workTime
+	p.PauseLimit = maxPause + time.Second
 	p.RebalanceAfter = 3 * time.Second
 	if m.broken.shortDeadline {
 		p.WorkLimit = workTime / 8
--- a/internal/core/ownership/holder.go
+++ b/internal/core/ownership/holder.go
@@ -35,6 +35,10 @@
 
 	phase phase
 	term  uint64
+	// firstSeq is the last sequence number before the acquisition.
+	firstSeq uint64
+	// announced is true once the voters were told the term of this tenure.
+	announced bool
 	// heldAt is the time at which this router lost the resource.
 	heldAt time.Time
 	// lastOwn is the term of this router's last tenure.
@@ -133,9 +137,12 @@
 }
 
 // leaseEnd returns the time at which the lease lapses unless it is renewed.
-func (h *holder) leaseEnd(p Params) time.Time {
+func (h *holder) leaseEnd(now time.Time, p Params) time.Time {
 	var end time.Time
-	for i, set := range h.sets.sets {
+	for _, set := range h.sets.sets {
+		if h.phase == held && set.grace(now) {
+			continue
+		}
 		sent := make([]time.Time, 0, len(set.voters))
 		for _, vm := range set.voters {
 			if a, ok := h.acks[vm]; ok && a.introduced == 0 {
@@ -148,7 +155,7 @@
 		}
 		slices.SortFunc(sent, func(a, b time.Time) int { return b.Compare(a) })
 		setEnd := sent[need-1].Add(p.Lease)
-		if i == 0 || setEnd.Before(end) {
+		if end.IsZero() || setEnd.Before(end) {
 			end = setEnd
 		}
 	}
@@ -157,7 +164,7 @@
 
 // holds reports whether the lease is in force.
 func (h *holder) holds(now time.Time, p Params) bool {
-	return h.phase == held && now.Before(h.leaseEnd(p))
+	return h.phase == held && now.Before(h.leaseEnd(now, p))
 }
 
 // grantedClaim is a claim that a voter granted.
@@ -179,21 +186,21 @@
 	if g.claim.Sets != nil && h.named[voter] == g.seq {
 		a.sets = g.claim.Sets
 	}
-	if !known && h.phase == held && g.claim.Kind == ClaimAcquire {
+	if !known && h.phase == held && g.claim.Kind == ClaimAcquire && !g.claim.begins() {
 		a.introduced = g.last
 	}
 	h.acks[voter] = a
 	h.attest()
 }
 
-// attest admits introduced voters once a majority of the others has granted
-// after their introduction.
+// attest admits introduced voters once a majority of the others of some set has
+// granted after their introduction.
 func (h *holder) attest() {
 	for vm, a := range h.acks {
 		if a.introduced == 0 {
 			continue
 		}
-		attested := h.sets.majority(func(other fleet.VM) bool {
+		attested := h.sets.anyMajority(func(other fleet.VM) bool {
 			o := h.acks[other]
 			return o.introduced == 0 && o.seq > a.introduced
 		})
@@ -216,8 +223,8 @@
 	attested := func(least Memory) bool {
 		return h.sets.majority(func(vm fleet.VM) bool {
 			a, ok := h.acks[vm]
-			exact := a.verdict.Released && a.verdict.Term == last
-			return ok && (a.verdict.Memory >= least || exact)
+			complete := a.verdict.Complete && a.verdict.Term == last
+			return ok && (a.verdict.Memory >= least || complete)
 		})
 	}
 	out := Residual{Known: attested(MemoryFull), Until: now, PendingUntil: now}
@@ -252,8 +259,8 @@
 
 // confirmed reports whether a majority has granted a renewal that was sent
 // after the round began.
-func (h *holder) confirmed() bool {
-	return h.round.active() && h.sets.majority(func(vm fleet.VM) bool {
+func (h *holder) confirmed(now time.Time) bool {
+	return h.round.active() && h.sets.holdingMajority(now, func(vm fleet.VM) bool {
 		a := h.acks[vm]
 		return a.introduced == 0 && a.seq > h.round.after
 	})
--- a/internal/core/ownership/message.go
+++ b/internal/core/ownership/message.go
@@ -101,9 +101,9 @@
 	Memory Memory
 	// Term is the last term that the voter knows.
 	Term uint64
-	// Released is true when the owner of that term gave the resource back to
-	// this voter, which has promised it to nobody else since.
-	Released bool
+	// Complete is true when this voter remembers all that it was told in the
+	// tenure of that term: it granted it from the beginning, or took it back.
+	Complete bool
 	// Residual is the work of earlier owners and ResidualMS the time in
 	// milliseconds until its deadline.
 	Residual   uint32
--- a/internal/core/ownership/node.go
+++ b/internal/core/ownership/node.go
@@ -86,7 +86,7 @@
 	preferred := prefer(&n.view, holders)
 	for _, h := range holders {
 		if n.view.HasList {
-			h.sets.setCurrent(VotersOf(&n.view, h.ranking, n.params.Voters), now.Add(n.params.Remember))
+			h.sets.setCurrent(VotersOf(&n.view, h.ranking, n.params.Voters), now.Add(n.params.Lease/2), now.Add(n.params.Remember))
 		}
 		h.rank = eligibleRank(&n.view, h.ranking, n.self)
 		h.prefer(now, n.self, preferred[h.id])
@@ -287,23 +287,36 @@
 		n.leave(h)
 		return
 	}
-	if renew {
+	switch {
+	case !h.announced:
+		n.announce(now, h)
+	case renew:
 		n.renew(now, h)
 	}
 	n.advance(now, h)
 }
 
+// announce tells the term of a new tenure to all voters, so that they remember
+// it as one that was begun.
+func (n *Node) announce(now time.Time, h *holder) {
+	h.announced = true
+	for _, vm := range h.sets.all() {
+		n.claim(now, vm, h, n.renewKind(h, vm))
+	}
+}
+
 // renew asks a majority of the voters, and all of them while the lease is not
 // far from its end. Voters that granted just now, such as in a confirmation,
-// are left out.
+// are left out. Those that have given no grant that counts are always asked,
+// so that they can stand in when another voter dies.
 func (n *Node) renew(now time.Time, h *holder) {
-	voters := n.nearestMajority(now, h)
-	if h.leaseEnd(n.params).Sub(now) < n.params.Lease/2 {
-		voters = h.sets.all()
-	}
-	for _, vm := range voters {
+	majority := n.nearestMajority(now, h)
+	urgent := h.leaseEnd(now, n.params).Sub(now) < n.params.Lease/2
+	for _, vm := range h.sets.all() {
 		a, ok := h.acks[vm]
-		if !ok || a.introduced != 0 || now.Sub(a.sentAt) > n.params.Lease/renewals/2 {
+		counts := ok && a.introduced == 0
+		due := now.Sub(a.sentAt) > n.params.Lease/renewals/2
+		if !counts || due && (urgent || slices.Contains(majority, vm)) {
 			n.claim(now, vm, h, n.renewKind(h, vm))
 		}
 	}
@@ -343,6 +356,7 @@
 
 func (n *Node) acquire(now time.Time, h *holder) {
 	h.phase, h.since, h.askAt = acquiring, now, time.Time{}
+	h.announced, h.firstSeq = false, n.seq
 	h.ceiling, h.pending = 0, 0
 	clear(h.acks)
 	for _, vm := range h.sets.all() {
@@ -413,7 +427,7 @@
 // advance begins, widens and ends confirmation rounds.
 func (n *Node) advance(now time.Time, h *holder) {
 	for {
-		if h.confirmed() && h.holds(now, n.params) {
+		if h.confirmed(now) && h.holds(now, n.params) {
 			n.emit(Event{Kind: Confirmed, ID: h.id, Term: h.term, Tickets: h.round.tickets})
 			h.round = round{}
 		}
--- a/internal/core/ownership/node_test.go
+++ b/internal/core/ownership/node_test.go
@@ -295,11 +295,17 @@
 			for _, vm := range []fleet.VM{"dc1b", "dc1c", "dc1f", "dc1g"} {
 				s.setView(vm, s.view(recent, []fleet.VM{"dc1f"}))
 			}
-			s.run(s.params.Remember - s.params.Lease)
 			if remember {
+				s.run(s.params.Remember - s.params.Lease)
 				must.Eq(t, []fleet.VM{"dc1d"}, s.owners())
 				return
 			}
+			for range 20 {
+				s.run(s.params.Lease / 2)
+				if len(s.owners()) > 1 {
+					break
+				}
+			}
 			must.Eq(t, []fleet.VM{"dc1d", "dc1f"}, s.owners(), must.Sprint("without the rule both halves own"))
 		})
 	}
@@ -332,6 +338,63 @@
 	must.Eq(t, []fleet.VM{owner}, s.owners())
 }
 
+// TestTenureSurvivesDeadVoters kills the voters that an owner asks, one after
+// another, and checks that the others stand in.
+func TestTenureSurvivesDeadVoters(t *testing.T) {
+	s := nine()
+	owner := s.settle(t)
+	s.run(s.params.Lease)
+	for range 2 {
+		_, first := s.nodes[owner].Confirm(s.now, id)
+		dead := first.Sends[0].To
+		s.down[dead] = true
+		s.act(owner, first)
+		s.run(2 * s.params.Lease)
+		must.Eq(t, []fleet.VM{owner}, s.owners())
+		must.SliceNotContains(t, s.events[owner], ownership.Lost)
+	}
+	_, last := s.nodes[owner].Confirm(s.now, id)
+	s.events[owner] = nil
+	s.act(owner, last)
+	must.Eq(t, []ownership.EventKind{ownership.Confirmed}, s.events[owner])
+}
+
+// TestYoungSiteSurvivesLostRouter takes a router that votes for an owner away,
+// from the network and then from the list, soon after all have started.
+func TestYoungSiteSurvivesLostRouter(t *testing.T) {
+	for _, lost := range []fleet.VM{"dc1a", "dc1b", "dc1c", "dc2a", "dc2b", "dc2c", "dc3a", "dc3b", "dc3c"} {
+		t.Run(string(lost), func(t *testing.T) {
+			s := nine()
+			s.params.Voters = 3
+			for _, vm := range s.order {
+				s.nodes[vm].SetParams(s.params)
+			}
+			s.setViews(s.order, s.order)
+			owner := s.settle(t)
+			if owner == lost {
+				t.Skip("the owner itself is lost")
+			}
+			s.run(s.params.Lease)
+			s.down[lost] = true
+			s.run(s.params.Lease / 4)
+			left := s.without(lost)
+			for _, vm := range left {
+				v := s.view(left, left)
+				v.Agreed = false
+				s.setView(vm, v)
+				s.run(100 * time.Millisecond)
+			}
+			for range 8 {
+				_, ask := s.nodes[owner].Confirm(s.now, id)
+				s.act(owner, ask)
+				s.run(s.params.Lease / 2)
+			}
+			must.SliceNotContains(t, s.events[owner], ownership.Lost)
+			must.SliceNotContains(t, s.events[owner], ownership.Refused)
+		})
+	}
+}
+
 func TestConfirmGroups(t *testing.T) {
 	s := newSite("dc1a", "dc1b", "dc1c")
 	owner := s.settle(t)
--- a/internal/core/ownership/ownership.go
+++ b/internal/core/ownership/ownership.go
@@ -60,7 +60,7 @@
 		WorkLimit:      60 * time.Second,
 		Voters:         5,
 		ConfirmRetry:   50 * time.Millisecond,
-		PauseLimit:     10 * time.Second,
+		PauseLimit:     3 * time.Second,
 		RebalanceAfter: 3 * time.Second,
 	}
 }
--- a/internal/core/ownership/sets.go
+++ b/internal/core/ownership/sets.go
@@ -13,8 +13,14 @@
 // first, then those that it replaced lately or that voters have told of. A
 // majority is needed in each of them, so two holders whose views of the voters
 // differ by recent changes still depend on a voter in common.
+//
+// A holder whose own list changes gets a short grace to be granted by the new
+// voters; until then it relies on the set before. Voters that have forgotten
+// that set refuse, because another holder may have been elected without it.
 type voterSets struct {
 	sets []voterSet
+	// gone holds the hashes of sets that this router has forgotten.
+	gone map[SetHash]time.Time
 }
 
 type voterSet struct {
@@ -27,21 +33,31 @@
 	// that voters tell of it again if they still count it. It is forgotten
 	// later, when no answer to a claim that named it is waited for.
 	nameUntil time.Time
+	// countFrom is the end of the grace of a set that became current.
+	countFrom time.Time
 	// told is true for a set that only others have told of. It is not passed
 	// on, or routers would keep it alive among each other.
 	told bool
 }
 
-// setCurrent makes voters the current set and keeps the one before until.
-func (s *voterSets) setCurrent(voters []fleet.VM, until time.Time) {
+// setCurrent makes voters the current set, which counts for holding from the
+// end of its grace, and keeps the one before until. A set that others have told
+// of gets no grace.
+func (s *voterSets) setCurrent(voters []fleet.VM, countFrom, until time.Time) {
 	if len(s.sets) > 0 && sameVoters(s.sets[0].voters, voters) {
 		return
 	}
-	if len(s.sets) > 0 && len(s.sets[0].voters) > 0 {
+	next := newSet(voters)
+	if len(s.sets) > 0 {
 		s.sets[0].until = until
+		next.countFrom = countFrom
 	}
-	s.sets = slices.DeleteFunc(s.sets, func(old voterSet) bool { return sameVoters(old.voters, voters) })
-	s.sets = slices.Insert(s.sets, 0, newSet(voters))
+	if slices.ContainsFunc(s.sets, func(old voterSet) bool { return old.hash == next.hash }) {
+		next.countFrom = time.Time{}
+	}
+	s.sets = slices.DeleteFunc(s.sets, func(old voterSet) bool { return old.hash == next.hash })
+	s.sets = slices.Insert(s.sets, 0, next)
+	delete(s.gone, next.hash)
 }
 
 // learn adds a set that a voter counts.
@@ -59,11 +75,40 @@
 	s.sets = append(s.sets, set)
 }
 
+// goneFor is the time for which a router knows that it has forgotten a set.
+const goneFor = time.Hour
+
 // prune forgets replaced sets whose time is over.
 func (s *voterSets) prune(now time.Time) {
 	s.sets = slices.DeleteFunc(s.sets, func(set voterSet) bool {
-		return !set.until.IsZero() && now.After(set.until)
+		over := !set.until.IsZero() && now.After(set.until)
+		if over && !set.told {
+			s.bury(set.hash, now)
+		}
+		return over
 	})
+	for hash, at := range s.gone {
+		if now.Sub(at) > goneFor {
+			delete(s.gone, hash)
+		}
+	}
+}
+
+func (s *voterSets) bury(hash SetHash, now time.Time) {
+	if s.gone == nil {
+		s.gone = make(map[SetHash]time.Time)
+	}
+	s.gone[hash] = now
+}
+
+// outdated reports whether a claim relies on a set that this router has
+// forgotten.
+func (s *voterSets) outdated(sets []SetHash) bool {
+	if len(sets) == 0 {
+		return false
+	}
+	_, gone := s.gone[sets[0]]
+	return gone
 }
 
 // current returns the current set.
@@ -87,17 +132,25 @@
 	return out
 }
 
-// hashes identifies the sets that claims name now.
+// hashes identifies the sets that claims name now, the one that the holder
+// relies on first.
 func (s *voterSets) hashes(now time.Time) []SetHash {
 	out := make([]SetHash, 0, len(s.sets))
+	relied := slices.IndexFunc(s.sets, func(set voterSet) bool { return !set.grace(now) })
+	if relied >= 0 {
+		out = append(out, s.sets[relied].hash)
+	}
 	for i := range s.sets {
-		if !s.sets[i].told || now.Before(s.sets[i].nameUntil) {
+		if i != relied && (!s.sets[i].told || now.Before(s.sets[i].nameUntil)) {
 			out = append(out, s.sets[i].hash)
 		}
 	}
 	return out
 }
 
+// grace reports whether the set does not count for holding yet.
+func (set *voterSet) grace(now time.Time) bool { return now.Before(set.countFrom) }
+
 // missing returns the sets that this router has seen itself and that are not
 // among the known ones.
 func (s *voterSets) missing(known []SetHash) [][]fleet.VM {
@@ -125,18 +178,30 @@
 	if len(s.current()) == 0 {
 		return false
 	}
-	for _, set := range s.sets {
-		count := 0
-		for _, vm := range set.voters {
-			if ok(vm) {
-				count++
-			}
-		}
-		if count < quorum(len(set.voters)) {
-			return false
+	return !slices.ContainsFunc(s.sets, func(set voterSet) bool { return !set.majority(ok) })
+}
+
+// holdingMajority is majority without the sets that are in their grace.
+func (s *voterSets) holdingMajority(now time.Time, ok func(fleet.VM) bool) bool {
+	if len(s.current()) == 0 {
+		return false
+	}
+	return !slices.ContainsFunc(s.sets, func(set voterSet) bool { return !set.grace(now) && !set.majority(ok) })
+}
+
+// anyMajority reports whether ok holds for a majority of some set.
+func (s *voterSets) anyMajority(ok func(fleet.VM) bool) bool {
+	return slices.ContainsFunc(s.sets, func(set voterSet) bool { return set.majority(ok) })
+}
+
+func (set *voterSet) majority(ok func(fleet.VM) bool) bool {
+	count := 0
+	for _, vm := range set.voters {
+		if ok(vm) {
+			count++
 		}
 	}
-	return true
+	return count >= quorum(len(set.voters))
 }
 
 func quorum(n int) int { return n/2 + 1 }
--- a/internal/core/ownership/voter.go
+++ b/internal/core/ownership/voter.go
@@ -27,9 +27,13 @@
 	released bool
 	// sets are those that the holder's last claim counts.
 	sets []SetHash
-	// exact is true when the owner of the last term gave the resource back.
-	exact   bool
-	expires time.Time
+	// whole is true when the tenure of the present holder was granted here from
+	// its beginning or was given back here, and complete when that was so of
+	// the last tenure before. The present one counts once it was renewed.
+	whole    bool
+	renewed  bool
+	complete bool
+	expires  time.Time
 	// work is what the holder's own work may amount to, inherited that of
 	// earlier holders while this one has not said that its own includes it.
 	work      backlog
@@ -108,20 +112,44 @@
 	if own && req.Seq <= g.seq {
 		return Verdict{Code: Stale}
 	}
+	known := c.Sets
+	if own && known == nil {
+		known = g.sets
+	}
 	switch {
+	case c.Kind == ClaimRenew && e.sets != nil && e.sets.outdated(known):
+		return Verdict{Code: Abstained, RetryMS: milliseconds(v.params.Lease)}
 	case c.Kind == ClaimRelease:
 		return v.release(now, g, own, req, c)
 	case own && !g.released:
+		if c.begins() {
+			g.complete, g.whole, g.renewed = g.remembered(), true, false
+		}
 		return v.renew(now, g, req, c)
-	case v.abstains(now, e), c.Kind == ClaimRenew && !v.witnessed(now, g, c):
+	case v.abstains(now, c, e), c.Kind == ClaimRenew && !v.witnessed(now, g, c):
 		return Verdict{Code: Abstained, RetryMS: milliseconds(v.abstention(now))}
 	case g != nil && !v.free(now, g, from, req):
 		wait := g.expires.Add(v.params.Margin).Sub(now)
 		return Verdict{Code: Held, Holder: g.holder, RetryMS: milliseconds(wait), Term: g.term}
 	}
-	return v.renew(now, v.switchTo(now, g, from, req, c.ID), req, c)
+	next := v.switchTo(now, g, from, req, c.ID)
+	next.whole = c.begins()
+	return v.renew(now, next, req, c)
+}
+
+// remembered reports whether the voter remembers the whole of the last tenure
+// that it knows of.
+func (g *grant) remembered() bool {
+	if g.renewed {
+		return g.whole
+	}
+	return g.complete
 }
 
+// begins reports whether a claim asks for a new tenure. A holder that asks a
+// voter for its first grant in the middle of a tenure names the term.
+func (c *Claim) begins() bool { return c.Kind == ClaimAcquire && c.Term == 0 }
+
 // witnessed reports whether the voter can tell that the tenure which a claim
 // renews was not interrupted by another holder. A holder that was paused may
 // believe in a tenure that ended long ago.
@@ -144,14 +172,14 @@
 	}
 }
 
-// abstains reports whether the voter may have forgotten a grant, or may be the
-// voter of a set that others don't know yet.
-func (v *voter) abstains(now time.Time, e electorate) bool {
+// abstains reports whether the voter may have forgotten a grant or, for a new
+// tenure, may not know of voters that were replaced before it started.
+func (v *voter) abstains(now time.Time, c Claim, e electorate) bool {
 	age := now.Sub(v.booted)
 	if !e.hasList || age < v.params.Lease+v.params.Margin {
 		return true
 	}
-	return age < v.params.Remember && !e.agreed
+	return c.begins() && age < v.params.Remember && !e.agreed
 }
 
 // abstention returns the time after which asking again makes sense.
@@ -172,7 +200,7 @@
 	g := &grant{holder: from, process: req.Process}
 	if old != nil {
 		g.term = old.term
-		g.exact = old.released && old.exact
+		g.complete = old.remembered()
 		g.inherited = old.work.join(old.inherited, now)
 	}
 	v.grants[id] = g
@@ -186,13 +214,13 @@
 		g.work = v.backlog(now.Add(v.params.Lease+v.params.Margin), c)
 		g.inherited = backlog{}
 		g.term = max(g.term, c.Term)
-		g.exact = false
+		g.renewed = true
 	} else {
 		// The sender does not know what it or others admitted before.
 		g.inherited = g.work.join(g.inherited, now)
 		g.work = backlog{}
 	}
-	out := Verdict{Code: Granted, Term: g.term, Released: g.exact}
+	out := Verdict{Code: Granted, Term: g.term, Complete: g.complete}
 	if !g.inherited.over(now) {
 		out.Residual = g.inherited.count
 		out.ResidualMS = milliseconds(g.inherited.until.Sub(now))
@@ -223,7 +251,7 @@
 	g.seq = req.Seq
 	g.released = true
 	if c.Term > 0 {
-		g.exact = true
+		g.whole, g.renewed = true, true
 		g.term = max(g.term, c.Term)
 		g.work = v.backlog(now, c)
 		g.inherited = backlog{}
@@ -231,11 +259,13 @@
 	return Verdict{Code: Granted, Term: g.term}
 }
 
-// prune forgets grants that can no longer matter.
+// prune forgets grants that can no longer matter: all that their holders and
+// those before admitted has ended. A holder may come back to a voter that it
+// has not asked for long, which then still knows its tenure.
 func (v *voter) prune(now time.Time) {
+	keep := v.params.Lease + v.params.Margin + v.params.PauseLimit + v.params.WorkLimit
 	for id, g := range v.grants {
-		over := g.released || now.After(g.expires.Add(v.params.Margin))
-		if over && g.work.over(now) && g.inherited.over(now) {
+		if now.Sub(g.expires) > keep {
 			delete(v.grants, id)
 		}
 	}
--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -50,8 +50,12 @@
 	return Member{}, false
 }
 
-// Extension adds a small part to every heartbeat. Parts with the lowest
-// Priority number are kept when the control budget is short.
+// PrioritySheddable is the priority from which parts are left out of
+// heartbeats when the control budget is short.
+const PrioritySheddable = 10
+
+// Extension adds a small part to every heartbeat. Parts with a low Priority
+// number go first, and those from PrioritySheddable on may be left out.
 type Extension struct {
 	// Key names the part; short keys keep heartbeats small.
 	Key      string
--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -305,7 +305,7 @@
 	period := s.pacer.Period(s.control.Heartbeat.Std())
 	hb := s.view.Own(now, period, s.sparse)
 	neighbours := s.neighbours
-	keep := len(s.extensions) - s.pacer.Shed()
+	keep := s.kept()
 	s.mu.Unlock()
 	for _, to := range neighbours {
 		s.send(to, hb, keep)
@@ -313,10 +313,22 @@
 	return period
 }
 
+// kept returns the number of extensions that fit the budget. Only those that
+// may be shed are left out, the least important first.
+func (s *Service) kept() int {
+	keep := len(s.extensions)
+	for range s.pacer.Shed() {
+		if keep > 0 && s.extensions[keep-1].Priority >= PrioritySheddable {
+			keep--
+		}
+	}
+	return keep
+}
+
 func (s *Service) send(to fleet.VM, hb membership.Heartbeat, keep int) {
 	var parts []part
 	for i, e := range s.extensions {
-		if i >= max(keep, 1) {
+		if i >= keep {
 			break
 		}
 		if data := e.Produce(to); data != nil {
--- a/internal/service/owner/candidates.go
+++ b/internal/service/owner/candidates.go
@@ -23,7 +23,7 @@
 	marks := marksOf(s.current)
 	var out []placement.Candidate
 	for _, t := range s.targets {
-		if !serves(&t.config, class) || t.config.Mark == fleet.MarkDrain || marks.dcs[t.config.DataCentre] {
+		if !serves(&t.config, class) || marks.leaves(&t.config) {
 			continue
 		}
 		if c, ok := s.candidate(now, t); ok {
--- a/internal/service/owner/targets.go
+++ b/internal/service/owner/targets.go
@@ -68,7 +68,7 @@
 			s.dropTarget(t)
 		}
 	}
-	s.groupTargets()
+	s.groupTargets(rules.marks)
 }
 
 func (s *Service) newTarget(now time.Time, row config.Target, c admission.Config) *ownedTarget {
@@ -96,13 +96,13 @@
 	delete(s.byShort, placement.Short(t.hash))
 }
 
-// groupTargets finds for each target the others that can do some of the same
-// work.
-func (s *Service) groupTargets() {
+// groupTargets finds for each target the others in service that can do some of
+// the same work.
+func (s *Service) groupTargets(m marks) {
 	for _, t := range s.targets {
 		t.group = t.group[:0]
 		for _, other := range s.targets {
-			if other != t && sameWork(&t.config, &other.config) {
+			if other != t && !m.leaves(&other.config) && sameWork(&t.config, &other.config) {
 				t.group = append(t.group, digest.Fallback{Resource: other.key, Capacity: other.config.Slots})
 			}
 		}
@@ -129,7 +129,7 @@
 		Limits: health.Limits{
 			Capacity: t.Slots,
 			Cold:     max(1, min(t.ColdSlots, t.Slots)),
-			Leaving:  t.Mark == fleet.MarkDrain || r.marks.dcs[t.DataCentre],
+			Leaving:  r.marks.leaves(t),
 		},
 		QueueLength: r.config.Load.QueueLength,
 		Weights:     r.weights,
--- a/internal/service/owner/view.go
+++ b/internal/service/owner/view.go
@@ -61,6 +61,11 @@
 	return m
 }
 
+// leaves reports whether operators take a target out of service.
+func (m marks) leaves(t *config.Target) bool {
+	return t.Mark == fleet.MarkDrain || m.dcs[t.DataCentre]
+}
+
 func (m marks) drained(vm fleet.VM, dc fleet.DataCentre) bool { return m.vms[vm] || m.dcs[dc] }
 
 func sortResources(resources []ownership.Resource) {
