Give engines orders that no earlier owner can follow

Cause: the client of engines carries fencing numbers, and nothing gave them. A claim in the log gives each tenure its number; targets that check nothing get the waiting rule.

--- /dev/null
+++ b/internal/core/fencing/fencing.go
@@ -0,0 +1,125 @@
+// Package fencing decides whether a router may give an order, such as a model
+// load, to a target.
+//
+// Each holder of a target claims it in a stream of the log. The place of the
+// claim is its fencing number, which rises with each holder. Targets that check
+// numbers refuse those of earlier holders by themselves. At the others a holder
+// first waits until the lease of the one before has lapsed, and reads the
+// stream again before each order.
+package fencing
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/zinniafork/zinniafork/internal/core/fleet"
+)
+
+// Nonce tells one claim from all others.
+type Nonce struct {
+	Process uint64 `msgpack:"p"`
+	Seq     uint64 `msgpack:"s"`
+}
+
+// Claim is the record by which a router becomes the holder of a target.
+type Claim struct {
+	Target      fleet.Target      `msgpack:"t"`
+	Router      fleet.VM          `msgpack:"r"`
+	Incarnation fleet.Incarnation `msgpack:"i"`
+	Nonce       Nonce             `msgpack:"n"`
+}
+
+// Encode returns the bytes that go into the log.
+func (c *Claim) Encode() ([]byte, error) {
+	data, err := msgpack.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode claim of %s: %w", c.Target, err)
+	}
+	return data, nil
+}
+
+// DecodeClaim reads a claim from the log.
+func DecodeClaim(data []byte) (Claim, error) {
+	var c Claim
+	if err := msgpack.Unmarshal(data, &c); err != nil {
+		return Claim{}, fmt.Errorf("decode claim: %w", err)
+	}
+	return c, nil
+}
+
+// Held is a claim with its place in the log.
+type Held struct {
+	Claim
+	Offset uint64
+	// ReadAt is the time at which this router read the claim.
+	ReadAt time.Time
+}
+
+// Number returns the fencing number of the claim. It is never zero.
+func (h *Held) Number() uint64 { return h.Offset + 1 }
+
+// Board is the newest claim of each target, as far as the stream was read.
+type Board struct {
+	newest map[fleet.Target]Held
+	next   uint64
+}
+
+// NewBoard returns the board of a stream of which nothing was read.
+func NewBoard() *Board { return &Board{newest: make(map[fleet.Target]Held)} }
+
+// Next returns the offset of the next record to apply.
+func (b *Board) Next() uint64 { return b.next }
+
+// Skip notes that the log holds no records below earliest any more.
+func (b *Board) Skip(earliest uint64) { b.next = max(b.next, earliest) }
+
+// Apply takes the claim at an offset. Offsets that were applied before have no
+// effect.
+func (b *Board) Apply(now time.Time, offset uint64, c Claim) {
+	if offset < b.next {
+		return
+	}
+	b.next = offset + 1
+	b.newest[c.Target] = Held{Claim: c, Offset: offset, ReadAt: now}
+}
+
+// Pass notes a record that is not a claim.
+func (b *Board) Pass(offset uint64) { b.next = max(b.next, offset+1) }
+
+// Newest returns the newest claim of a target.
+func (b *Board) Newest(t fleet.Target) (Held, bool) {
+	h, ok := b.newest[t]
+	return h, ok
+}
+
+// Verdict is what a holder may do.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Go lets the order be sent.
+	Go Verdict = iota + 1
+	// Wait means that the holder before may still act.
+	Wait
+	// Superseded means that another router has claimed the target.
+	Superseded
+)
+
+// Judge decides about an order under a claim. checks is true for a target that
+// refuses old numbers; lease bounds how long the holder before may go on after
+// the claim was read. The time is zero unless the verdict is Wait.
+func (b *Board) Judge(now time.Time, own Nonce, t fleet.Target, checks bool, lease time.Duration) (Verdict, time.Duration) {
+	h, ok := b.newest[t]
+	switch {
+	case !ok || h.Nonce != own:
+		return Superseded, 0
+	case checks:
+		return Go, 0
+	}
+	if left := h.ReadAt.Add(lease).Sub(now); left > 0 {
+		return Wait, left
+	}
+	return Go, 0
+}
