Go on with broken streams without the caller

Cause: a stream that broke off between the target and the entry router was an error event for the caller, although every byte it had was known to fit to another run. Before: the caller came back with Last-Event-ID. After: the entry router goes on behind the last whole event, by the engine's resume or by another run whose beginning is the same, within the account's retry budget. A sink that refuses an answer keeps its reason, which hops in between had replaced by "canceled". Conclusion: a test breaks a stream after each of its bytes; it arrives whole.

--- a/internal/core/answers/answers.go
+++ b/internal/core/answers/answers.go
@@ -144,6 +144,14 @@
 	return false, nil
 }
 
+// Position returns the position behind the last event that the caller has.
+func (e *Events) Position() Position {
+	if e.at.Offset < e.from.Offset {
+		return e.from
+	}
+	return e.at
+}
+
 // End checks that the answer ended behind an event and not before the
 // position.
 func (e *Events) End() error {
--- a/internal/service/callerapi/callerapi_test.go
+++ b/internal/service/callerapi/callerapi_test.go
@@ -265,8 +265,64 @@
 	must.Eq(t, http.StatusBadRequest, resp.StatusCode)
 }
 
+// TestBrokenStreamGoesOn breaks a stream after each byte. The caller gets the
+// whole answer, or an error where the rest does not fit or may not be fetched.
+func TestBrokenStreamGoesOn(t *testing.T) {
+	other := strings.ReplaceAll(stream, `"a"`, `"z"`)
+	cases := []struct {
+		name      string
+		again     string
+		resumes   bool
+		exhausted bool
+		code      call.Code
+		whole     bool
+	}{
+		{name: "engine resumes", again: stream, resumes: true, code: call.CodeCut, whole: true},
+		{name: "another run", again: stream, code: call.CodeUnavailable, whole: true},
+		{name: "another answer", again: other, code: call.CodeCut},
+		{name: "no budget", again: stream, exhausted: true, code: call.CodeCut},
+		{name: "canceled", again: stream, code: call.CodeCanceled},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBench(t, kernel.SystemNetwork{}, "")
+			b.router.exhausted = c.exhausted
+			for cut := 1; cut < len(stream); cut++ {
+				first := true
+				b.router.run = func(ctx context.Context, req *call.Request, sink call.Sink) error {
+					switch {
+					case first:
+						first = false
+						_ = sink.Head(call.Head{Status: 200, Header: http.Header{"Content-Type": {"text/event-stream"}}})
+						_ = sink.Chunk(call.Chunk{Data: []byte(stream[:cut])})
+						return &call.Error{Code: c.code, Step: "target", Run: call.RunUnknown}
+					case req.ResumeFrom > 0 && !c.resumes:
+						return &call.Error{Code: call.CodeResumeImpossible, Run: call.RunNot}
+					}
+					return answerWith("text/event-stream", c.again)(ctx, req, sink)
+				}
+				_, body := b.send(t, http.MethodPost, chatPath, chatText, nil)
+				begun := strings.Contains(stream[:cut], "\n\n")
+				if c.whole {
+					must.Eq(t, stream, content(body))
+					must.Eq(t, 2, b.router.last().Attempt)
+					continue
+				}
+				if c.again == other && !begun {
+					must.Eq(t, other, content(body), must.Sprint("nothing of the first run has been sent"))
+					continue
+				}
+				must.StrContains(t, body, "event: error")
+				must.StrNotContains(t, body, "[DONE]")
+				must.StrNotContains(t, body, `"z"`)
+			}
+		})
+	}
+}
+
 func TestBrokenAnswersDoNotLookWhole(t *testing.T) {
 	b := newBench(t, kernel.SystemNetwork{}, "")
+	b.router.exhausted = true
 	b.router.run = func(_ context.Context, req *call.Request, sink call.Sink) error {
 		contentType := "text/plain"
 		if req.Kind == call.KindChat {
--- a/internal/service/callerapi/harness_test.go
+++ b/internal/service/callerapi/harness_test.go
@@ -38,6 +38,8 @@
 	run   func(ctx context.Context, req *call.Request, sink call.Sink) error
 	owner fleet.VM
 	seen  []call.Request
+	// exhausted is true when the retry budget is spent.
+	exhausted bool
 }
 
 func (*fakeRouter) Name() string { return route.Name }
@@ -49,6 +51,8 @@
 	return f.run(ctx, req, sink)
 }
 
+func (f *fakeRouter) MayResume(fleet.Account) bool { return !f.exhausted }
+
 func (f *fakeRouter) FirstOwner(*call.Request) (fleet.VM, bool) { return f.owner, f.owner != "" }
 
 func (f *fakeRouter) last() call.Request {
--- a/internal/service/callerapi/meters.go
+++ b/internal/service/callerapi/meters.go
@@ -10,6 +10,7 @@
 type meters struct {
 	registry  metrics.Registry
 	running   metrics.Counter
+	resumed   metrics.Counter
 	firstByte metrics.Histogram
 	total     metrics.Histogram
 }
@@ -18,6 +19,7 @@
 	return meters{
 		registry:  r,
 		running:   metrics.GetOrRegisterCounter("caller.running", r),
+		resumed:   metrics.GetOrRegisterCounter("caller.resumed", r),
 		firstByte: metrics.GetOrRegisterHistogram("caller.first_byte", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 		total:     metrics.GetOrRegisterHistogram("caller.total", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
--- a/internal/service/callerapi/serve.go
+++ b/internal/service/callerapi/serve.go
@@ -75,21 +75,6 @@
 	}
 }
 
-// run takes the request to a target. A resumed answer that no target has any
-// more comes from another run.
-func (s *Service) run(ctx context.Context, x *exchange, out *callerSink) error {
-	ctx, span := s.tracer.Start(ctx, "entry")
-	defer span.End()
-	x.req.TraceParent = tracing.Parent(ctx)
-	err := s.runnerOf(x.req)(ctx, x.req, out)
-	if err == nil || x.req.ResumeFrom == 0 || call.AsError(err).Code != call.CodeResumeImpossible {
-		return err
-	}
-	x.req.ResumeFrom = 0
-	out.again()
-	return s.runnerOf(x.req)(ctx, x.req, out)
-}
-
 func (s *Service) startSpan(ctx context.Context, r *http.Request, x *exchange) (context.Context, trace.Span) {
 	ctx = tracing.Continue(ctx, r.Header.Get(target.HeaderTraceParent))
 	ctx, span := s.tracer.Start(ctx, "caller", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(
--- a/internal/service/callerapi/sink.go
+++ b/internal/service/callerapi/sink.go
@@ -29,6 +29,8 @@
 	firstByte time.Time
 	// events cuts a streamed answer; nil for other answers.
 	events *answers.Events
+	// refusal is why the sink wants no more of an answer.
+	refusal *call.Error
 
 	mu     sync.Mutex // guards writes, which heartbeats share
 	wrote  time.Time
@@ -48,13 +50,29 @@
 	}
 }
 
-// again prepares for the answer of another run.
-func (c *callerSink) again() {
+// position returns the point behind which the caller lacks the answer.
+func (c *callerSink) position() answers.Position {
+	if c.events == nil {
+		return c.from
+	}
+	return c.events.Position()
+}
+
+// again prepares for an answer of another run, which the caller has up to a
+// position.
+func (c *callerSink) again(from answers.Position) {
+	c.from, c.refusal = from, nil
 	if c.events != nil {
-		c.events = answers.Resume(c.from)
+		c.events = answers.Resume(from)
 	}
 }
 
+// refuse ends an answer that does not fit to what the caller has.
+func (c *callerSink) refuse(code call.Code, message string, cause error) error {
+	c.refusal = &call.Error{Code: code, Step: step, Run: call.RunDone, Message: message, Cause: cause}
+	return c.refusal
+}
+
 // Head writes status and header.
 func (c *callerSink) Head(h call.Head) error {
 	if c.started {
@@ -104,7 +122,7 @@
 		}
 	}
 	if err != nil {
-		return &call.Error{Code: call.CodeResumeImpossible, Step: step, Run: call.RunDone, Message: "the answer can't be continued", Cause: err}
+		return c.refuse(call.CodeResumeImpossible, "the answer can't be continued", err)
 	}
 	return nil
 }
@@ -115,7 +133,7 @@
 		return nil
 	}
 	if err := c.events.End(); err != nil {
-		return &call.Error{Code: call.CodeCut, Step: step, Run: call.RunDone, Message: "the answer ended inside an event", Cause: err}
+		return c.refuse(call.CodeCut, "the answer ended inside an event", err)
 	}
 	return nil
 }
--- a/internal/service/route/budget.go
+++ b/internal/service/route/budget.go
@@ -43,6 +43,14 @@
 	return true
 }
 
+// MayResume takes a retry from the budget of the account for an answer that
+// broke off.
+func (s *Service) MayResume(account fleet.Account) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accounts.Of(account).Take()
+}
+
 // jitter spreads a wait over half of its length.
 func (s *Service) jitter(d time.Duration) time.Duration {
 	s.mu.Lock()
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -18,6 +18,7 @@
 // families describes what the services record.
 var families = []family{
 	{name: "caller.running", help: "Requests of callers in progress.", gauge: true},
+	{name: "caller.resumed", help: "Streams that broke off and went on without the caller."},
 	{name: "caller.ended", help: "Ended requests of callers by the code that they ended with.", label: "code"},
 	{name: "caller.first_byte", help: "Time from the arrival of a request to the first byte of its answer.", unit: nanoseconds},
 	{name: "caller.total", help: "Time from the arrival of a request to its end.", unit: nanoseconds},
