Wait by the kernel's clock in the lab

The lab had four small functions that wait for a time or the end of a context; the kernel's clock does the same.

--- a/internal/lab/caller/client.go
+++ b/internal/lab/caller/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 	"github.com/zinniafork/zinniafork/internal/lab/site"
 	"github.com/zinniafork/zinniafork/internal/lab/workload"
@@ -34,6 +35,8 @@
 	longestPause = time.Second
 )
 
+var clock kernel.SystemClock
+
 // Options shape a client.
 type Options struct {
 	Account site.Account
@@ -112,7 +115,7 @@
 			wait = v.after
 		}
 		pause = min(2*pause, longestPause)
-		if !sleep(ctx, wait) {
+		if clock.Sleep(ctx, wait) != nil {
 			return attempts
 		}
 	}
@@ -132,14 +135,3 @@
 	defer c.mu.Unlock()
 	return c.rng.Float64()
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/lab/caller/load.go
+++ b/internal/lab/caller/load.go
@@ -57,7 +57,7 @@
 	)
 	for _, a := range l.Plan {
 		intended := start.Add(a.At)
-		if !sleep(ctx, time.Until(intended)) {
+		if clock.Sleep(ctx, time.Until(intended)) != nil {
 			break
 		}
 		wg.Go(func() {
--- a/internal/lab/capacity/fleet.go
+++ b/internal/lab/capacity/fleet.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/lab/caller"
 	"github.com/zinniafork/zinniafork/internal/lab/site"
 	"github.com/zinniafork/zinniafork/internal/lab/testbed"
@@ -22,6 +23,8 @@
 	loadTime = 10 * time.Second
 )
 
+var clock kernel.SystemClock
+
 // fleetSize is the size of one measured fleet.
 type fleetSize struct {
 	routers, targets int
@@ -93,7 +96,7 @@
 	if err := bed.WaitReady(ctx); err != nil {
 		return sample{}, err
 	}
-	if err := wait(ctx, settleTime); err != nil {
+	if err := clock.Sleep(ctx, settleTime); err != nil {
 		return sample{}, err
 	}
 	return observe(ctx, bed, size, before)
@@ -145,26 +148,15 @@
 		return nil
 	}
 	if size.changes == 0 {
-		return wait(ctx, idleTime)
+		return clock.Sleep(ctx, idleTime)
 	}
 	for range size.changes {
 		if _, err := bed.Race(ctx, 1); err != nil {
 			return err
 		}
-		if err := wait(ctx, idleTime/time.Duration(size.changes)); err != nil {
+		if err := clock.Sleep(ctx, idleTime/time.Duration(size.changes)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/lab/demo/load.go
+++ b/internal/lab/demo/load.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/jedib0t/go-pretty/v6/table"
 
+	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/lab/caller"
 	"github.com/zinniafork/zinniafork/internal/lab/check/answers"
 	"github.com/zinniafork/zinniafork/internal/lab/check/drain"
@@ -45,13 +46,18 @@
 
 func (d *demo) drain(ctx context.Context) error {
 	dc := d.shape.DataCentres[0]
-	time.Sleep(drainAt)
+	clock := kernel.SystemClock{}
+	if err := clock.Sleep(ctx, drainAt); err != nil {
+		return err
+	}
 	lift, err := d.bed.DrainDataCentre(ctx, dc)
 	if err != nil {
 		return err
 	}
 	d.say("Operators take data centre %s out.", dc)
-	time.Sleep(returnAt - drainAt)
+	if err := clock.Sleep(ctx, returnAt-drainAt); err != nil {
+		return err
+	}
 	if err := lift(ctx); err != nil {
 		return err
 	}
--- a/internal/lab/fault/plan.go
+++ b/internal/lab/fault/plan.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/lab/site"
 	"github.com/zinniafork/zinniafork/internal/lab/testbed"
 	"github.com/zinniafork/zinniafork/internal/lab/workload"
@@ -102,11 +103,7 @@
 		if err == nil {
 			return nil
 		}
-		t := time.NewTimer(repeatPause)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if (kernel.SystemClock{}).Sleep(ctx, repeatPause) != nil {
 			return err
 		}
 	}
--- a/internal/lab/scenario/run.go
+++ b/internal/lab/scenario/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/lab/caller"
 	"github.com/zinniafork/zinniafork/internal/lab/check/service"
 	"github.com/zinniafork/zinniafork/internal/lab/fault"
@@ -31,6 +32,8 @@
 	stepLimit = 5 * time.Second
 )
 
+var clock kernel.SystemClock
+
 // Options shape one run.
 type Options struct {
 	Scenario string
@@ -119,7 +122,7 @@
 	wg.Go(func() { r.steps(ctx, start) })
 	wg.Wait()
 	load.Close()
-	if err := sleep(ctx, settleTime); err != nil {
+	if err := clock.Sleep(ctx, settleTime); err != nil {
 		return nil, err
 	}
 	h := r.bed.History()
@@ -146,7 +149,7 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, step := range r.plan.Steps() {
-		if sleep(ctx, time.Until(start.Add(step.At))) != nil {
+		if clock.Sleep(ctx, time.Until(start.Add(step.At))) != nil {
 			break
 		}
 		r.say("%s", step.Name)
@@ -195,17 +198,6 @@
 	return out
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Preview lists what a scenario would do and when, without running it.
 func Preview(name, siteName string, seed uint64, duration time.Duration) ([]string, error) {
 	s, err := ByName(name)
