--- /dev/null
+++ b/internal/core/configstate/fuzz_test.go
@@ -0,0 +1,38 @@
+package configstate
+
+import (
+	"encoding/binary"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// FuzzRecords gives a reader records and offers with a right checksum around
+// any body: nothing may stop it, and its version must not change.
+func FuzzRecords(f *testing.F) {
+	log, s := newFakeLog(), New()
+	mustPublish(log, s, Base, "a = 0\n", "genesis")
+	mustPublish(log, s, Overlay("gent"), "b = 1\n", "overlay")
+	mustSnapshot(log, s)
+	for _, r := range log.records {
+		f.Add(r.Data[len(magic)], r.Data[len(magic)+1], r.Data[headerLength:])
+	}
+	f.Add(byte(kindPublish), byte(packedDeflate), []byte{0xff})
+	head, _ := s.Current()
+	f.Fuzz(func(t *testing.T, kind, packing byte, body []byte) {
+		data := append([]byte(magic), kind, packing)
+		data = binary.BigEndian.AppendUint64(data, xxhash.Sum64(body))
+		data = append(data, body...)
+		reader := New()
+		log.catchUp(reader)
+		_, _ = reader.Offer(Offer{Snapshot: data}, log.now())
+		_, _ = reader.Offer(Offer{Records: []Record{{Offset: log.next(), Data: data}}}, log.now())
+		_, _ = DecodeDigest(body)
+		next := log.next()
+		page := Page{Records: []Record{{Offset: next, Data: data}}, Next: next + 1}
+		reader.Log(page, log.now(), log.now())
+		if reader.Confirmed() != head.Version {
+			t.Fatalf("version changed to %v", reader.Confirmed())
+		}
+	})
+}
--- a/internal/service/adminapi/endpoint.go
+++ b/internal/service/adminapi/endpoint.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/service/audit"
@@ -67,6 +69,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := &request{Request: r}
 		out, err := s.answer(c, e)
+		s.count(err)
 		s.record(c, e, err)
 		if err != nil {
 			writeError(w, asError(err))
@@ -103,6 +106,15 @@
 	return e.run(c, in.Interface())
 }
 
+// count counts one call by the code that it ended with.
+func (s *Service) count(err error) {
+	code := admin.Code("ok")
+	if err != nil {
+		code = asError(err).Code
+	}
+	metrics.GetOrRegisterCounter("admin.requests."+string(code), s.meters).Inc(1)
+}
+
 // record writes changes and refusals to the audit stream.
 func (s *Service) record(c *request, e endpoint, err error) {
 	refused := err != nil && isRefusal(asError(err).Code)
--- a/internal/service/adminapi/service.go
+++ b/internal/service/adminapi/service.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
@@ -55,6 +56,7 @@
 	clock  kernel.Clock
 	net    kernel.Network
 	logger *logrus.Entry
+	meters metrics.Registry
 	server *httpserve.Server
 	pages  *pages
 
@@ -98,7 +100,7 @@
 	if s.explainer, err = optional[explain.Explainer](c, explainerName); err != nil {
 		return err
 	}
-	s.clock, s.net, s.logger = c.Clock, c.Net, c.Logger()
+	s.clock, s.net, s.logger, s.meters = c.Clock, c.Net, c.Logger(), c.Metrics
 	s.inFlight = make(chan struct{}, s.settings.MaxConcurrent)
 	s.refusals = rate.NewLimiter(refusalsPerSecond, refusalsPerSecond)
 	if s.limits, err = lru.New[string, *rate.Limiter](limiters); err != nil {
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -43,6 +43,7 @@
 	{name: "config.versions", help: "Configuration versions by how they came about.", label: "event"},
 	{name: "config.fetches", help: "Configuration bodies fetched from other routers."},
 	{name: "config.in_force.offset", help: "Log offset of the configuration in force."},
+	{name: "admin.requests", help: "Calls of the administration API by the code that they ended with.", label: "code"},
 	{name: "audit.dropped", help: "Audit records that could not be kept."},
 }
 
