--- a/internal/core/admission/target.go
+++ b/internal/core/admission/target.go
@@ -42,7 +42,7 @@
 	transit = 50 * time.Millisecond
 	// lagMargin is the part of the bound that is left for the age of the other
 	// targets' digests.
-	lagMargin = 0.04
+	lagMargin = 0.08
 	// minRetryAfter keeps refused callers from coming back at once.
 	minRetryAfter = 100 * time.Millisecond
 )
--- a/internal/core/digest/table.go
+++ b/internal/core/digest/table.go
@@ -161,9 +161,9 @@
 
 // Sum adds up the load of targets. A target that is out or leaves counts for
 // nothing. Where the slots are not sure, the configured number counts, and the
-// load of a digest older than fresh fades until it counts as idle at three
-// times that age: a mean that is too low refuses work, one that is too high
-// overloads a target.
+// load of a digest older than fresh fades until it counts as idle at twice that
+// age: a mean that is too low refuses work, one that is too high overloads a
+// target.
 func (t *Table) Sum(now time.Time, targets []Fallback, fresh time.Duration) Sum {
 	var load float64
 	var out Sum
@@ -192,5 +192,5 @@
 	if age <= fresh {
 		return 1
 	}
-	return max(0, 1-float64(age-fresh)/float64(2*fresh))
+	return max(0, 1-float64(age-fresh)/float64(fresh))
 }
--- a/internal/core/health/health.go
+++ b/internal/core/health/health.go
@@ -81,14 +81,13 @@
 
 // Reset forgets everything, as when a tenure begins.
 func (t *Target) Reset(now time.Time) {
-	limits := t.limits
-	*t = Target{limits: limits, since: now, slots: limits.Cold}
+	*t = Target{limits: t.limits, since: now, slots: t.limits.Cold}
 }
 
 // SetLimits takes new limits from configuration.
 func (t *Target) SetLimits(l Limits) {
 	if t.limits.Leaving && !l.Leaving {
-		t.ramp = max(l.Cold, 1)
+		t.Ramp(l.Cold)
 	}
 	t.limits = l
 	t.slots = min(t.slots, l.Capacity)
@@ -114,6 +113,14 @@
 	}
 }
 
+// Ramp limits the slots of a target that warms up, zero for no limit. Each
+// completion raises the limit by one.
+func (t *Target) Ramp(slots int) {
+	if slots > 0 {
+		t.ramp = slots
+	}
+}
+
 func (t *Target) ramped() int {
 	if t.ramp == 0 {
 		return t.slots
--- a/internal/service/owner/targets.go
+++ b/internal/service/owner/targets.go
@@ -144,6 +144,7 @@
 func (s *Service) gainTarget(t *ownedTarget, r ownership.Residual) {
 	now := s.clock.Now()
 	t.admission.Gain(now, r)
+	t.admission.Health().Ramp(s.ramped(now, t))
 	s.setCeiling(t)
 	s.shareLoad(now, t)
 	ctx, cancel := context.WithCancel(s.life)
@@ -152,6 +153,22 @@
 	s.members.Beat()
 }
 
+// ramped returns the slots that the last owner of a target let it run, when its
+// digest says that the target was warming up just now.
+func (s *Service) ramped(now time.Time, t *ownedTarget) int {
+	e, ok := s.table.Get(t.key)
+	if !ok || now.Sub(e.At) > digestTrust {
+		return 0
+	}
+	switch e.State.Health() {
+	case health.Cold, health.Warming:
+		return max(int(e.Slots), 1)
+	case health.Leaving:
+		return max(t.config.ColdSlots, 1)
+	}
+	return 0
+}
+
 // loseTarget ends a tenure. The caller holds the lock.
 func (s *Service) loseTarget(t *ownedTarget) {
 	if t.stopProbe != nil {
