--- a/internal/core/ownership/exchange.go
+++ b/internal/core/ownership/exchange.go
@@ -129,7 +129,7 @@
 // judged takes the verdict on one claim.
 func (n *Node) judged(now time.Time, from fleet.VM, h *holder, c Claim, seq uint64, sentAt time.Time, v Verdict) {
 	for _, set := range v.Sets {
-		h.sets.learn(set, now.Add(n.params.Lease), now.Add(2*n.params.Lease))
+		n.learn(now, h, set)
 	}
 	if c.Kind == ClaimRelease || c.Kind == ClaimHandOver || !h.current(c, seq) {
 		return
@@ -148,6 +148,20 @@
 	}
 }
 
+// learn takes a voter set that a voter told of. A holder asks its voters at
+// once.
+func (n *Node) learn(now time.Time, h *holder, set []fleet.VM) {
+	lease := n.params.Lease
+	if !h.sets.learn(set, now.Add(lease/2), now.Add(lease), now.Add(2*lease)) || h.phase != held {
+		return
+	}
+	for _, vm := range set {
+		if _, ok := h.acks[vm]; !ok {
+			n.claim(now, vm, h, ClaimAcquire)
+		}
+	}
+}
+
 // current reports whether a claim belongs to the present phase of the holder.
 // A grant of the acquisition may come after those that decided it.
 func (h *holder) current(c Claim, seq uint64) bool {
--- a/internal/core/ownership/holder.go
+++ b/internal/core/ownership/holder.go
@@ -260,7 +260,7 @@
 // confirmed reports whether a majority has granted a renewal that was sent
 // after the round began.
 func (h *holder) confirmed(now time.Time) bool {
-	return h.round.active() && h.sets.holdingMajority(now, func(vm fleet.VM) bool {
+	return h.round.active() && h.sets.confirmingMajority(now, func(vm fleet.VM) bool {
 		a := h.acks[vm]
 		return a.introduced == 0 && a.seq > h.round.after
 	})
--- a/internal/core/ownership/node.go
+++ b/internal/core/ownership/node.go
@@ -147,7 +147,7 @@
 		return "", false
 	case h.holds(now, n.params):
 		return n.self, true
-	case h.owner != n.self && n.view.eligible(h.owner) && now.Sub(h.ownerAt) < ownerBelief*n.ownerTrust():
+	case h.owner != "" && h.owner != n.self && n.believes(now, h):
 		return h.owner, true
 	}
 	return h.preferred, h.preferred != ""
@@ -161,6 +161,14 @@
 // lease.
 func (n *Node) ownerTrust() time.Duration { return n.params.Lease + n.params.Margin }
 
+// believes reports whether the last word of an owner still counts: for a lease
+// time whatever the list says, and longer while that router is known to be
+// alive.
+func (n *Node) believes(now time.Time, h *holder) bool {
+	unseen := now.Sub(h.ownerAt)
+	return unseen < n.ownerTrust() || unseen < ownerBelief*n.ownerTrust() && n.view.eligible(h.owner)
+}
+
 // NoteOwner takes word of a resource's owner, such as from its digest.
 func (n *Node) NoteOwner(now time.Time, id ID, owner fleet.VM, term uint64) {
 	h, ok := n.holders[id]
@@ -344,10 +352,10 @@
 	if now.Before(h.eagerUntil) {
 		return true
 	}
-	unseen := now.Sub(h.ownerAt)
-	if n.view.eligible(h.owner) && h.owner != n.self && unseen < ownerBelief*n.ownerTrust() {
+	if h.owner != "" && h.owner != n.self && n.believes(now, h) {
 		return false
 	}
+	unseen := now.Sub(h.ownerAt)
 	if h.rank == 0 || now.Sub(h.heldAt) < n.ownerTrust() {
 		return true
 	}
--- a/internal/core/ownership/sets.go
+++ b/internal/core/ownership/sets.go
@@ -14,9 +14,11 @@
 // majority is needed in each of them, so two holders whose views of the voters
 // differ by recent changes still depend on a voter in common.
 //
-// A holder whose own list changes gets a short grace to be granted by the new
-// voters; until then it relies on the set before. Voters that have forgotten
-// that set refuse, because another holder may have been elected without it.
+// A holder that learns of a new set gets a short grace to be granted by its
+// voters before the tenure depends on them. When its own list changed, it relies
+// on the set before meanwhile; voters that have forgotten that one refuse,
+// because another holder may have been elected without it. When others told of
+// the set, nothing is confirmed without its voters in the grace either.
 type voterSets struct {
 	sets []voterSet
 	// gone holds the hashes of sets that this router has forgotten.
@@ -33,7 +35,7 @@
 	// that voters tell of it again if they still count it. It is forgotten
 	// later, when no answer to a claim that named it is waited for.
 	nameUntil time.Time
-	// countFrom is the end of the grace of a set that became current.
+	// countFrom is the end of the grace.
 	countFrom time.Time
 	// told is true for a set that only others have told of. It is not passed
 	// on, or routers would keep it alive among each other.
@@ -60,19 +62,20 @@
 	delete(s.gone, next.hash)
 }
 
-// learn adds a set that a voter counts.
-func (s *voterSets) learn(voters []fleet.VM, nameUntil, until time.Time) {
+// learn adds a set that a voter counts and reports whether it is new.
+func (s *voterSets) learn(voters []fleet.VM, countFrom, nameUntil, until time.Time) bool {
 	for i := range s.sets {
 		if sameVoters(s.sets[i].voters, voters) {
 			if s.sets[i].told && until.After(s.sets[i].until) {
 				s.sets[i].until, s.sets[i].nameUntil = until, nameUntil
 			}
-			return
+			return false
 		}
 	}
 	set := newSet(voters)
-	set.until, set.nameUntil, set.told = until, nameUntil, true
+	set.countFrom, set.until, set.nameUntil, set.told = countFrom, until, nameUntil, true
 	s.sets = append(s.sets, set)
+	return true
 }
 
 // goneFor is the time for which a router knows that it has forgotten a set.
@@ -136,7 +139,7 @@
 // relies on first.
 func (s *voterSets) hashes(now time.Time) []SetHash {
 	out := make([]SetHash, 0, len(s.sets))
-	relied := slices.IndexFunc(s.sets, func(set voterSet) bool { return !set.grace(now) })
+	relied := slices.IndexFunc(s.sets, func(set voterSet) bool { return !set.told && !set.grace(now) })
 	if relied >= 0 {
 		out = append(out, s.sets[relied].hash)
 	}
@@ -181,12 +184,14 @@
 	return !slices.ContainsFunc(s.sets, func(set voterSet) bool { return !set.majority(ok) })
 }
 
-// holdingMajority is majority without the sets that are in their grace.
-func (s *voterSets) holdingMajority(now time.Time, ok func(fleet.VM) bool) bool {
+// confirmingMajority is majority without a current set that is in its grace.
+func (s *voterSets) confirmingMajority(now time.Time, ok func(fleet.VM) bool) bool {
 	if len(s.current()) == 0 {
 		return false
 	}
-	return !slices.ContainsFunc(s.sets, func(set voterSet) bool { return !set.grace(now) && !set.majority(ok) })
+	return !slices.ContainsFunc(s.sets, func(set voterSet) bool {
+		return (set.told || !set.grace(now)) && !set.majority(ok)
+	})
 }
 
 // anyMajority reports whether ok holds for a majority of some set.
--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -265,7 +265,7 @@
 		if m.VM != self && m.PeerAddr != "" {
 			infos = append(infos, m.VMInfo)
 		}
-		if m.Listed || m.VM == self {
+		if m.Listed || m.VM == self || heard(m) {
 			names = append(names, m.VM)
 		}
 	}
@@ -277,6 +277,10 @@
 	s.peers.SetPeers(infos)
 }
 
+// heard reports whether heartbeats of a router arrive, also when this router's
+// list does not name it: it may name this one.
+func heard(m Member) bool { return !m.LastHeard.IsZero() && m.Status != StateDead }
+
 // listPeriod spreads reads so that they keep within their share of the budget.
 // The caller holds the lock.
 func (s *Service) listPeriod() time.Duration {
