--- a/internal/core/admission/target.go
+++ b/internal/core/admission/target.go
@@ -27,15 +27,13 @@
 	residual ownership.Residual
 	// foreign is the work that the last report shows beside this owner's.
 	foreign int
-	// limitNow is the limit when it was last looked at.
-	limitNow int
 	// service is the running mean of the time that a request takes.
 	service time.Duration
 }
 
 const (
 	// firstService stands for the service time until a request has ended.
-	firstService  = time.Second
+	firstService  = 500 * time.Millisecond
 	serviceWeight = 0.1
 	// transit covers the time between a request's start here and at the
 	// target, and between its end there and here.
@@ -133,9 +131,9 @@
 // wait estimates how long a new request would wait.
 func (t *Target) wait(item fairness.Item) time.Duration {
 	ahead := t.queue.Ahead(item.Member, item.Account) + 1
-	// Slots free up as fast as the load allows; the bound moves with the mean.
-	parallel := float64(t.limitNow+t.health.Slots()) / 2
-	return time.Duration(ahead * float64(t.service) / max(parallel, 1))
+	// The bound moves with the mean, so only the slots are sure to limit.
+	parallel := max(t.health.Slots(), 1)
+	return time.Duration(ahead * float64(t.service) / float64(parallel))
 }
 
 func (t *Target) retryAfter(item fairness.Item) time.Duration {
@@ -152,10 +150,7 @@
 }
 
 // room reports whether one more request stays within the limit.
-func (t *Target) room(now time.Time) bool {
-	t.limitNow = t.Limit(now)
-	return t.Load(now) < t.limitNow
-}
+func (t *Target) room(now time.Time) bool { return t.Load(now) < t.Limit(now) }
 
 // Load returns the target's load now, pending requests included.
 func (t *Target) Load(now time.Time) int {
--- a/internal/service/owner/digests.go
+++ b/internal/service/owner/digests.go
@@ -40,6 +40,7 @@
 	s.mu.Lock()
 	now := s.clock.Now()
 	s.refreshOwn(now)
+	s.toldLoad = s.ownLoad()
 	batch := s.nameList.pack(to, s.table.ForPeer(now, to, relay))
 	s.mu.Unlock()
 	if len(batch.Digests) == 0 {
@@ -74,6 +75,33 @@
 	}
 }
 
+// beatSpacing is the least time between heartbeats that a rise of the load
+// causes.
+const beatSpacing = 100 * time.Millisecond
+
+// tellRise sends heartbeats early when the load here has doubled since the last
+// ones: the bound of all others follows from the mean load, and work that
+// arrives at an idle site would wait for it. The caller holds the lock.
+func (s *Service) tellRise(now time.Time) {
+	load := s.ownLoad()
+	if load < 2*s.toldLoad || load == 0 || now.Sub(s.toldAt) < beatSpacing {
+		return
+	}
+	s.toldAt, s.toldLoad = now, load
+	s.members.Beat()
+}
+
+// ownLoad returns the load of all targets that this router owns.
+func (s *Service) ownLoad() int {
+	load := 0
+	for _, t := range s.targets {
+		if t.admission.Held() {
+			load += t.admission.Shown()
+		}
+	}
+	return load
+}
+
 // refreshOwn writes the digests of what this router owns, unless that was done
 // just now. The caller holds the lock.
 func (s *Service) refreshOwn(now time.Time) {
--- a/internal/service/owner/service.go
+++ b/internal/service/owner/service.go
@@ -75,6 +75,8 @@
 	idByKey  map[digest.Key]ownership.ID
 	table    *digest.Table
 	ownAt    time.Time
+	toldAt   time.Time
+	toldLoad int
 	nameList *nameList
 	memory   *placement.Memory
 }
--- a/internal/service/owner/targets.go
+++ b/internal/service/owner/targets.go
@@ -242,6 +242,7 @@
 // tickTargets moves the held targets on. The caller holds the lock.
 func (s *Service) tickTargets(now time.Time) {
 	s.refreshOwn(now)
+	s.tellRise(now)
 	for _, t := range s.targets {
 		if t.admission.Held() {
 			s.apply(t, t.admission.Tick(now))
--- a/internal/service/route/run.go
+++ b/internal/service/route/run.go
@@ -33,6 +33,7 @@
 		req:     *req,
 		sink:    newJoinedSink(sink),
 		tried:   make(map[fleet.Target]bool),
+		failed:  make(map[fleet.Target]bool),
 	}
 	s.countRequest(req)
 	err := j.run(ctx)
@@ -67,8 +68,10 @@
 	req     call.Request
 	sink    *joinedSink
 	ranking *ranking
-	tried   map[fleet.Target]bool
-	moves   int
+	// tried are the targets that had no room, failed those that gave no answer.
+	tried  map[fleet.Target]bool
+	failed map[fleet.Target]bool
+	moves  int
 	// misses counts tries at the present target that found no owner.
 	misses int
 	last   *call.Error
@@ -146,6 +149,9 @@
 	if ctx.Err() != nil || j.moves >= maxMoves {
 		return false
 	}
+	if e.Step == stepTarget || e.Code == call.CodeUnavailable {
+		j.failed[j.req.Target] = true
+	}
 	if e.Run != call.RunNot {
 		return j.again(e)
 	}
@@ -235,7 +241,7 @@
 // wait lets the request wait at the target with the shortest wait.
 func (j *journey) wait() bool {
 	j.ranking = j.service.rank(&j.req)
-	place := j.ranking.shortestWait(nil)
+	place := j.ranking.shortestWait(j.failed)
 	if place < 0 {
 		return false
 	}
@@ -254,7 +260,7 @@
 		place = j.ranking.shortestWait(j.tried)
 	}
 	if place < 0 {
-		return false
+		return j.wait()
 	}
 	j.choose(place)
 	j.req.Place, j.req.Recalled = max(place, 1), false
--- a/internal/service/servicetest/servicetest.go
+++ b/internal/service/servicetest/servicetest.go
@@ -123,10 +123,16 @@
 
 // NewKernel returns a kernel that holds the given stand-ins and logs nothing.
 func NewKernel(t *testing.T, services ...kernel.Service) *kernel.Kernel {
+	t.Helper()
+	return NewKernelOn(t, kernel.SystemNetwork{}, services...)
+}
+
+// NewKernelOn returns a kernel whose services use the given network.
+func NewKernelOn(t *testing.T, network kernel.Network, services ...kernel.Service) *kernel.Kernel {
 	t.Helper()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	k := kernel.New(kernel.Env{Log: logger, Seed: 1}, nil, nil)
+	k := kernel.New(kernel.Env{Log: logger, Seed: 1, Net: network}, nil, nil)
 	for _, s := range services {
 		must.NoError(t, k.Use(s))
 	}
