Take a missing model for a refusal

Cause: an engine that does not hold the model answered 404, which went to the caller as the answer. Before: status 404 for a chat that another engine could serve. After: not run, and the next engine is tried; the engine's health is not blamed. Also: a wrong argument prints a short hint in place of all flags. Conclusion: the fault table of engines has the case.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -35,7 +35,7 @@
 	parser := kong.Must(grammar,
 		kong.Name(name),
 		kong.Description(description),
-		kong.UsageOnError(),
+		kong.ShortUsageOnError(),
 		kong.Vars{"version": Version},
 		kong.BindTo(ctx, (*context.Context)(nil)),
 	)
--- a/internal/target/engine/contract_test.go
+++ b/internal/target/engine/contract_test.go
@@ -93,6 +93,7 @@
 	}{
 		{name: "connection refused", stop: true, code: call.CodeUnavailable, run: call.RunNot},
 		{name: "outage", plan: fault.Plan{Outage: true}, code: call.CodeUnavailable, run: call.RunUnknown},
+		{name: "model not loaded", opt: engined.Options{Models: []target.LoadedModel{{Model: "other"}}}, code: call.CodeNoTarget, run: call.RunNot},
 		{name: "status 500", plan: fault.Plan{Refuse: 1}, code: call.CodeTargetError, run: call.RunUnknown},
 		{name: "answer lost", plan: fault.Plan{LoseAnswers: 1}, code: call.CodeUnavailable, run: call.RunUnknown, runs: 1},
 		{name: "answer cut", plan: fault.Plan{CutAfterBytes: 300}, code: call.CodeCut, run: call.RunUnknown, runs: 1},
--- a/internal/target/engine/engine.go
+++ b/internal/target/engine/engine.go
@@ -151,6 +151,8 @@
 	switch {
 	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
 		e.Code, e.Message, e.Run = call.CodeOverloaded, "engine is overloaded", call.RunNot
+	case resp.StatusCode == http.StatusNotFound:
+		e.Code, e.Message, e.Run = call.CodeNoTarget, "engine does not hold the model", call.RunNot
 	case resp.StatusCode == http.StatusGone:
 		e.Code, e.Message, e.Run = call.CodeResumeImpossible, "engine does not have the answer any more", call.RunNot
 	case resp.StatusCode < http.StatusInternalServerError:
