Let callers go on with a ticket while the log is away

A caller whose order is refused because the log is away and that is told that nothing ran now asks for a ticket and goes on under it, as the operators' pages say. The checker counts the runs of one order over all of its keys, so that a second run under another key is a duplicate.

--- a/internal/lab/caller/caller_test.go
+++ b/internal/lab/caller/caller_test.go
@@ -175,6 +175,22 @@
 	must.Eq(t, got.Key, r.requests[1].Header.Get(callerapi.HeaderKey))
 }
 
+func TestOrderGoesOnWithATicketWhileTheLogIsAway(t *testing.T) {
+	r := newRouter(t, time.Minute, refuse(http.StatusServiceUnavailable, "log_unavailable", "not_run", ""),
+		func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"tickets":["zt1.x"]}`) },
+		func(w http.ResponseWriter, req *http.Request) {
+			body, _ := io.ReadAll(req.Body)
+			_ = json.NewEncoder(w).Encode(map[string]string{"key": req.Header.Get(callerapi.HeaderKey), "echo": string(body)})
+		})
+	a := workload.Arrival{ID: "o1", Kind: history.KindOrder, Account: site.Account{Name: "a"}, Order: "{}"}
+	got := r.client().Do(t.Context(), a, time.Now())
+	must.True(t, got.Whole())
+	must.Eq(t, got.Want, got.Answer)
+	must.Eq(t, "/v1/tickets", r.requests[1].URL.Path)
+	must.Len(t, 2, got.Keys())
+	must.Eq(t, "zt1.x", got.Keys()[1])
+}
+
 func TestLookupIsKeptForItsLifetime(t *testing.T) {
 	whole := func(w http.ResponseWriter, _ *http.Request) { words(w, 0, 3); done(w) }
 	kept := newRouter(t, time.Minute, whole)
--- a/internal/lab/caller/order.go
+++ b/internal/lab/caller/order.go
@@ -10,42 +10,61 @@
 
 	"github.com/google/uuid"
 
+	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 	"github.com/zinniafork/zinniafork/internal/lab/workload"
 	"github.com/zinniafork/zinniafork/internal/service/callerapi"
 )
 
-// order sends an order under one idempotency key until it has an answer.
+// order is one order under way.
+type order struct {
+	key  string
+	body string
+	// answer is what the caller received, want the right answer.
+	answer, want string
+}
+
+func (o *order) use(key string) {
+	o.key = key
+	o.want = receipt(key, o.body)
+}
+
+// receipt is what an order's answer must say.
+func receipt(key, body string) string { return key + " " + body }
+
+// order sends an order until it has an answer. It keeps its idempotency key,
+// but for a refusal that says that the log is away and that nothing ran: then
+// it goes on with a ticket.
 func (c *Client) order(ctx context.Context, a workload.Arrival, intended time.Time) history.Request {
-	key := a.Key
-	if key == "" {
-		key = c.newKey()
+	o := &order{body: a.Order}
+	if o.use(a.Key); a.Key == "" {
+		o.use(c.newKey())
 	}
 	out := history.Request{
 		ID:       a.ID,
 		Kind:     history.KindOrder,
 		Account:  a.Account.Name,
-		Key:      key,
 		Intended: intended,
 		Limit:    OrderLimit,
-		Want:     receipt(key, a.Order),
 	}
 	out.Attempts = c.retry(ctx, "", intended.Add(orderPatience), func(ctx context.Context, e entry) (history.Attempt, verdict) {
-		return c.tryOrder(ctx, e, key, a.Order, &out.Answer)
+		at, v := c.tryOrder(ctx, e, o)
+		if at.Code == string(call.CodeLogUnavailable) && at.Run == history.RunNot {
+			c.takeTicket(ctx, e, o)
+		}
+		return at, v
 	})
+	out.Key, out.Answer, out.Want = o.key, o.answer, o.want
 	return out
 }
 
-// receipt is what an order's answer must say.
-func receipt(key, body string) string { return key + " " + body }
-
-func (c *Client) tryOrder(ctx context.Context, e entry, key, body string, answer *string) (history.Attempt, verdict) {
-	at := history.Attempt{Start: time.Now()}
+func (c *Client) tryOrder(ctx context.Context, e entry, o *order) (history.Attempt, verdict) {
+	at := history.Attempt{Start: time.Now(), Key: o.key}
 	t := newCall(ctx)
 	defer t.end()
 	t.watch.Reset(OrderLimit)
-	resp, err := c.post(t.ctx, e.url+"/v1/services/"+string(c.opt.Service)+"/orders", []byte(body),
-		map[string]string{callerapi.HeaderKey: key})
+	resp, err := c.post(t.ctx, e.url+"/v1/services/"+string(c.opt.Service)+"/orders", []byte(o.body),
+		map[string]string{callerapi.HeaderKey: o.key})
 	if err != nil {
 		return failed(ctx, at, err)
 	}
@@ -65,13 +84,31 @@
 		Echo string `json:"echo"`
 	}
 	if json.Unmarshal(data, &in) != nil || in.Key == "" {
-		*answer = string(data)
+		o.answer = string(data)
 		return at, verdict{stop: true}
 	}
-	*answer = receipt(in.Key, in.Echo)
+	o.answer = receipt(in.Key, in.Echo)
 	return at, verdict{stop: true}
 }
 
+// takeTicket replaces the order's key by one that runs while the log is away.
+func (c *Client) takeTicket(ctx context.Context, e entry, o *order) {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	resp, err := c.post(ctx, e.url+"/v1/tickets", nil, nil)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	var in struct {
+		Tickets []string `json:"tickets"`
+	}
+	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&in) != nil || len(in.Tickets) == 0 {
+		return
+	}
+	o.use(in.Tickets[0])
+}
+
 // newKey returns an idempotency key that carries its time.
 func (c *Client) newKey() string {
 	c.mu.Lock()
--- a/internal/lab/check/orders/orders.go
+++ b/internal/lab/check/orders/orders.go
@@ -27,7 +27,8 @@
 
 // Check judges all orders of a history.
 //
-// An order is duplicated when workers ran its key more than once. It is lost
+// An order is duplicated when workers ran it more than once, under one key or
+// under several that its caller used one after another. It is lost
 // when a caller was told that it ran, by an answer or by a refusal, and no
 // worker ran it. A refusal that says "not run" is false when a worker ran the
 // key before the caller tried again: a caller that believes it and goes away
@@ -43,22 +44,35 @@
 		out Result
 		log check.Log
 	)
-	for key, of := range runs {
-		if len(of) > 1 {
-			out.Duplicated++
-			log.Add(RuleDuplicated, "key %s ran %d times: on %s at %s, on %s at %s", key, len(of),
-				of[0].Target, clock(h, of[0].At), of[1].Target, clock(h, of[1].At))
-		}
-	}
 	for i := range h.Requests {
 		r := &h.Requests[i]
-		if r.Kind == history.KindOrder {
-			out.judge(h, r, runs[r.Key], &log)
+		if r.Kind != history.KindOrder {
+			continue
+		}
+		var of []history.WorkerRun
+		for _, key := range r.Keys() {
+			of = append(of, runs[key]...)
+			delete(runs, key)
 		}
+		out.once(h, r.ID, of, &log)
+		out.judge(h, r, of, &log)
+	}
+	for key, of := range runs {
+		out.once(h, key, of, &log)
 	}
 	return out, log.Violations
 }
 
+// once judges the runs of one order.
+func (out *Result) once(h *history.History, order string, runs []history.WorkerRun, log *check.Log) {
+	if len(runs) < 2 {
+		return
+	}
+	out.Duplicated++
+	log.Add(RuleDuplicated, "order %s ran %d times: on %s at %s, on %s at %s", order, len(runs),
+		runs[0].Target, clock(h, runs[0].At), runs[1].Target, clock(h, runs[1].At))
+}
+
 func (out *Result) judge(h *history.History, r *history.Request, runs []history.WorkerRun, log *check.Log) {
 	claimed := r.Whole() || r.Last().Run == history.RunDone
 	if claimed && len(runs) == 0 {
--- a/internal/lab/check/orders/orders_test.go
+++ b/internal/lab/check/orders/orders_test.go
@@ -15,6 +15,11 @@
 func at(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
 
 func order(key string, attempts ...history.Attempt) history.Request {
+	for i := range attempts {
+		if attempts[i].Key == "" {
+			attempts[i].Key = key
+		}
+	}
 	return history.Request{ID: key, Kind: history.KindOrder, Key: key, Attempts: attempts}
 }
 
@@ -26,6 +31,12 @@
 	return history.Attempt{Start: at(from), End: at(to), Status: 503, Run: run}
 }
 
+// under gives an attempt another key.
+func under(key string, a history.Attempt) history.Attempt {
+	a.Key = key
+	return a
+}
+
 func ran(key string, s int) history.WorkerRun {
 	return history.WorkerRun{Target: "print-1", Key: key, At: at(s)}
 }
@@ -46,6 +57,12 @@
 		{"no answer", order("k", history.Attempt{Start: at(1), Err: "reset"}), nil, orders.Result{Unknown: 1}},
 		{"twice", order("k", answered(1, 3)), []history.WorkerRun{ran("k", 2), ran("k", 4)},
 			orders.Result{Duplicated: 1}},
+		{"twice under two keys", order("k", said(1, 2, history.RunNot), under("t", answered(3, 5))),
+			[]history.WorkerRun{ran("k", 9), ran("t", 4)}, orders.Result{Duplicated: 1}},
+		{"once under the second key", order("k", said(1, 2, history.RunNot), under("t", answered(3, 5))),
+			[]history.WorkerRun{ran("t", 4)}, orders.Result{}},
+		{"a key that nobody sent, twice", order("k", answered(1, 3)),
+			[]history.WorkerRun{ran("k", 2), ran("x", 2), ran("x", 3)}, orders.Result{Duplicated: 1}},
 		{"lost", order("k", answered(1, 3)), nil, orders.Result{Lost: 1}},
 		{"lost by a claim", order("k", said(1, 2, history.RunDone)), nil, orders.Result{Lost: 1, Unknown: 1}},
 		{"false not run, same attempt", order("k", said(1, 3, history.RunNot)),
--- a/internal/lab/check/service/service.go
+++ b/internal/lab/check/service/service.go
@@ -92,7 +92,16 @@
 	if !r.Whole() || r.Answer != r.Want || r.Latency() > r.Limit {
 		return false
 	}
-	return r.Kind != history.KindOrder || runs[r.Key] == 1
+	return r.Kind != history.KindOrder || runsOf(r, runs) == 1
+}
+
+// runsOf counts the runs of an order under all of its keys.
+func runsOf(r *history.Request, runs map[string]int) int {
+	n := 0
+	for _, key := range r.Keys() {
+		n += runs[key]
+	}
+	return n
 }
 
 // reason names what ended a request that was not served.
@@ -104,7 +113,7 @@
 	case r.Whole() && r.Latency() > r.Limit:
 		return "late"
 	case r.Whole():
-		return fmt.Sprintf("ran %d times", runs[r.Key])
+		return fmt.Sprintf("ran %d times", runsOf(r, runs))
 	case last.Code != "":
 		return last.Code + " at " + last.Step
 	case last.FirstByte.IsZero():
--- a/internal/lab/check/service/service_test.go
+++ b/internal/lab/check/service/service_test.go
@@ -33,6 +33,7 @@
 	wrong.Answer = "b"
 	order := request("x", time.Second, true)
 	order.Kind, order.Key = history.KindOrder, "k"
+	order.Attempts[0].Key = "k"
 	once := []history.WorkerRun{{Key: "k"}}
 	cases := []struct {
 		name    string
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -4,6 +4,7 @@
 package history
 
 import (
+	"slices"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
@@ -31,7 +32,9 @@
 
 // Attempt is one try of a request at one router.
 type Attempt struct {
-	VM    fleet.VM
+	VM fleet.VM
+	// Key is the idempotency key of an order's attempt.
+	Key   string
 	Start time.Time
 	// FirstByte is the arrival of the first part of the answer's content.
 	FirstByte time.Time
@@ -56,7 +59,7 @@
 	Kind    Kind
 	Account fleet.Account
 	Chat    string
-	// Key is the idempotency key of an order.
+	// Key is the last idempotency key of an order.
 	Key string
 	// Intended is the time at which the load wanted the request to start.
 	Intended time.Time
@@ -88,6 +91,17 @@
 	return r.Attempts[len(r.Attempts)-1]
 }
 
+// Keys returns the idempotency keys that an order was sent under, in order.
+func (r *Request) Keys() []string {
+	var out []string
+	for _, a := range r.Attempts {
+		if a.Key != "" && !slices.Contains(out, a.Key) {
+			out = append(out, a.Key)
+		}
+	}
+	return out
+}
+
 // Whole reports whether the caller got a whole answer.
 func (r *Request) Whole() bool { return r.Last().Whole }
 
