Let a slow log finish its answers while a publication waits

Cause: a publication that saw nothing new for half a second began the read of the log again, in case its connection was silent; with reads slower than that no read ever ended, and every publication was reported as unknown. Change: a read is begun again only when it has lasted 4 s, which a slow log stays within. Measured: TestSlowLog with reads of 0.7 and 2 s fails before (outcome not known) and passes after; TestSilentReadWhilePublishing still gets its version.

--- a/internal/service/configsync/configsync.go
+++ b/internal/service/configsync/configsync.go
@@ -64,6 +64,7 @@
 	changed chan struct{}
 	// interrupt ends the read of the log that is under way.
 	interrupt context.CancelFunc
+	readBegan time.Time
 	spread    *configstate.Spread
 	sent      map[fleet.VM]sentDigest
 	problem   Problem
--- a/internal/service/configsync/configsync_test.go
+++ b/internal/service/configsync/configsync_test.go
@@ -145,6 +145,36 @@
 	})
 }
 
+// TestSlowLog publishes through a log whose reads take longer than the steps
+// in which a publication looks at it. No peer helps.
+func TestSlowLog(t *testing.T) {
+	start(t, func(n *network, a, b, c *node) {
+		a.cut.Store(true)
+		for i, slow := range []time.Duration{700 * time.Millisecond, 2 * time.Second} {
+			for _, nd := range []*node{a, b, c} {
+				nd.log.Set(servicetest.LogFaults{SlowReads: slow})
+			}
+			time.Sleep(time.Minute)
+			n.mustPublish(a, 2+i)
+			n.mustConverge(2 + i)
+			must.Len(t, 2+i, b.History())
+		}
+	})
+}
+
+// TestSilentReadWhilePublishing publishes while the router's read hangs on a
+// connection that is silent for good.
+func TestSilentReadWhilePublishing(t *testing.T) {
+	start(t, func(n *network, a, _, _ *node) {
+		a.log.Set(servicetest.LogFaults{Silent: true})
+		n.stream.Append("other", nil)
+		time.Sleep(time.Second)
+		a.log.Set(servicetest.LogFaults{})
+		n.mustPublish(a, 2)
+		n.mustConverge(2)
+	})
+}
+
 // TestOutageDuringPublish lets the log go away before the append has an
 // answer: the outcome stays unknown until the log shows it.
 func TestOutageDuringPublish(t *testing.T) {
--- a/internal/service/configsync/follow.go
+++ b/internal/service/configsync/follow.go
@@ -18,6 +18,9 @@
 	// retryMin and retryMax bound the wait after a failed read.
 	retryMin = 200 * time.Millisecond
 	retryMax = 2 * time.Second
+	// pokeAge is the time that a read has at least before it is begun again
+	// because the log should have more. A slow log answers within it.
+	pokeAge = 4 * time.Second
 )
 
 // follow reads the stream until ctx ends.
@@ -67,8 +70,9 @@
 	s.mu.Lock()
 	s.interrupt = cancel
 	from := s.state.Position()
-	s.mu.Unlock()
 	began := s.clock.Now()
+	s.readBegan = began
+	s.mu.Unlock()
 	page, err := s.read(readCtx, from, readLimit, s.settings.ReadWait.Std())
 	if err != nil {
 		if readCtx.Err() != nil && ctx.Err() == nil && s.clock.Now().Sub(began) < s.settings.ReadWait.Std() {
@@ -94,11 +98,12 @@
 	return nil
 }
 
-// poke ends the read under way, so that the next one begins now.
+// poke begins the read under way again when it has had time to show what the
+// log should have by now: its connection may be silent.
 func (s *Service) poke() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.interrupt != nil {
+	if s.interrupt != nil && s.clock.Now().Sub(s.readBegan) >= pokeAge {
 		s.interrupt()
 	}
 }
--- a/internal/service/servicetest/log.go
+++ b/internal/service/servicetest/log.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/platform/logstream"
 	"github.com/zinniafork/zinniafork/internal/platform/vmlist"
 	"github.com/zinniafork/zinniafork/internal/service/platform"
@@ -81,6 +82,8 @@
 type LogFaults struct {
 	// Down refuses every call; Silent lets reads hang.
 	Down, Silent bool
+	// SlowReads delays the answer of every read.
+	SlowReads time.Duration
 	// LoseAnswers drops the answers of that many appends after their effect.
 	LoseAnswers int
 }
@@ -141,18 +144,26 @@
 		}
 		page, changed := c.log.page(name, from, limit)
 		if len(page.Records) > 0 {
-			return page, nil
+			return page, c.delay(ctx)
 		}
 		select {
 		case <-changed:
 		case <-over:
-			return page, nil
+			return page, c.delay(ctx)
 		case <-ctx.Done():
 			return logstream.Page{}, ctx.Err()
 		}
 	}
 }
 
+// delay waits as long as an answer takes.
+func (c *LogClient) delay(ctx context.Context) error {
+	c.mu.Lock()
+	slow := c.faults.SlowReads
+	c.mu.Unlock()
+	return kernel.SystemClock{}.Sleep(ctx, slow)
+}
+
 // fail returns the error of a read under the present faults. A silent read
 // ends with ctx.
 func (c *LogClient) fail(ctx context.Context) error {
