Tell callers to the millisecond when to come back

Before: Retry-After alone. After: Retry-After-Ms too, which client libraries of the chat-completions API prefer; the lab's caller reads it. Conclusion: the grain is no longer lost in the header.

--- a/internal/lab/caller/attempt.go
+++ b/internal/lab/caller/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/lab/history"
+	"github.com/zinniafork/zinniafork/internal/service/callerapi"
 )
 
 // watchedCall is one HTTP request with a watch on its progress.
@@ -87,7 +88,11 @@
 // maxErrorBytes is how much of an unreadable error answer is kept.
 const maxErrorBytes = 200
 
+// retryAfter returns the wait that the router asked for, zero for none.
 func retryAfter(resp *http.Response) time.Duration {
+	if ms, err := strconv.ParseInt(resp.Header.Get(callerapi.HeaderRetryAfter), 10, 64); err == nil && ms > 0 {
+		return time.Duration(ms) * time.Millisecond
+	}
 	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 	if err != nil || seconds < 0 {
 		return 0
--- a/internal/service/callerapi/callerapi_test.go
+++ b/internal/service/callerapi/callerapi_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -140,6 +141,8 @@
 			must.Eq(t, c.status, resp.StatusCode)
 			must.Eq(t, c.after, resp.Header.Get("Retry-After"))
 			e := refusalOf(t, body)
+			exact, _ := strconv.ParseInt(resp.Header.Get(HeaderRetryAfter), 10, 64)
+			must.Eq(t, e.RetryAfterMS, exact)
 			must.Eq(t, c.e.Code, e.Code)
 			must.Eq(t, c.e.Step, e.Step)
 			must.Eq(t, c.e.Peer, e.Peer)
--- a/internal/service/callerapi/errors.go
+++ b/internal/service/callerapi/errors.go
@@ -83,8 +83,11 @@
 	body := bodyOf(e)
 	w.Header().Set("Content-Type", "application/json")
 	if body.Error.RetryAfterMS > 0 {
+		// The standard header has whole seconds. Client libraries of the
+		// chat-completions API prefer the one in milliseconds.
 		seconds := math.Ceil(float64(body.Error.RetryAfterMS) / 1000)
 		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+		w.Header().Set(HeaderRetryAfter, strconv.FormatInt(body.Error.RetryAfterMS, 10))
 	}
 	if e.Code == call.CodeUnauthorized {
 		w.Header().Set("WWW-Authenticate", "Bearer")
--- a/internal/service/callerapi/request.go
+++ b/internal/service/callerapi/request.go
@@ -36,6 +36,10 @@
 	HeaderVersion = "X-Model-Version"
 )
 
+// HeaderRetryAfter is a header of refusals: the time in milliseconds after which
+// to come back.
+const HeaderRetryAfter = "Retry-After-Ms"
+
 var priorities = map[string]call.Priority{
 	"":       call.PriorityNormal,
 	"low":    call.PriorityLow,
