Introduce new voters at once when the list changes

Cause: all owners of a site lost their leases 2 s after one router was killed. The trace by resource showed why: the list dropped the dead router one second later, the shares and with them most voter sets changed, and the new voters were asked with the next renewal and counted with the one after, which took the whole grace; a set that others had told of first lost its grace when the own list changed.

--- a/internal/core/ownership/exchange.go
+++ b/internal/core/ownership/exchange.go
@@ -136,6 +136,7 @@
 	}
 	if v.Code == Granted {
 		h.granted(from, grantedClaim{claim: c, seq: seq, sentAt: sentAt, last: n.seq, verdict: v})
+		n.attestNow(now, h, from)
 	} else if v.Code != Stale {
 		delete(h.acks, from)
 	}
@@ -152,12 +153,21 @@
 // once.
 func (n *Node) learn(now time.Time, h *holder, set []fleet.VM) {
 	lease := n.params.Lease
-	if !h.sets.learn(set, now.Add(lease/2), now.Add(lease), now.Add(2*lease)) || h.phase != held {
+	if h.sets.learn(set, now.Add(lease/2), now.Add(lease), now.Add(2*lease)) {
+		n.introduce(now, h, set)
+	}
+}
+
+// attestNow asks the voters that count to renew, so that one that was just
+// introduced counts soon.
+func (n *Node) attestNow(now time.Time, h *holder, introduced fleet.VM) {
+	after := h.acks[introduced].introduced
+	if after == 0 {
 		return
 	}
-	for _, vm := range set {
-		if _, ok := h.acks[vm]; !ok {
-			n.claim(now, vm, h, ClaimAcquire)
+	for _, vm := range h.sets.all() {
+		if a, ok := h.acks[vm]; ok && a.introduced == 0 && a.seq <= after {
+			n.claim(now, vm, h, ClaimRenew)
 		}
 	}
 }
--- a/internal/core/ownership/node.go
+++ b/internal/core/ownership/node.go
@@ -86,7 +86,7 @@
 	preferred := prefer(&n.view, holders)
 	for _, h := range holders {
 		if n.view.HasList {
-			h.sets.setCurrent(VotersOf(&n.view, h.ranking, n.params.Voters), now.Add(n.params.Lease/2), now.Add(n.params.Remember))
+			n.setVoters(now, h, VotersOf(&n.view, h.ranking, n.params.Voters))
 		}
 		h.rank = eligibleRank(&n.view, h.ranking, n.self)
 		h.prefer(now, n.self, preferred[h.id])
@@ -124,6 +124,27 @@
 	return n.Tick(now)
 }
 
+// setVoters takes the voters of a resource. A holder asks new ones at once.
+func (n *Node) setVoters(now time.Time, h *holder, voters []fleet.VM) {
+	lease := n.params.Lease
+	if h.sets.setCurrent(voters, now.Add(lease/2), now.Add(n.params.Remember)) {
+		n.introduce(now, h, voters)
+	}
+}
+
+// introduce asks voters that have granted nothing yet for a grant in the middle
+// of a tenure.
+func (n *Node) introduce(now time.Time, h *holder, voters []fleet.VM) {
+	if h.phase != held {
+		return
+	}
+	for _, vm := range voters {
+		if _, ok := h.acks[vm]; !ok {
+			n.claim(now, vm, h, ClaimAcquire)
+		}
+	}
+}
+
 // Holds reports whether this router holds an unlapsed lease.
 func (n *Node) Holds(now time.Time, id ID) bool {
 	h, ok := n.holders[id]
--- a/internal/core/ownership/sets.go
+++ b/internal/core/ownership/sets.go
@@ -37,29 +37,33 @@
 	nameUntil time.Time
 	// countFrom is the end of the grace.
 	countFrom time.Time
+	// strict is true for a set of which others told first: nothing is confirmed
+	// without its voters, in the grace either.
+	strict bool
 	// told is true for a set that only others have told of. It is not passed
 	// on, or routers would keep it alive among each other.
 	told bool
 }
 
 // setCurrent makes voters the current set, which counts for holding from the
-// end of its grace, and keeps the one before until. A set that others have told
-// of gets no grace.
-func (s *voterSets) setCurrent(voters []fleet.VM, countFrom, until time.Time) {
+// end of its grace, and keeps the one before until. It reports whether that was
+// a change.
+func (s *voterSets) setCurrent(voters []fleet.VM, countFrom, until time.Time) bool {
 	if len(s.sets) > 0 && sameVoters(s.sets[0].voters, voters) {
-		return
+		return false
 	}
 	next := newSet(voters)
 	if len(s.sets) > 0 {
 		s.sets[0].until = until
 		next.countFrom = countFrom
 	}
-	if slices.ContainsFunc(s.sets, func(old voterSet) bool { return old.hash == next.hash }) {
-		next.countFrom = time.Time{}
+	if known := slices.IndexFunc(s.sets, func(old voterSet) bool { return old.hash == next.hash }); known >= 0 {
+		next.countFrom, next.strict = s.sets[known].countFrom, true
+		s.sets = slices.Delete(s.sets, known, known+1)
 	}
-	s.sets = slices.DeleteFunc(s.sets, func(old voterSet) bool { return old.hash == next.hash })
 	s.sets = slices.Insert(s.sets, 0, next)
 	delete(s.gone, next.hash)
+	return true
 }
 
 // learn adds a set that a voter counts and reports whether it is new.
@@ -73,7 +77,8 @@
 		}
 	}
 	set := newSet(voters)
-	set.countFrom, set.until, set.nameUntil, set.told = countFrom, until, nameUntil, true
+	set.countFrom, set.until, set.nameUntil = countFrom, until, nameUntil
+	set.told, set.strict = true, true
 	s.sets = append(s.sets, set)
 	return true
 }
@@ -190,7 +195,7 @@
 		return false
 	}
 	return !slices.ContainsFunc(s.sets, func(set voterSet) bool {
-		return (set.told || !set.grace(now)) && !set.majority(ok)
+		return (set.strict || !set.grace(now)) && !set.majority(ok)
 	})
 }
 
