Let all routers of a tree tell loads in one beat

Change: hubs send when the lead hub does, the sums go to members when those of the other data centres are there, and members send just before the next round. The model is back at 30 in 100 hot requests, at the worst age of the tree and at 0.2 s more.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -102,7 +102,7 @@
 }
 
 // SetRelayed tells whether other routers' loads come by way of hubs, and are up
-// to 0.75 s old.
+// to hubs.RelayedAge old.
 func (b *Balancer) SetRelayed(relayed bool) { b.relayed = relayed }
 
 // Choose returns the target for a request among those available.
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/core/hubs"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
 )
 
@@ -218,29 +219,36 @@
 }
 
 // TestRelayedLoadsKeepTheBound replays 60 routers before 90 engines, a third of
-// which came back without any prompt, with two hot prompts that get 12 in 100 requests,
-// and loads that are 0.4 s old and more. Of the requests at most 3 in 100 may meet an engine over
-// the platform's bound of 2 x mean + 3.
+// which came back without any prompt, with two hot prompts and loads as old as
+// the tree of hubs makes them at worst, or older by 0.2 s. Of the requests at
+// most 3 in 100 may meet an engine over the platform's bound of 2 x mean + 3.
 func TestRelayedLoadsKeepTheBound(t *testing.T) {
-	over, total := 0, 0
-	for seed := range uint64(4) {
-		o, n := playRelayed(seed)
-		over, total = over+o, total+n
+	const worst = hubs.RelayedAge - hubs.Period // and a digest at most
+	for _, lag := range []time.Duration{worst, worst + 200*time.Millisecond} {
+		for _, hotShare := range []int{12, 30} {
+			over, total := 0, 0
+			for seed := range uint64(4) {
+				o, n := playRelayed(seed, lag, hotShare)
+				over, total = over+o, total+n
+			}
+			must.LessEq(t, 3*total, 100*over, must.Sprint(over, " of ", total, ", lag ", lag, ", hot ", hotShare))
+		}
 	}
-	must.LessEq(t, 3*total, 100*over, must.Sprint(over, " of ", total))
 }
 
-// playRelayed returns the requests that met an engine over the bound, and all.
-func playRelayed(seed uint64) (over, total int) {
+// playRelayed returns the requests that met an engine over the bound, and all,
+// when digests tell loads of lag ago and hotShare of 100 requests have one of
+// two prompts.
+func playRelayed(seed uint64, lag time.Duration, hotShare int) (over, total int) {
 	const (
 		routers = 60
 		targets = 90
 		perTick = 17 // 340 requests a second
 		tick    = 50 * time.Millisecond
-		digest  = 5  // ticks
-		delay   = 8  // ticks: three hops that each wait for half a digest, on average
+		digest  = int(hubs.Period / tick)
 		service = 16 // ticks that a request runs, on average
 	)
+	delay := int(lag / tick)
 	random := rand.New(rand.NewPCG(seed, 4))
 	all := engines(targets)
 	var fleetOf []*balance.Balancer
@@ -250,7 +258,7 @@
 		fleetOf = append(fleetOf, b)
 	}
 	prompts := func() uint64 {
-		if random.IntN(100) < 12 {
+		if random.IntN(100) < hotShare {
 			return uint64(1 + random.IntN(2))
 		}
 		return uint64(3 + random.IntN(400))
@@ -288,8 +296,8 @@
 		if now%digest == 0 {
 			spreadNews(at, fleetOf)
 		}
-		for i, b := range fleetOf {
-			if now%digest == i%digest && now >= delay {
+		for _, b := range fleetOf {
+			if now%digest == 0 && now >= delay {
 				b.HearSum(at, "hub", sums[now-delay])
 				b.Own(at)
 			}
--- a/internal/core/hubs/hubs.go
+++ b/internal/core/hubs/hubs.go
@@ -28,6 +28,8 @@
 	mesh bool
 	// hub is that of the router's own data centre.
 	hub fleet.VM
+	// lead is the hub whose time the others follow.
+	lead fleet.VM
 	// members are the routers of its data centre, hubs those of the others, and
 	// all every router, each without the router itself.
 	members []fleet.VM
@@ -39,6 +41,9 @@
 func New(self fleet.VM, view []membership.Member) *Tree {
 	alive := Order(view)
 	t := &Tree{self: self, mesh: len(alive) <= meshLimit}
+	if len(alive) > 0 {
+		t.lead = alive[0].VM
+	}
 	home := homeOf(self, view)
 	seen := make(map[fleet.DataCentre]bool)
 	for _, m := range alive {
@@ -91,6 +96,9 @@
 // IsHub reports whether the router is the hub of its data centre.
 func (t *Tree) IsHub() bool { return !t.mesh && t.hub == t.self }
 
+// leads reports whether the other hubs follow this router's time.
+func (t *Tree) leads() bool { return t.lead == t.self }
+
 // Above returns the hub that the router tells its news, empty when it tells
 // them to others itself.
 func (t *Tree) Above() fleet.VM {
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/core/hubs"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/wire"
@@ -84,27 +86,71 @@
 	return out
 }
 
-// tellLoad sends this router's digests: in a mesh its own to all; a member's
-// to its hub; a hub's sum of its data centre to the other hubs and the sum of
-// all to its members.
-func (s *Service) tellLoad(now time.Time) {
-	tree := s.tree.Load()
+// tellLoad sends this router's digests whenever one is due, until ctx ends.
+func (s *Service) tellLoad(ctx context.Context) {
+	for {
+		s.mu.Lock()
+		wait := s.beat.Next().Sub(s.clock.Now())
+		s.mu.Unlock()
+		stop := s.clock.AfterFunc(wait, s.wakeBeat)
+		select {
+		case <-ctx.Done():
+			stop()
+			return
+		case <-s.beatMoved:
+			stop()
+		}
+		s.tellDue()
+	}
+}
+
+// wakeBeat makes tellLoad look for what is due.
+func (s *Service) wakeBeat() {
+	select {
+	case s.beatMoved <- struct{}{}:
+	default: // it will look anyway
+	}
+}
+
+// tellDue sends the digests that are due: in a mesh this router's own to all;
+// a member's to its hub; a hub's sum of its data centre to the other hubs, and
+// the sum of all to its members.
+func (s *Service) tellDue() {
 	s.mu.Lock()
-	own := s.balancer.Own(now)
+	now, tree := s.clock.Now(), s.tree.Load()
+	due := s.beat.Take(now)
+	var own, all *digest
+	if due.Own {
+		own = s.ownDigest(now, tree)
+	}
+	if due.Sum {
+		all = newDigest(s.balancer.Sum(append(tree.Hubs(), tree.Members()...)), s.toMembers.take())
+		all.Sum = true
+	}
+	s.mu.Unlock()
+	switch {
+	case own == nil:
+	case tree.IsHub():
+		s.sendDigest(own, tree.Hubs())
+	default:
+		s.sendDigest(own, tree.Next(""))
+	}
+	if all != nil {
+		s.sendDigest(all, tree.Members())
+	}
+}
+
+// ownDigest returns what this router tells now, as a hub of its data centre.
+// The caller holds the lock.
+func (s *Service) ownDigest(now time.Time, tree *hubs.Tree) *digest {
+	loads := s.balancer.Own(now)
 	news := outbox{prompts: s.balancer.TakeNews(), outcomes: s.outliers.TakeOwn()}
 	if !tree.IsHub() {
-		s.mu.Unlock()
-		s.sendDigest(newDigest(own, news), tree.Next(""))
-		return
+		return newDigest(loads, news)
 	}
 	s.toMembers.add(news.prompts, news.outcomes)
 	s.toHubs.add(news.prompts, news.outcomes)
-	zone := newDigest(s.balancer.Sum(tree.Members()), s.toHubs.take())
-	all := newDigest(s.balancer.Sum(append(tree.Hubs(), tree.Members()...)), s.toMembers.take())
-	s.mu.Unlock()
-	all.Sum = true
-	s.sendDigest(zone, tree.Hubs())
-	s.sendDigest(all, tree.Members())
+	return newDigest(s.balancer.Sum(tree.Members()), s.toHubs.take())
 }
 
 func (s *Service) sendDigest(d *digest, to []fleet.VM) {
@@ -137,6 +183,9 @@
 	} else {
 		s.balancer.Hear(now, from, d.loads())
 	}
+	if s.beat.Heard(now, from) {
+		s.wakeBeat()
+	}
 	s.balancer.Learn(now, prompts)
 	for id, count := range outcomes {
 		if s.outliers.Hear(now, id, count) {
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -23,9 +23,6 @@
 	"github.com/zinniafork/zinniafork/internal/service/site"
 )
 
-// digestPeriod is the time between digests of load to the other routers.
-const digestPeriod = 250 * time.Millisecond
-
 func init() {
 	kernel.Register(Name, func() kernel.Service {
 		return &Service{settings: Settings{RetryRatio: 0.2, RetrySlack: 20, RetryWindowSeconds: 10}}
@@ -62,6 +59,9 @@
 	tree    atomic.Pointer[hubs.Tree]
 	running atomic.Int64
 	closed  atomic.Bool
+	// beatMoved holds a value when the time of the next digest has changed or
+	// has come.
+	beatMoved chan struct{}
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -73,6 +73,8 @@
 	born     map[fleet.Target]int64
 	// names holds the targets that were heard of by their short names.
 	names map[fleet.Ref]fleet.Target
+	// beat tells when digests of load are due.
+	beat *hubs.Beat
 	// toMembers and toHubs are news that a hub passes on.
 	toMembers outbox
 	toHubs    outbox
@@ -120,7 +122,10 @@
 	s.born = make(map[fleet.Target]int64)
 	s.started = s.clock.Now()
 	s.names = make(map[fleet.Ref]fleet.Target)
-	s.tree.Store(hubs.New(id.Self().VM, nil))
+	tree := hubs.New(id.Self().VM, nil)
+	s.tree.Store(tree)
+	s.beat = hubs.NewBeat(s.started, tree)
+	s.beatMoved = make(chan struct{}, 1)
 	s.routers = 1
 	s.self = id.Self().VM
 	s.greeted = make(map[fleet.VM]fleet.Incarnation)
@@ -132,7 +137,7 @@
 
 // Start sends digests in the background.
 func (s *Service) Start(ctx context.Context) error {
-	go kernel.Every(ctx, s.clock, digestPeriod, s.tellLoad)
+	go s.tellLoad(ctx)
 	if !s.settings.ColdCaches {
 		go s.learnCaches(ctx)
 	}
@@ -180,6 +185,7 @@
 	s.tellCaches(view)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.beat.SetTree(tree)
 	s.balancer.SetRelayed(!tree.Mesh())
 	s.cold.SetRouters(vms)
 	s.routers = max(len(vms), 1)
