--- a/cmd/zf-lab/load.go
+++ b/cmd/zf-lab/load.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/loadgen"
 )
 
--- a/cmd/zf-standin/targets.go
+++ b/cmd/zf-standin/targets.go
@@ -5,7 +5,7 @@
 	"io"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/platform/weights"
 	"github.com/zinniafork/zinniafork/internal/standin/engined"
--- a/internal/app/overhead_bench_test.go
+++ b/internal/app/overhead_bench_test.go
@@ -17,7 +17,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/app"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/httpserve"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/callerapi"
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -6,7 +6,7 @@
 	"net/http"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // ID identifies one request through the whole fleet.
--- a/internal/call/error.go
+++ b/internal/call/error.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Run tells whether a call had an effect on a target.
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Duration is a time span written with its unit, such as "250ms" or "2s".
--- a/internal/config/drains.go
+++ b/internal/config/drains.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Drained names one thing that is taken out beside the marks of a version.
--- a/internal/config/edit_test.go
+++ b/internal/config/edit_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 func TestSetMark(t *testing.T) {
--- a/internal/config/effective.go
+++ b/internal/config/effective.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Effective is a configuration in force, with the version it came from.
--- a/internal/config/fixed.go
+++ b/internal/config/fixed.go
@@ -5,7 +5,7 @@
 	"reflect"
 	"strings"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Reasons for which an overlay may not change a value of the base.
--- a/internal/config/flatten.go
+++ b/internal/config/flatten.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/tomldoc"
 )
 
--- a/internal/config/fuzz_test.go
+++ b/internal/config/fuzz_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // FuzzCheck gives operators' texts to everything that reads them: no text may
--- a/internal/config/index.go
+++ b/internal/config/index.go
@@ -5,7 +5,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // index holds the lookups of a configuration in force.
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Limits of values.
--- a/internal/config/validate_rows.go
+++ b/internal/config/validate_rows.go
@@ -3,7 +3,7 @@
 import (
 	"net/url"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 func (k *checker) targets() {
--- a/internal/core/admission/target_test.go
+++ b/internal/core/admission/target_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/zinniafork/zinniafork/internal/core/admission"
 	"github.com/zinniafork/zinniafork/internal/core/fairness"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/health"
 	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 var start = time.Unix(1000, 0)
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -15,9 +15,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/placement"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 const (
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -10,9 +10,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/hubs"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 var start = time.Unix(1_700_000_000, 0)
--- a/internal/core/balance/cold.go
+++ b/internal/core/balance/cold.go
@@ -4,8 +4,8 @@
 	"math"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/placement"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // coldShare is the part of a cold target's rate that the routers hand out
--- a/internal/core/balance/prompts.go
+++ b/internal/core/balance/prompts.go
@@ -6,7 +6,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 const (
--- a/internal/core/configstate/emergency.go
+++ b/internal/core/configstate/emergency.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Terms of emergency drains.
--- a/internal/core/configstate/scope.go
+++ b/internal/core/configstate/scope.go
@@ -6,7 +6,7 @@
 import (
 	"strings"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Scope names one document of the configuration: the shared base or the
--- a/internal/core/configstate/spread.go
+++ b/internal/core/configstate/spread.go
@@ -6,7 +6,7 @@
 	"errors"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Terms of fetching a version from a peer.
--- a/internal/core/digest/digest.go
+++ b/internal/core/digest/digest.go
@@ -8,8 +8,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/health"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/wire/ints"
 )
 
--- a/internal/core/digest/table.go
+++ b/internal/core/digest/table.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/health"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // forgetAfter is the time after which an entry no longer stands against word
--- a/internal/core/digest/table_test.go
+++ b/internal/core/digest/table_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/zinniafork/zinniafork/internal/core/digest"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/health"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 var start = time.Unix(1000, 0)
--- a/internal/core/fairness/queue.go
+++ b/internal/core/fairness/queue.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Item is one waiting request.
--- a/internal/core/fairness/queue_test.go
+++ b/internal/core/fairness/queue_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/zinniafork/zinniafork/internal/core/fairness"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 var start = time.Unix(1000, 0)
--- a/internal/core/fencing/fencing.go
+++ b/internal/core/fencing/fencing.go
@@ -14,7 +14,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Nonce tells one claim from all others.
--- a/internal/core/hubs/beat.go
+++ b/internal/core/hubs/beat.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // RelayedAge is the most that a figure which came along the tree is old while
--- a/internal/core/hubs/beat_test.go
+++ b/internal/core/hubs/beat_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/hubs"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // figures holds, for each router, when its work was counted last.
--- a/internal/core/hubs/hubs.go
+++ b/internal/core/hubs/hubs.go
@@ -13,8 +13,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/membership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // meshLimit is the number of routers up to which each tells every other one. It
--- a/internal/core/hubs/hubs_test.go
+++ b/internal/core/hubs/hubs_test.go
@@ -6,9 +6,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/hubs"
 	"github.com/zinniafork/zinniafork/internal/core/membership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // site returns n routers in three data centres, of which every tenth is strong.
--- a/internal/core/loading/loading.go
+++ b/internal/core/loading/loading.go
@@ -5,7 +5,7 @@
 import (
 	"slices"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Model is one model with its version and adapters.
--- a/internal/core/membership/membership.go
+++ b/internal/core/membership/membership.go
@@ -8,7 +8,7 @@
 import (
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // State is a router's state in the view of another one.
--- a/internal/core/membership/relay.go
+++ b/internal/core/membership/relay.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Ages are written in units of ageUnit; larger ones are cut off at ageMax.
--- a/internal/core/membership/view.go
+++ b/internal/core/membership/view.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // View is one router's view of all routers of its site. It is not safe for
--- a/internal/core/membership/view_test.go
+++ b/internal/core/membership/view_test.go
@@ -8,8 +8,8 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/membership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 const period = 500 * time.Millisecond
--- a/internal/core/orders/key.go
+++ b/internal/core/orders/key.go
@@ -12,7 +12,7 @@
 	"github.com/google/uuid"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Key identifies an order. Its caller chooses it.
--- a/internal/core/orders/ledger.go
+++ b/internal/core/orders/ledger.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Phase is the state of an order in the log.
--- a/internal/core/orders/machine.go
+++ b/internal/core/orders/machine.go
@@ -9,7 +9,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"golang.org/x/time/rate"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Limits and periods of a machine.
--- a/internal/core/orders/record.go
+++ b/internal/core/orders/record.go
@@ -6,7 +6,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Run tells whether an order had an effect on a target.
--- a/internal/core/orders/view.go
+++ b/internal/core/orders/view.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // View is what a machine knows of one order.
--- a/internal/core/outlier/outlier.go
+++ b/internal/core/outlier/outlier.go
@@ -11,7 +11,7 @@
 import (
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 const (
--- a/internal/core/ownership/balance.go
+++ b/internal/core/ownership/balance.go
@@ -1,6 +1,6 @@
 package ownership
 
-import "github.com/zinniafork/zinniafork/internal/core/fleet"
+import "github.com/zinniafork/zinniafork/internal/fleet"
 
 // balance puts at the head of each resource's ranking a router that has not
 // got more than its share of resources, so that the work of owners spreads. It
--- a/internal/core/ownership/encode_test.go
+++ b/internal/core/ownership/encode_test.go
@@ -6,8 +6,8 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
--- a/internal/core/ownership/exchange.go
+++ b/internal/core/ownership/exchange.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // claim queues a claim for one voter; flush sends all claims for the same
--- a/internal/core/ownership/explore_test.go
+++ b/internal/core/ownership/explore_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // The model runs nodes of one site against one target under random schedules:
--- a/internal/core/ownership/holder.go
+++ b/internal/core/ownership/holder.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // phase is the state of a holder.
--- a/internal/core/ownership/message.go
+++ b/internal/core/ownership/message.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // ClaimKind tells what a router asks of a voter.
--- a/internal/core/ownership/node.go
+++ b/internal/core/ownership/node.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Node is one router's part in the ownership of all resources: the holder of
--- a/internal/core/ownership/node_test.go
+++ b/internal/core/ownership/node_test.go
@@ -10,8 +10,8 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 const tick = 50 * time.Millisecond
--- a/internal/core/ownership/ownership.go
+++ b/internal/core/ownership/ownership.go
@@ -11,7 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // ID identifies a resource in messages.
--- a/internal/core/ownership/rank.go
+++ b/internal/core/ownership/rank.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Ranking is an order of preference among the routers of a view, as positions
--- a/internal/core/ownership/sets.go
+++ b/internal/core/ownership/sets.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // voterSets are the voter sets of one resource that count now: the current one
--- a/internal/core/ownership/voter.go
+++ b/internal/core/ownership/voter.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // voter grants resources to holders.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Class is the kind of work that a request asks for. Two requests of one class
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -9,8 +9,8 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/placement"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 func candidates(n int) []placement.Candidate {
--- a/internal/core/refresh/refresh.go
+++ b/internal/core/refresh/refresh.go
@@ -11,8 +11,8 @@
 	"slices"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/membership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 const (
--- a/internal/core/refresh/refresh_test.go
+++ b/internal/core/refresh/refresh_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/membership"
 	"github.com/zinniafork/zinniafork/internal/core/refresh"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 var start = time.Unix(1_700_000_000, 0)
--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Kind tells what may be repeated on a route.
--- a/internal/core/routing/table.go
+++ b/internal/core/routing/table.go
@@ -3,7 +3,7 @@
 import (
 	"strings"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Table is a configuration compiled for look-ups. It is immutable.
--- a/internal/core/routing/table_test.go
+++ b/internal/core/routing/table_test.go
@@ -7,8 +7,8 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 func table(routes ...routing.Route) *routing.Table {
--- a/internal/core/sitestate/available.go
+++ b/internal/core/sitestate/available.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Available is a target that may get new work.
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // ConfigKey is the key of the record that holds the configuration.
--- a/internal/core/sitestate/values.go
+++ b/internal/core/sitestate/values.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Target is what a target tells of itself through the platform's log.
--- a/internal/core/usage/usage_test.go
+++ b/internal/core/usage/usage_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 func TestRingKeepsTheWindow(t *testing.T) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Question describes a request, or names one that failed. One of Request,
--- a/internal/lab/caller/caller_test.go
+++ b/internal/lab/caller/caller_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/caller"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 	"github.com/zinniafork/zinniafork/internal/lab/site"
--- a/internal/lab/caller/directory.go
+++ b/internal/lab/caller/directory.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/callerapi"
 )
 
--- a/internal/lab/caller/load.go
+++ b/internal/lab/caller/load.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 	"github.com/zinniafork/zinniafork/internal/lab/testbed"
 	"github.com/zinniafork/zinniafork/internal/lab/workload"
--- a/internal/lab/capacity/decisions.go
+++ b/internal/lab/capacity/decisions.go
@@ -8,8 +8,8 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/placement"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // benchTime is how long one decision is repeated.
--- a/internal/lab/capacity/state.go
+++ b/internal/lab/capacity/state.go
@@ -7,11 +7,11 @@
 	"github.com/zinniafork/zinniafork/internal/core/admission"
 	"github.com/zinniafork/zinniafork/internal/core/digest"
 	"github.com/zinniafork/zinniafork/internal/core/fairness"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/health"
 	"github.com/zinniafork/zinniafork/internal/core/membership"
 	"github.com/zinniafork/zinniafork/internal/core/orders"
 	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // memberBytes measures the memory of a view of a site by its routers.
--- a/internal/lab/check/drain/drain.go
+++ b/internal/lab/check/drain/drain.go
@@ -4,7 +4,7 @@
 import (
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/check"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 )
--- a/internal/lab/check/service/service.go
+++ b/internal/lab/check/service/service.go
@@ -9,7 +9,7 @@
 	"slices"
 	"strings"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/check"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 )
--- a/internal/lab/check/service/service_test.go
+++ b/internal/lab/check/service/service_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/check/service"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 )
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/caller"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 	"github.com/zinniafork/zinniafork/internal/lab/site"
--- a/internal/lab/explore/world.go
+++ b/internal/lab/explore/world.go
@@ -12,8 +12,8 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/orders"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Times of the model.
--- a/internal/lab/fault/engines.go
+++ b/internal/lab/fault/engines.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/testbed"
 )
 
--- a/internal/lab/fault/operators.go
+++ b/internal/lab/fault/operators.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/testbed"
 	"github.com/zinniafork/zinniafork/internal/lab/workload"
 )
--- a/internal/lab/fault/plan.go
+++ b/internal/lab/fault/plan.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/lab/site"
 	"github.com/zinniafork/zinniafork/internal/lab/testbed"
--- a/internal/lab/fault/routers.go
+++ b/internal/lab/fault/routers.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/host"
 	"github.com/zinniafork/zinniafork/internal/lab/site"
 	"github.com/zinniafork/zinniafork/internal/lab/testbed"
--- a/internal/lab/loadgen/loadgen.go
+++ b/internal/lab/loadgen/loadgen.go
@@ -11,7 +11,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/lab/caller"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
--- a/internal/lab/testbed/count.go
+++ b/internal/lab/testbed/count.go
@@ -1,7 +1,7 @@
 package testbed
 
 import (
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 )
--- a/internal/lab/testbed/router.go
+++ b/internal/lab/testbed/router.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/app"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/lab/host"
 	"github.com/zinniafork/zinniafork/internal/lab/site"
--- a/internal/lab/testbed/sample.go
+++ b/internal/lab/testbed/sample.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 )
--- a/internal/lab/testbed/testbed.go
+++ b/internal/lab/testbed/testbed.go
@@ -13,7 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/httpserve"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 	"github.com/zinniafork/zinniafork/internal/lab/host"
--- a/internal/lab/workload/workload.go
+++ b/internal/lab/workload/workload.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/lab/history"
 	"github.com/zinniafork/zinniafork/internal/lab/site"
 	"github.com/zinniafork/zinniafork/internal/standin/engined"
--- a/internal/platform/vmlist/vmlist.go
+++ b/internal/platform/vmlist/vmlist.go
@@ -13,7 +13,7 @@
 
 	"github.com/dghubble/sling"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // List is the answer of the VM list.
--- a/internal/platform/weights/weights.go
+++ b/internal/platform/weights/weights.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Errors of the weight store.
--- a/internal/admin/types.go
+++ b/internal/service/admin/types.go
@@ -5,7 +5,7 @@
 import (
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Prefix is the path under which version 1 of the API lives.
--- a/internal/admin/types_state.go
+++ b/internal/service/admin/types_state.go
@@ -6,7 +6,7 @@
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/audit"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
 	"github.com/zinniafork/zinniafork/internal/service/figures"
--- a/internal/service/adminapi/adminapi_test.go
+++ b/internal/service/adminapi/adminapi_test.go
@@ -9,11 +9,11 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/explain"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 	"github.com/zinniafork/zinniafork/internal/service/audit"
 )
 
--- a/internal/service/adminapi/auth.go
+++ b/internal/service/adminapi/auth.go
@@ -11,10 +11,10 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // bootstrapOperator names the holder of the bootstrap key.
--- a/internal/service/adminapi/capacity.go
+++ b/internal/service/adminapi/capacity.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"slices"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // capacityAfter compares the capacity of the sites whose capacity changes.
--- a/internal/service/adminapi/config_read.go
+++ b/internal/service/adminapi/config_read.go
@@ -5,10 +5,10 @@
 
 	"github.com/pmezard/go-difflib/difflib"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 const (
--- a/internal/service/adminapi/config_write.go
+++ b/internal/service/adminapi/config_write.go
@@ -8,9 +8,9 @@
 
 	"github.com/google/uuid"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 const (
--- a/internal/service/adminapi/contract_test.go
+++ b/internal/service/adminapi/contract_test.go
@@ -14,9 +14,9 @@
 	"github.com/getkin/kin-openapi/routers/legacy"
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // contract checks every call that tests make, and its answer, against the
--- a/internal/service/adminapi/emergency.go
+++ b/internal/service/adminapi/emergency.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // defaultEmergency is the time for which an emergency drain holds when the
--- a/internal/service/adminapi/emergency_test.go
+++ b/internal/service/adminapi/emergency_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // TestEmergencyDrain takes a data centre out while the log is away, within the
--- a/internal/service/adminapi/endpoint.go
+++ b/internal/service/adminapi/endpoint.go
@@ -12,8 +12,8 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 	"github.com/zinniafork/zinniafork/internal/service/audit"
 )
 
--- a/internal/service/adminapi/endpoints.go
+++ b/internal/service/adminapi/endpoints.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // openAPI is the document of the endpoints. TestOpenAPIDocument writes it.
--- a/internal/service/adminapi/errors.go
+++ b/internal/service/adminapi/errors.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"net/http"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
 )
 
--- a/internal/service/adminapi/explain_test.go
+++ b/internal/service/adminapi/explain_test.go
@@ -8,10 +8,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/explain"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // failingChat sends a chat that no target takes and returns its ID.
--- a/internal/service/adminapi/harness_test.go
+++ b/internal/service/adminapi/harness_test.go
@@ -15,11 +15,11 @@
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/app"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 	"github.com/zinniafork/zinniafork/internal/service/adminapi"
 	"github.com/zinniafork/zinniafork/internal/service/callerapi"
 	"github.com/zinniafork/zinniafork/internal/settings"
--- a/internal/service/adminapi/limits_test.go
+++ b/internal/service/adminapi/limits_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // TestRateLimit floods the API with a wrong key: the flood is refused by rate,
--- a/internal/service/adminapi/openapi_test.go
+++ b/internal/service/adminapi/openapi_test.go
@@ -15,8 +15,8 @@
 	"github.com/getkin/kin-openapi/openapi3gen"
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/cli"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 const jsonType = "application/json"
--- a/internal/service/adminapi/orders.go
+++ b/internal/service/adminapi/orders.go
@@ -1,9 +1,9 @@
 package adminapi
 
 import (
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/explain"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 	"github.com/zinniafork/zinniafork/internal/service/journal"
 	"github.com/zinniafork/zinniafork/internal/service/route"
 )
--- a/internal/service/adminapi/pages.go
+++ b/internal/service/adminapi/pages.go
@@ -6,8 +6,8 @@
 
 	lru "github.com/hashicorp/golang-lru/v2"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 	"github.com/zinniafork/zinniafork/internal/service/statuspage"
 )
 
--- a/internal/service/adminapi/race_test.go
+++ b/internal/service/adminapi/race_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // race runs n changes at once and returns their errors.
--- a/internal/service/adminapi/rollback.go
+++ b/internal/service/adminapi/rollback.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // rollback publishes a document as it was in an older version.
--- a/internal/service/adminapi/state.go
+++ b/internal/service/adminapi/state.go
@@ -5,11 +5,11 @@
 	"strings"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/usage"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 	"github.com/zinniafork/zinniafork/internal/service/owner"
 )
--- a/internal/service/audit/audit.go
+++ b/internal/service/audit/audit.go
@@ -12,7 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/platform/logstream"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
--- a/internal/service/callerapi/chat.go
+++ b/internal/service/callerapi/chat.go
@@ -9,7 +9,7 @@
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/answers"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // bytesPerToken estimates the length of a prompt in tokens.
--- a/internal/service/callerapi/entry.go
+++ b/internal/service/callerapi/entry.go
@@ -5,7 +5,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 )
 
--- a/internal/service/callerapi/limits.go
+++ b/internal/service/callerapi/limits.go
@@ -6,7 +6,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // limitRetryAfter is when a caller that met a limit may come back.
--- a/internal/service/callerapi/run.go
+++ b/internal/service/callerapi/run.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/tracing"
 )
 
--- a/internal/service/callerapi/services.go
+++ b/internal/service/callerapi/services.go
@@ -8,7 +8,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // serviceExchange checks a call of a plain service.
--- a/internal/service/configsync/configsync.go
+++ b/internal/service/configsync/configsync.go
@@ -17,7 +17,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/platform/logstream"
 	"github.com/zinniafork/zinniafork/internal/service/members"
--- a/internal/service/configsync/fakes_test.go
+++ b/internal/service/configsync/fakes_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
 	"github.com/zinniafork/zinniafork/internal/service/members"
--- a/internal/service/configsync/refresh.go
+++ b/internal/service/configsync/refresh.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 )
 
--- a/internal/service/configsync/status.go
+++ b/internal/service/configsync/status.go
@@ -10,7 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 )
 
--- a/internal/service/figures/codec.go
+++ b/internal/service/figures/codec.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/usage"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
--- a/internal/service/figures/figures.go
+++ b/internal/service/figures/figures.go
@@ -9,9 +9,9 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/usage"
 	"github.com/zinniafork/zinniafork/internal/explain"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Name is the service's name in the kernel.
--- a/internal/service/figures/figures_test.go
+++ b/internal/service/figures/figures_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/usage"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
 	"github.com/zinniafork/zinniafork/internal/service/figures"
--- a/internal/service/figures/service.go
+++ b/internal/service/figures/service.go
@@ -10,8 +10,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/usage"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/platform/logstream"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
--- a/internal/service/forward/caches.go
+++ b/internal/service/forward/caches.go
@@ -7,9 +7,9 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/hubs"
 	"github.com/zinniafork/zinniafork/internal/core/placement"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 )
 
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -4,10 +4,10 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // warmShare is the share of a service's targets that must be warm for cold ones
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/hubs"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Name is the service's name in the kernel and of its settings section.
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -11,9 +11,9 @@
 
 	"github.com/zinniafork/zinniafork/internal/core/attempt"
 	"github.com/zinniafork/zinniafork/internal/core/balance"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/tracing"
 )
 
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -11,11 +11,11 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/hubs"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
 	"github.com/zinniafork/zinniafork/internal/service/members"
--- a/internal/service/identity/identity.go
+++ b/internal/service/identity/identity.go
@@ -6,7 +6,7 @@
 	"errors"
 	"sync"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/settings"
 )
--- a/internal/service/journal/handover.go
+++ b/internal/service/journal/handover.go
@@ -4,8 +4,8 @@
 	"context"
 	"slices"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/orders"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // handOverRecords is the number of records in one message to another router.
--- a/internal/service/journal/load_test.go
+++ b/internal/service/journal/load_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // loadTime is how long a load lasts.
--- a/internal/service/journal/outage_test.go
+++ b/internal/service/journal/outage_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // setDown cuts the routers from the log, all of them when none is named.
--- a/internal/service/journal/query.go
+++ b/internal/service/journal/query.go
@@ -10,8 +10,8 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/orders"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 )
 
--- a/internal/service/journal/service.go
+++ b/internal/service/journal/service.go
@@ -18,8 +18,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/orders"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/platform/logstream"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
--- a/internal/service/journal/submit.go
+++ b/internal/service/journal/submit.go
@@ -8,8 +8,8 @@
 	"io"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/orders"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 )
 
--- a/internal/service/loader/loader_test.go
+++ b/internal/service/loader/loader_test.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/owner"
 	"github.com/zinniafork/zinniafork/internal/service/servicetest"
 	"github.com/zinniafork/zinniafork/internal/target"
--- a/internal/service/members/codec.go
+++ b/internal/service/members/codec.go
@@ -6,8 +6,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/membership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/wire"
 	"github.com/zinniafork/zinniafork/internal/wire/ints"
 )
--- a/internal/service/members/members.go
+++ b/internal/service/members/members.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/membership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Name is the service's name in the kernel.
--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -12,8 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/membership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/platform/vmlist"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
--- a/internal/service/owner/candidates.go
+++ b/internal/service/owner/candidates.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/health"
 	"github.com/zinniafork/zinniafork/internal/core/placement"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // digestTrust is the age up to which a digest shows that a target is served.
--- a/internal/service/owner/digests.go
+++ b/internal/service/owner/digests.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/digest"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
--- a/internal/service/owner/names.go
+++ b/internal/service/owner/names.go
@@ -4,8 +4,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/zinniafork/zinniafork/internal/core/digest"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // nameList numbers the resources, so that digests between routers with the
--- a/internal/service/owner/owner.go
+++ b/internal/service/owner/owner.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/health"
 	"github.com/zinniafork/zinniafork/internal/core/placement"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Name is the service's name in the kernel.
--- a/internal/service/owner/targets.go
+++ b/internal/service/owner/targets.go
@@ -8,10 +8,10 @@
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/admission"
 	"github.com/zinniafork/zinniafork/internal/core/digest"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/health"
 	"github.com/zinniafork/zinniafork/internal/core/ownership"
 	"github.com/zinniafork/zinniafork/internal/core/placement"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/target"
 )
 
--- a/internal/service/owner/view.go
+++ b/internal/service/owner/view.go
@@ -5,8 +5,8 @@
 	"slices"
 
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/ownership"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 )
 
--- a/internal/service/peer/bench_test.go
+++ b/internal/service/peer/bench_test.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 )
 
--- a/internal/service/peer/conn.go
+++ b/internal/service/peer/conn.go
@@ -6,7 +6,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
--- a/internal/service/peer/errors.go
+++ b/internal/service/peer/errors.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 const step = "peer"
--- a/internal/service/peer/fault_test.go
+++ b/internal/service/peer/fault_test.go
@@ -12,7 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
--- a/internal/service/peer/harness_test.go
+++ b/internal/service/peer/harness_test.go
@@ -13,7 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
 	"github.com/zinniafork/zinniafork/internal/settings"
--- a/internal/service/peer/hello.go
+++ b/internal/service/peer/hello.go
@@ -4,7 +4,7 @@
 	"context"
 	"net"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
--- a/internal/service/peer/links.go
+++ b/internal/service/peer/links.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Waits between failed dials.
--- a/internal/service/peer/peer.go
+++ b/internal/service/peer/peer.go
@@ -5,7 +5,7 @@
 	"context"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Name is the service's name in the kernel.
--- a/internal/service/peer/peertest/hub.go
+++ b/internal/service/peer/peertest/hub.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 )
--- a/internal/service/peer/service.go
+++ b/internal/service/peer/service.go
@@ -14,7 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
 )
--- a/internal/service/peer/tls.go
+++ b/internal/service/peer/tls.go
@@ -8,7 +8,7 @@
 	"net"
 	"os"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/settings"
 )
 
--- a/internal/service/route/budget.go
+++ b/internal/service/route/budget.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/owner"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 )
--- a/internal/service/route/explain.go
+++ b/internal/service/route/explain.go
@@ -6,8 +6,8 @@
 	"slices"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/explain"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/owner"
 )
 
--- a/internal/service/route/explain_test.go
+++ b/internal/service/route/explain_test.go
@@ -7,9 +7,9 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/placement"
 	"github.com/zinniafork/zinniafork/internal/explain"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/owner"
 	"github.com/zinniafork/zinniafork/internal/service/servicetest"
 )
--- a/internal/service/route/kill_test.go
+++ b/internal/service/route/kill_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/servicetest"
 )
 
--- a/internal/service/route/place.go
+++ b/internal/service/route/place.go
@@ -5,8 +5,8 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/core/admission"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/placement"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // classOf returns the kind of work that a request asks for.
--- a/internal/service/route/route.go
+++ b/internal/service/route/route.go
@@ -17,9 +17,9 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/placement"
 	"github.com/zinniafork/zinniafork/internal/core/retry"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
--- a/internal/service/route/route_test.go
+++ b/internal/service/route/route_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 func TestChatReturnsToItsTarget(t *testing.T) {
--- a/internal/service/route/run.go
+++ b/internal/service/route/run.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/tracing"
 )
 
--- a/internal/service/route/serve.go
+++ b/internal/service/route/serve.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // serve runs a request whose target this router owns, for another router.
--- a/internal/service/route/site_test.go
+++ b/internal/service/route/site_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/owner"
 	"github.com/zinniafork/zinniafork/internal/service/peer/peertest"
--- a/internal/service/site/exchange.go
+++ b/internal/service/site/exchange.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
--- a/internal/service/site/rows.go
+++ b/internal/service/site/rows.go
@@ -4,7 +4,7 @@
 	"context"
 	"sync"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/platform/vmlist"
 	"github.com/zinniafork/zinniafork/internal/service/platform"
 )
--- a/internal/service/site/service.go
+++ b/internal/service/site/service.go
@@ -13,11 +13,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/config"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/hubs"
 	"github.com/zinniafork/zinniafork/internal/core/refresh"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
 	"github.com/zinniafork/zinniafork/internal/service/members"
--- a/internal/service/site/site.go
+++ b/internal/service/site/site.go
@@ -7,9 +7,9 @@
 	"errors"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Name is the service's name in the kernel and of its settings section.
--- a/internal/service/statuspage/statuspage.go
+++ b/internal/service/statuspage/statuspage.go
@@ -13,10 +13,10 @@
 	"strings"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/usage"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // PathStyle is the path of the style sheet.
--- a/internal/standin/engined/orders.go
+++ b/internal/standin/engined/orders.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/standin/fault"
 	"github.com/zinniafork/zinniafork/internal/target"
 	"github.com/zinniafork/zinniafork/internal/target/engine"
--- a/internal/target/api.go
+++ b/internal/target/api.go
@@ -11,7 +11,7 @@
 
 	"github.com/dghubble/sling"
 
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // callTimeout limits a small call whose context has no deadline.
--- a/internal/target/engine/protocol.go
+++ b/internal/target/engine/protocol.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Paths of an engine.
--- a/internal/target/plain/plain.go
+++ b/internal/target/plain/plain.go
@@ -9,7 +9,7 @@
 	"strings"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/target"
 )
 
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // Runner runs one request on one target and passes its answer to the sink.
--- a/internal/zfctl/complete.go
+++ b/internal/zfctl/complete.go
@@ -11,7 +11,7 @@
 	"github.com/posener/complete"
 	"github.com/willabides/kongplete"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // completionLimit bounds the wait of a shell for names.
--- a/internal/zfctl/connect.go
+++ b/internal/zfctl/connect.go
@@ -14,7 +14,7 @@
 	"strings"
 	"time"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 const (
--- a/internal/zfctl/documents.go
+++ b/internal/zfctl/documents.go
@@ -14,10 +14,10 @@
 
 	"github.com/jedib0t/go-pretty/v6/table"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 type validateCommand struct {
--- a/internal/zfctl/state.go
+++ b/internal/zfctl/state.go
@@ -6,11 +6,11 @@
 
 	"github.com/jedib0t/go-pretty/v6/table"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/call"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
 	"github.com/zinniafork/zinniafork/internal/core/usage"
 	"github.com/zinniafork/zinniafork/internal/explain"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 type statusCommand struct{}
--- a/internal/zfctl/zfctl.go
+++ b/internal/zfctl/zfctl.go
@@ -10,7 +10,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
 // Description is the help text of the command.
--- a/internal/zfctl/zfctl_test.go
+++ b/internal/zfctl/zfctl_test.go
@@ -17,11 +17,11 @@
 	"github.com/alecthomas/kong"
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/admin"
 	"github.com/zinniafork/zinniafork/internal/cli"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
-	"github.com/zinniafork/zinniafork/internal/core/fleet"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/admin"
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
 )
 
