Let routers that start together soon know of each other

The VM list was read again a second after the first read at the earliest, although it is local on the platform, and heartbeats came every 0.5 s.

Change: a list that is known to have changed is read at once, new neighbours get a heartbeat at once, and for 3 s after the start heartbeats come every 0.1 s.

--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -36,6 +36,11 @@
 	// time between reads that a peer's different list causes.
 	listRetry   = time.Second
 	listTimeout = 2 * time.Second
+	// youngTime is the time after the start in which heartbeats follow each
+	// other by youngPeriod, so that routers that start together soon know of
+	// each other: news crosses a sparse graph by several of them.
+	youngTime   = 3 * time.Second
+	youngPeriod = 100 * time.Millisecond
 	// headerBytes stands for the headers of one read of the VM list.
 	headerBytes = 350
 	// paceInterval is the time over which control traffic is averaged.
@@ -60,6 +65,10 @@
 	changed    chan struct{}
 	listNow    chan struct{}
 	beatNow    chan struct{}
+	// listChanged holds a value when the VM list is known to have changed.
+	listChanged chan struct{}
+	// started is the time at which heartbeats began.
+	started time.Time
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -99,6 +108,7 @@
 	s.changed = make(chan struct{}, 1)
 	s.listNow = make(chan struct{}, 1)
 	s.beatNow = make(chan struct{}, 1)
+	s.listChanged = make(chan struct{}, 1)
 	s.reset()
 	s.peers.HandleControl(peer.KindHeartbeat, s.hear)
 	return nil
@@ -115,9 +125,11 @@
 func (s *Service) Start(ctx context.Context) error {
 	s.mu.Lock()
 	s.reset()
+	s.started = s.clock.Now()
 	s.mu.Unlock()
 	go s.notify(ctx)
 	go s.followList(ctx)
+	go s.followChanges(ctx)
 	go s.beat(ctx)
 	go kernel.Every(ctx, s.clock, paceInterval, s.pace())
 	return nil
@@ -149,7 +161,7 @@
 }
 
 // RefreshList reads the VM list now.
-func (s *Service) RefreshList() { signal(s.listNow) }
+func (s *Service) RefreshList() { signal(s.listChanged) }
 
 // Beat sends a heartbeat to all neighbours now.
 func (s *Service) Beat() { signal(s.beatNow) }
@@ -226,6 +238,18 @@
 	}
 }
 
+// followChanges reads the VM list when it is known to have changed.
+func (s *Service) followChanges(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.listChanged:
+		}
+		s.readList(ctx)
+	}
+}
+
 // waitFor waits for d, for a signal, or for the end of ctx.
 func (s *Service) waitFor(ctx context.Context, d time.Duration, early <-chan struct{}) {
 	over := make(chan struct{})
@@ -282,6 +306,7 @@
 	if !slices.Equal(names, s.listed) {
 		s.listed = names
 		s.neighbours = membership.Neighbours(self, names, meshLimit, treeDegree)
+		signal(s.beatNow)
 	}
 	s.sparse = len(s.neighbours)+1 < len(names)
 	s.peers.SetPeers(infos)
@@ -324,6 +349,9 @@
 	for _, to := range neighbours {
 		s.send(to, hb, keep)
 	}
+	if now.Sub(s.started) < youngTime {
+		return min(period, youngPeriod)
+	}
 	return period
 }
 
--- a/internal/service/members/service_test.go
+++ b/internal/service/members/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,6 +85,36 @@
 	})
 }
 
+// TestFleetThatStartsTogetherKnowsItselfSoon starts more routers than exchange
+// heartbeats with each other, while the list appears only later.
+func TestFleetThatStartsTogetherKnowsItselfSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		hub, list := peertest.NewHub(time.Millisecond), &servicetest.Platform{}
+		var names []fleet.VM
+		for i := range 40 {
+			names = append(names, fleet.VM(fmt.Sprintf("vm%d", i)))
+		}
+		list.Set(servicetest.Rows(names[:1]...), nil)
+		var all []*members.Service
+		for _, name := range names {
+			all = append(all, startMember(ctx, t, hub, list, name))
+		}
+		time.Sleep(300 * time.Millisecond)
+		list.Set(servicetest.Rows(names...), nil)
+		for _, m := range all {
+			m.RefreshList()
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, m := range all {
+			for _, name := range names {
+				must.Eq(t, members.StateAlive, status(m, name), must.Sprint(m.Self().VM, " of ", name))
+			}
+		}
+	})
+}
+
 func TestPartsReachPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
