Fetch prompts from engines that fail, and spread caches after a restart

Ruled out: truncated lists (83 prompts listed where 69 were sent); engines that nobody ranks first for (64 of 64 asked); prompts that share only their first part (0.3 of 3.5 thousand tokens).

Change: a target that fails is named as the source when no other has the prompt; every engine that falls to a router is asked, counted from its first configuration; lists are told three times while routers start; news waits while no other router is known.

--- /dev/null
+++ b/internal/app/site_bed_test.go
@@ -0,0 +1,225 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/zinniafork/zinniafork/internal/httpserve"
+	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/kernel/kerneltest"
+	"github.com/zinniafork/zinniafork/internal/settings"
+	"github.com/zinniafork/zinniafork/internal/standin/keyedlog"
+	"github.com/zinniafork/zinniafork/internal/standin/siteclient"
+	"github.com/zinniafork/zinniafork/internal/standin/workerd"
+)
+
+// siteBed is a site on the users' platform in one process: the store, two
+// engines, two plain workers and three routers, under a false clock.
+type siteBed struct {
+	t       *testing.T
+	network *kerneltest.Network
+	store   *keyedlog.Store
+	workers map[string]*workerd.Server
+	routers map[string]*kernel.Kernel
+	client  *http.Client
+	serial  int
+}
+
+const storeAddress = "10.0.9.9:80"
+
+func startSite(t *testing.T) *siteBed {
+	b := &siteBed{
+		t:       t,
+		network: kerneltest.NewNetwork(),
+		store:   keyedlog.New(),
+		workers: make(map[string]*workerd.Server),
+		routers: make(map[string]*kernel.Kernel),
+	}
+	b.client = &http.Client{Transport: &http.Transport{DialContext: b.network.DialContext, DisableKeepAlives: true}}
+	b.serve(storeAddress, b.store.Handler())
+	b.publish(1, "plain")
+	for _, id := range []string{"e1", "e2"} {
+		b.worker(id, "llm", workerd.Options{Slots: 64, Events: 6, Work: 20 * time.Millisecond})
+	}
+	for _, id := range []string{"p1", "p2"} {
+		b.worker(id, "plain", workerd.Options{Slots: 6, Work: 30 * time.Millisecond})
+	}
+	for _, name := range []string{"1", "2", "3"} {
+		b.router(name)
+	}
+	b.wait(4 * time.Second)
+	return b
+}
+
+// wait lets time pass for the routers.
+func (b *siteBed) wait(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (b *siteBed) serve(address string, h http.Handler) {
+	server, err := httpserve.Start(context.Background(), b.network, address, h)
+	must.NoError(b.t, err)
+	b.t.Cleanup(func() { _ = server.Close() })
+}
+
+func (b *siteBed) worker(id, service string, opt workerd.Options) {
+	opt.ID = id
+	w := workerd.New(opt)
+	b.workers[id] = w
+	b.serve("10.1.0."+id+":80", w.Handler())
+	b.entry(id, service, false)
+}
+
+func (b *siteBed) entry(id, service string, leaving bool) {
+	b.store.PutWorker(keyedlog.Worker{
+		ID: id, Service: service, Address: "10.1.0." + id + ":80", DataCentre: "dc1", Slots: 6, Leaving: leaving,
+	})
+}
+
+// publish writes a configuration whose orders go to a service.
+func (b *siteBed) publish(version int, orders string) {
+	b.store.Publish(keyedlog.Config{
+		Version: version,
+		Host:    "a.example",
+		Routes: []keyedlog.Route{
+			{Name: "order", Kind: "unsafe", Service: orders, Attempts: 1},
+			{Name: "status", Kind: "safe", Service: "plain", Attempts: 2},
+			{Name: "chat", Kind: "stream", Service: "llm", Attempts: 2, Resumable: true},
+			{Name: "draft", Kind: "stream", Service: "llm", Attempts: 1},
+		},
+		Engines:   []string{"llm"},
+		Plain:     []string{"plain"},
+		Account:   "acme",
+		Key:       "key",
+		BodyBytes: 4096,
+		Idle:      5 * time.Second,
+	})
+}
+
+func (b *siteBed) router(name string) {
+	host := "10.0.0." + name
+	text := fmt.Sprintf(`
+[vm]
+name = "%[1]s:7000"
+data_centre = "dc1"
+site = "s"
+peer_addr = "%[1]s:7000"
+caller_addr = "%[1]s:80"
+[peer]
+listen = "%[1]s:7000"
+[site]
+seeds = ["10.0.0.1:7000"]
+[site_source]
+address = "%[2]s"
+[ingress]
+listen = "%[1]s:80"
+ready = "%[1]s:81"
+directory = "%[1]s:82"
+[metrics]
+listen = "%[1]s:83"
+`, host, storeAddress)
+	file, err := settings.Parse("router.toml", []byte(text))
+	must.NoError(b.t, err)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	k, err := NewSiteRouter(kernel.Env{Net: b.network, Log: logger, Seed: 7}, file)
+	must.NoError(b.t, err)
+	must.NoError(b.t, k.Start(context.Background()))
+	b.routers[name] = k
+	b.t.Cleanup(func() { b.stop(name) })
+}
+
+// stop ends a router as a kill does.
+func (b *siteBed) stop(name string) {
+	if k, ok := b.routers[name]; ok {
+		delete(b.routers, name)
+		_ = k.Stop(context.Background())
+	}
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+// call sends a request to a router.
+func (b *siteBed) call(router, route string) answer {
+	b.serial++
+	request := &siteclient.Request{
+		ID: fmt.Sprintf("r%d", b.serial), Host: "a.example", Route: route, Key: "key", Deadline: 3 * time.Second, Body: "body",
+	}
+	if route == "chat" || route == "draft" {
+		request.Prompt = []string{"aa", "bb", fmt.Sprint(b.serial)}
+	}
+	r, err := request.HTTP(b.t.Context(), "10.0.0."+router+":80")
+	must.NoError(b.t, err)
+	resp, err := b.client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(body), header: resp.Header, err: err}
+}
+
+func (b *siteBed) get(address, path string) answer {
+	resp, err := b.client.Get("http://" + address + path)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(body), err: err}
+}
+
+// addresses asks a router's directory.
+func (b *siteBed) addresses(router string) []string {
+	out, err := siteclient.Addresses(b.t.Context(), b.client, "10.0.0."+router+":82", "a.example", "dc1")
+	must.NoError(b.t, err)
+	return out
+}
+
+// runs counts the runs of all workers.
+func (b *siteBed) runs() int {
+	n := 0
+	for _, w := range b.workers {
+		n += len(w.Runs())
+	}
+	return n
+}
+
+// lists counts how often engines were asked for their caches.
+func (b *siteBed) lists() int { return b.workers["e1"].Lists() + b.workers["e2"].Lists() }
+
+func (b *siteBed) fault(f workerd.Fault) {
+	for _, w := range b.workers {
+		w.Set(f)
+	}
+}
+
+// wholeStream holds the events of a stream without gap or repeat.
+func wholeStream(events int) string {
+	var out strings.Builder
+	for i := 1; i <= events; i++ {
+		fmt.Fprintf(&out, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return out.String()
+}
+
+func onSite(t *testing.T, f func(*testing.T, *siteBed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { f(t, startSite(t)) })
+}
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -197,6 +197,16 @@
 	must.Eq(t, again.Target.ID == "e3" || again.Target.ID == c.Target.ID, len(again.Sources) == 0)
 }
 
+// TestListsAreToldWhateverWasTold repeats a list, as routers do that start
+// together.
+func TestListsAreToldWhateverWasTold(t *testing.T) {
+	b := newBalancer("dc0")
+	for range 2 {
+		b.Listed(start, "e1", []uint64{5, 6})
+		must.Len(t, 2, b.TakeNews())
+	}
+}
+
 func TestPlacementsAreToldOnceInAWhile(t *testing.T) {
 	b := newBalancer("dc0")
 	b.Started(start, "e1", []uint64{5})
--- a/internal/core/balance/prompts.go
+++ b/internal/core/balance/prompts.go
@@ -117,11 +117,18 @@
 // it was told lately.
 func (p *prompts) place(now time.Time, prompt uint64, id fleet.Ref) {
 	h := p.put(now, prompt, id)
-	if now.Sub(h.told) < tellPeriod || len(p.news) >= newsLimit {
+	if now.Sub(h.told) >= tellPeriod {
+		p.tell(now, prompt, h)
+	}
+}
+
+// tell queues a placement for the next digest.
+func (p *prompts) tell(now time.Time, prompt uint64, h *holder) {
+	if len(p.news) >= newsLimit {
 		return
 	}
 	h.told = now
-	p.news = append(p.news, Placement{Prompt: prompt, Target: id})
+	p.news = append(p.news, Placement{Prompt: prompt, Target: h.target})
 }
 
 // forget drops a target that has lost its cache.
@@ -165,11 +172,11 @@
 }
 
 // Listed takes what a target says of its cache, and queues it for the other
-// routers.
+// routers, also what they were told lately.
 func (b *Balancer) Listed(now time.Time, target fleet.Target, cached []uint64) {
 	id := target.Ref()
 	for _, prompt := range cached {
-		b.prompts.place(now, prompt, id)
+		b.prompts.tell(now, prompt, b.prompts.put(now, prompt, id))
 	}
 }
 
--- a/internal/service/forward/caches.go
+++ b/internal/service/forward/caches.go
@@ -18,28 +18,50 @@
 // the engines.
 const (
 	// cachePeriod is the time between looks for engines whose caches nobody
-	// knows, for cacheTime after the start.
+	// knows, for cacheTime after the first configuration is known.
 	cachePeriod = 100 * time.Millisecond
 	cacheTime   = 6 * time.Second
-	// cacheAlive is the time after the start from which only routers that are
-	// heard count for the choice of the one that asks an engine.
+	// cacheAlive is the time after the first configuration from which only
+	// routers that are heard count for the choice of the one that asks an engine.
 	cacheAlive = 1500 * time.Millisecond
+	// retellPeriod is the time after which a list is told again, retellTimes
+	// times: routers that start together don't agree at once who passes news on.
+	retellPeriod = 400 * time.Millisecond
+	retellTimes  = 3
 	// cacheTimeout limits one list.
 	cacheTimeout = time.Second
 )
 
 // learnCaches asks the engines that fall to this router for their caches.
 func (s *Service) learnCaches(ctx context.Context) {
-	start := s.clock.Now()
 	asked := make(map[fleet.Target]bool)
-	for s.clock.Now().Sub(start) < cacheTime {
-		s.askCaches(ctx, asked, s.clock.Now().Sub(start) >= cacheAlive)
+	for {
+		age := s.age()
+		if age >= cacheTime {
+			return
+		}
+		s.askCaches(ctx, asked, age >= cacheAlive)
+		s.retellCaches()
 		if s.clock.Sleep(ctx, cachePeriod) != nil {
 			return
 		}
 	}
 }
 
+// age is the time for which this router has known a configuration.
+func (s *Service) age() time.Duration {
+	known := s.site.Table() != nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !known {
+		return 0
+	}
+	if s.knownAt.IsZero() {
+		s.knownAt = s.clock.Now()
+	}
+	return s.clock.Now().Sub(s.knownAt)
+}
+
 // askCaches asks each engine that falls to this router once.
 func (s *Service) askCaches(ctx context.Context, asked map[fleet.Target]bool, alive bool) {
 	table := s.site.Table()
@@ -52,9 +74,12 @@
 			continue
 		}
 		for _, t := range s.site.Available(service.Name) {
-			if asked[t.ID] || s.hasCache(t.ID) || firstFor(t.ID, routers) != s.self {
+			if asked[t.ID] || firstFor(t.ID, routers) != s.self {
 				continue
 			}
+			if alive && s.hasCache(t.ID) {
+				continue // another router has asked it
+			}
 			asked[t.ID] = true
 			go s.askCache(ctx, t.ID)
 		}
@@ -113,17 +138,45 @@
 		s.logger.WithError(err).WithField("target", id).Warn("Cannot list the cache.")
 		return
 	}
+	now := s.clock.Now()
 	s.mu.Lock()
-	s.balancer.Listed(s.clock.Now(), id, cached)
+	s.balancer.Listed(now, id, cached)
+	s.listings = append(s.listings, listing{target: id, cached: cached, toldAt: now})
 	s.mu.Unlock()
 	s.logger.WithFields(logrus.Fields{"target": id, "prompts": len(cached)}).Info("Cache is listed.")
 }
 
+// listing is what a target has said of its cache.
+type listing struct {
+	target fleet.Target
+	cached []uint64
+	// toldAt is the time at which it was told last, and again how often it was
+	// told once more.
+	toldAt time.Time
+	again  int
+}
+
+// retellCaches tells lists again that are due.
+func (s *Service) retellCaches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for i := range s.listings {
+		l := &s.listings[i]
+		if l.again >= retellTimes || now.Sub(l.toldAt) < retellPeriod {
+			continue
+		}
+		l.toldAt = now
+		l.again++
+		s.balancer.Listed(now, l.target, l.cached)
+	}
+}
+
 // tellCaches sends what is known of all caches to routers that are new. While
 // this router is young itself, others may lack what it has asked engines for.
 func (s *Service) tellCaches(view *members.Snapshot) {
 	tree := s.tree.Load()
-	young := s.clock.Now().Sub(s.started) < cacheTime
+	young := s.age() < cacheTime
 	for _, m := range view.Members {
 		if m.VM == s.self || m.Status != members.StateAlive || s.greeted[m.VM] == m.Incarnation {
 			continue
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -140,10 +140,14 @@
 	}
 }
 
-// ownDigest returns what this router tells now, as a hub of its data centre.
-// The caller holds the lock.
+// ownDigest returns what this router tells now, as a hub of its data centre,
+// and nil while it knows no other router: its news waits for one. The caller
+// holds the lock.
 func (s *Service) ownDigest(now time.Time, tree *hubs.Tree) *digest {
 	loads := s.balancer.Own(now)
+	if len(tree.Next("")) == 0 {
+		return nil
+	}
 	news := outbox{prompts: s.balancer.TakeNews(), outcomes: s.outliers.TakeOwn()}
 	if !tree.IsHub() {
 		return newDigest(loads, news)
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -274,16 +274,22 @@
 }
 
 // cacheFrom returns the address of a target that can hand over the prompt's
-// shared parts, empty for none.
+// shared parts, empty for none. One that fails requests may still hand over
+// what it keeps, so it is asked when no other has the prompt.
 func (r *request) cacheFrom() string {
+	last := ""
 	for _, ref := range r.choice.Sources {
 		id := r.s.nameOf(ref)
 		t, ok := r.s.site.Lookup(id)
-		if ok && !r.tried[id] && r.s.inUse(id) {
+		switch {
+		case !ok:
+		case !r.tried[id] && r.s.inUse(id):
 			return t.Address
+		case last == "":
+			last = t.Address
 		}
 	}
-	return ""
+	return last
 }
 
 // sendFailed takes a send that brought no answer.
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -75,6 +75,10 @@
 	names map[fleet.Ref]fleet.Target
 	// beat tells when digests of load are due.
 	beat *hubs.Beat
+	// listings are the caches that this router has asked targets for.
+	listings []listing
+	// knownAt is the time at which the first configuration was seen.
+	knownAt time.Time
 	// toMembers and toHubs are news that a hub passes on.
 	toMembers outbox
 	toHubs    outbox
@@ -83,8 +87,6 @@
 	// the last hub. Only the goroutine that watches the members uses them.
 	greeted    map[fleet.VM]fleet.Incarnation
 	greetedHub fleet.VM
-	// started is the time at which the process began.
-	started time.Time
 }
 
 // Name returns the service's name.
@@ -120,11 +122,10 @@
 	s.outliers = outlier.New()
 	s.budgets = make(map[fleet.Service]*retry.Window)
 	s.born = make(map[fleet.Target]int64)
-	s.started = s.clock.Now()
 	s.names = make(map[fleet.Ref]fleet.Target)
 	tree := hubs.New(id.Self().VM, nil)
 	s.tree.Store(tree)
-	s.beat = hubs.NewBeat(s.started, tree)
+	s.beat = hubs.NewBeat(s.clock.Now(), tree)
 	s.beatMoved = make(chan struct{}, 1)
 	s.routers = 1
 	s.self = id.Self().VM
