Tell loads by numbers of targets instead of names

A digest told each target's name in 5 bytes and its load in one, four times a second to each member.

Change: core/loadtable numbers the targets for each audience, tells each number's target once and again every 16th message, and packs a load into half a byte. Placements name their target by number, 10 bytes instead of 14. Readers drop what they can't resolve.

Ruled out: names of 24 bits, told as differences: 2.5 bytes for each target; numbers agreed upon from the site's state: routers disagree while targets come and go.

--- a/internal/core/balance/loads.go
+++ b/internal/core/balance/loads.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/zinniafork/zinniafork/internal/core/loadtable"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
@@ -14,10 +15,7 @@
 const remoteTTL = 2 * time.Second
 
 // Load is the work that runs at a target.
-type Load struct {
-	Target  fleet.Ref
-	Running uint32
-}
+type Load = loadtable.Load
 
 // loads adds up the work of all routers at each target.
 type loads struct {
--- a/internal/service/forward/caches.go
+++ b/internal/service/forward/caches.go
@@ -206,11 +206,12 @@
 func (s *Service) sendCaches(to fleet.VM) {
 	s.mu.Lock()
 	now := s.clock.Now()
-	d := newDigest(s.balancer.Own(now), outbox{prompts: s.balancer.Placements(now)})
+	known := s.balancer.Placements(now)
+	d := newDigest(s.newWriter("caches"), s.balancer.Own(now), outbox{prompts: known})
 	s.mu.Unlock()
-	if len(d.Prompts) == 0 {
+	if len(known) == 0 {
 		return
 	}
 	s.sendDigest(d, []fleet.VM{to})
-	s.logger.WithFields(logrus.Fields{"peer": to, "prompts": len(d.Prompts) / 2}).Info("Caches are told.")
+	s.logger.WithFields(logrus.Fields{"peer": to, "prompts": len(known)}).Info("Caches are told.")
 }
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -2,29 +2,37 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/hubs"
+	"github.com/zinniafork/zinniafork/internal/core/loadtable"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
-// digest is what one router tells another of the work at targets. Lists of
-// numbers keep it small.
+// digest is what one router tells another of the work at targets. Positions in
+// the table of Work stand for targets.
 type digest struct {
-	// Sum is true when the loads are those of all routers.
-	Sum bool `msgpack:"s,omitempty"`
-	// Loads holds pairs of target and running requests.
-	Loads []uint32 `msgpack:"l,omitempty"`
-	// Prompts holds pairs of prompt and target.
-	Prompts []uint64 `msgpack:"p,omitempty"`
-	// Outcomes holds triples of target, good and failed requests.
+	// Sum is true when the work is that of all routers.
+	Sum  bool              `msgpack:"s,omitempty"`
+	Work loadtable.Message `msgpack:"w"`
+	// Prompts holds, for each placement, the prompt in 8 bytes and its target's
+	// position in 2.
+	Prompts []byte `msgpack:"p,omitempty"`
+	// Outcomes holds triples of position, good and failed requests.
 	Outcomes []uint32 `msgpack:"o,omitempty"`
 }
 
+// placementBytes is the length of one entry of Prompts.
+const placementBytes = 10
+
 // outbox is news of other routers that a hub passes on.
 type outbox struct {
 	prompts  []balance.Placement
@@ -48,42 +56,74 @@
 	return out
 }
 
-func newDigest(loads []balance.Load, news outbox) *digest {
+// newDigest packs loads and news with the writer's table.
+func newDigest(w *loadtable.Writer, loads []balance.Load, news outbox) *digest {
+	w.Begin()
 	d := new(digest)
-	for _, l := range loads {
-		d.Loads = append(d.Loads, uint32(l.Target), l.Running)
-	}
 	for _, p := range news.prompts {
-		d.Prompts = append(d.Prompts, p.Prompt, uint64(p.Target))
+		if at, ok := w.Position(p.Target); ok {
+			d.Prompts = binary.LittleEndian.AppendUint64(d.Prompts, p.Prompt)
+			d.Prompts = binary.LittleEndian.AppendUint16(d.Prompts, at)
+		}
 	}
 	for id, c := range news.outcomes {
-		d.Outcomes = append(d.Outcomes, uint32(id), uint32(c.OK), uint32(c.Failed))
+		if at, ok := w.Position(id); ok {
+			d.Outcomes = append(d.Outcomes, uint32(at), uint32(c.OK), uint32(c.Failed))
+		}
 	}
+	d.Work = w.Write(loads)
 	return d
 }
 
-func (d *digest) loads() []balance.Load {
-	out := make([]balance.Load, 0, len(d.Loads)/2)
-	for i := 0; i+1 < len(d.Loads); i += 2 {
-		out = append(out, balance.Load{Target: fleet.Ref(d.Loads[i]), Running: d.Loads[i+1]})
+// prompts returns the placements that name targets of the table.
+func (d *digest) prompts(refs []fleet.Ref) []balance.Placement {
+	out := make([]balance.Placement, 0, len(d.Prompts)/placementBytes)
+	for rest := d.Prompts; len(rest) >= placementBytes; rest = rest[placementBytes:] {
+		prompt, at := binary.LittleEndian.Uint64(rest), int(binary.LittleEndian.Uint16(rest[8:]))
+		if at < len(refs) {
+			out = append(out, balance.Placement{Prompt: prompt, Target: refs[at]})
+		}
 	}
 	return out
 }
 
-func (d *digest) prompts() []balance.Placement {
-	out := make([]balance.Placement, 0, len(d.Prompts)/2)
-	for i := 0; i+1 < len(d.Prompts); i += 2 {
-		out = append(out, balance.Placement{Prompt: d.Prompts[i], Target: fleet.Ref(d.Prompts[i+1])})
+// outcomes returns what happened at targets of the table.
+func (d *digest) outcomes(refs []fleet.Ref) map[fleet.Ref]outlier.Count {
+	out := make(map[fleet.Ref]outlier.Count, len(d.Outcomes)/3)
+	for rest := d.Outcomes; len(rest) >= 3; rest = rest[3:] {
+		if int(rest[0]) < len(refs) {
+			out[refs[rest[0]]] = outlier.Count{OK: int(rest[1]), Failed: int(rest[2])}
+		}
 	}
 	return out
 }
 
-func (d *digest) outcomes() map[fleet.Ref]outlier.Count {
-	out := make(map[fleet.Ref]outlier.Count, len(d.Outcomes)/3)
-	for i := 0; i+2 < len(d.Outcomes); i += 3 {
-		out[fleet.Ref(d.Outcomes[i])] = outlier.Count{OK: int(d.Outcomes[i+1]), Failed: int(d.Outcomes[i+2])}
-	}
-	return out
+// writers number targets for the digests of one router, one for each audience:
+// what a reader misses differs.
+type writers struct {
+	// own is for all routers of a mesh or the hub, hubs for the other hubs, and
+	// members for those of a hub.
+	own     *loadtable.Writer
+	hubs    *loadtable.Writer
+	members *loadtable.Writer
+}
+
+// newWriter returns a writer with tables of its own among all routers.
+func (s *Service) newWriter(audience string) *loadtable.Writer {
+	s.tables++
+	name := fmt.Sprintf("%s/%d/%s/%d", s.self, s.incarnation, audience, s.tables)
+	return loadtable.NewWriter(xxhash.Sum64String(name))
+}
+
+func (s *Service) newWriters() writers {
+	return writers{own: s.newWriter("own"), hubs: s.newWriter("hubs"), members: s.newWriter("members")}
+}
+
+// tellAll makes the next digests tell all targets.
+func (w *writers) tellAll() {
+	w.own.TellAll()
+	w.hubs.TellAll()
+	w.members.TellAll()
 }
 
 // tellLoad sends this router's digests whenever one is due, until ctx ends.
@@ -124,7 +164,7 @@
 		own = s.ownDigest(now, tree)
 	}
 	if due.Sum {
-		all = newDigest(s.balancer.Sum(append(tree.Hubs(), tree.Members()...)), s.toMembers.take())
+		all = newDigest(s.writers.members, s.balancer.Sum(append(tree.Hubs(), tree.Members()...)), s.toMembers.take())
 		all.Sum = true
 	}
 	s.mu.Unlock()
@@ -150,11 +190,11 @@
 	}
 	news := outbox{prompts: s.balancer.TakeNews(), outcomes: s.outliers.TakeOwn()}
 	if !tree.IsHub() {
-		return newDigest(loads, news)
+		return newDigest(s.writers.own, loads, news)
 	}
 	s.toMembers.add(news.prompts, news.outcomes)
 	s.toHubs.add(news.prompts, news.outcomes)
-	return newDigest(s.balancer.Sum(tree.Members()), s.toHubs.take())
+	return newDigest(s.writers.hubs, s.balancer.Sum(tree.Members()), s.toHubs.take())
 }
 
 func (s *Service) sendDigest(d *digest, to []fleet.VM) {
@@ -177,19 +217,25 @@
 		s.logger.WithError(err).WithField("peer", from).Warn("Load digest dropped.")
 		return
 	}
-	prompts, outcomes := d.prompts(), d.outcomes()
 	tree := s.tree.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	if d.Sum {
-		s.balancer.HearSum(now, from, d.loads())
-	} else {
-		s.balancer.Hear(now, from, d.loads())
-	}
 	if s.beat.Heard(now, from) {
 		s.wakeBeat()
 	}
+	refs, ok := s.reader.Targets(&d.Work)
+	loads, whole := d.Work.Loads(refs)
+	if !ok || !whole {
+		s.logger.WithField("peer", from).Debug("Load digest dropped: a part of its table was missed.")
+		return
+	}
+	if d.Sum {
+		s.balancer.HearSum(now, from, loads)
+	} else {
+		s.balancer.Hear(now, from, loads)
+	}
+	prompts, outcomes := d.prompts(refs), d.outcomes(refs)
 	s.balancer.Learn(now, prompts)
 	for id, count := range outcomes {
 		if s.outliers.Hear(now, id, count) {
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/hubs"
+	"github.com/zinniafork/zinniafork/internal/core/loadtable"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
@@ -73,6 +74,12 @@
 	born     map[fleet.Target]int64
 	// names holds the targets that were heard of by their short names.
 	names map[fleet.Ref]fleet.Target
+	// writers and reader pack and unpack digests, tables counts the writers that
+	// were made, and incarnation tells this process from earlier ones.
+	writers     writers
+	reader      *loadtable.Reader
+	tables      int
+	incarnation fleet.Incarnation
 	// beat tells when digests of load are due.
 	beat *hubs.Beat
 	// listings are the caches that this router has asked targets for.
@@ -128,7 +135,8 @@
 	s.beat = hubs.NewBeat(s.clock.Now(), tree)
 	s.beatMoved = make(chan struct{}, 1)
 	s.routers = 1
-	s.self = id.Self().VM
+	s.self, s.incarnation = id.Self().VM, id.Incarnation()
+	s.writers, s.reader = s.newWriters(), loadtable.NewReader()
 	s.greeted = make(map[fleet.VM]fleet.Incarnation)
 	s.site.Watch(s.siteChanged)
 	s.members.Watch(s.membersChanged)
@@ -187,6 +195,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.beat.SetTree(tree)
+	s.writers.tellAll()
 	s.balancer.SetRelayed(!tree.Mesh())
 	s.cold.SetRouters(vms)
 	s.routers = max(len(vms), 1)
