Log where a prompt is fetched from, and who ended a request

Cause: while the reads of shared parts were traced, the log did not tell which prompt a request had and where its target was to fetch it; a request whose caller had left ended as 'broken' or 'failed', which on-call engineers could not tell from a break by the worker.

Change: fields prompt and cache_from; outcome caller_left wherever the caller left first.

--- /dev/null
+++ b/internal/service/forward/digest_test.go
@@ -0,0 +1,77 @@
+package forward
+
+import (
+	"context"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/zinniafork/zinniafork/internal/core/balance"
+	"github.com/zinniafork/zinniafork/internal/core/loadtable"
+	"github.com/zinniafork/zinniafork/internal/core/outlier"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/wire"
+)
+
+// TestDigestsTellWhatWasPacked sends news of targets with and without load.
+func TestDigestsTellWhatWasPacked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ref := rapid.Custom(func(t *rapid.T) fleet.Ref { return fleet.Ref(rapid.Uint32().Draw(t, "ref")) })
+		loads := make(map[fleet.Ref]uint32)
+		for range rapid.IntRange(0, 30).Draw(t, "loads") {
+			loads[ref.Draw(t, "target")] = rapid.Uint32Range(1, 100).Draw(t, "running")
+		}
+		var running []balance.Load
+		for id, n := range loads {
+			running = append(running, balance.Load{Target: id, Running: n})
+		}
+		news := outbox{outcomes: make(map[fleet.Ref]outlier.Count)}
+		for range rapid.IntRange(0, 30).Draw(t, "placements") {
+			news.prompts = append(news.prompts, balance.Placement{Prompt: rapid.Uint64().Draw(t, "prompt"), Target: ref.Draw(t, "target")})
+		}
+		news.outcomes[ref.Draw(t, "target")] = outlier.Count{OK: 3, Failed: 2}
+
+		payload, err := wire.Marshal(newDigest(loadtable.NewWriter(1), running, news))
+		must.NoError(t, err)
+		var d digest
+		must.NoError(t, wire.Unmarshal(payload, &d))
+		refs, ok := loadtable.NewReader().Targets(&d.Work)
+		must.True(t, ok)
+		got, ok := d.Work.Loads(refs)
+		must.True(t, ok)
+		must.Len(t, len(loads), got)
+		for _, l := range got {
+			must.Eq(t, loads[l.Target], l.Running)
+		}
+		must.SliceContainsAll(t, news.prompts, d.prompts(refs))
+		must.Eq(t, news.outcomes, d.outcomes(refs))
+	})
+}
+
+// TestNewsThatIsCutShortIsDropped reads what a broken sender may tell.
+func TestNewsThatIsCutShortIsDropped(t *testing.T) {
+	d := digest{Prompts: make([]byte, placementBytes+3), Outcomes: []uint32{0, 1, 1, 9, 1, 1, 0, 1}}
+	refs := []fleet.Ref{5}
+	must.Eq(t, []balance.Placement{{Target: 5}}, d.prompts(refs))
+	must.Eq(t, map[fleet.Ref]outlier.Count{5: {OK: 1, Failed: 1}}, d.outcomes(refs))
+	must.SliceEmpty(t, d.prompts(nil))
+}
+
+// TestOutcomeNamesWhoEndedTheRequest tells callers that left from time-outs and
+// targets that broke off.
+func TestOutcomeNamesWhoEndedTheRequest(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		cause error
+		want  string
+	}{
+		{"the caller left", context.Canceled, "caller_left"},
+		{"its time was over", errTimeout, "failed"},
+	} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		must.Eq(t, "failed", endedBy(ctx, "failed"), must.Sprint(c.name))
+		cancel(c.cause)
+		must.Eq(t, c.want, endedBy(ctx, "failed"), must.Sprint(c.name))
+	}
+}
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -61,7 +62,10 @@
 	// lastEvent is the id of the last event that was passed on.
 	lastEvent string
 	choice    balance.Choice
-	lastErr   error
+	// cacheSource is the address that the target is to fetch the prompt from,
+	// empty for none.
+	cacheSource string
+	lastErr     error
 }
 
 // Serve answers a call.
@@ -165,7 +169,7 @@
 			r.refuse(Refusal{Status: http.StatusServiceUnavailable, RetryAfter: r.backIn(), Message: "no target took the request"})
 			return
 		case attempt.Cut:
-			r.cut("broken")
+			r.cut(endedBy(ctx, "broken"))
 			return
 		default:
 			r.fail(ctx)
@@ -174,6 +178,15 @@
 	}
 }
 
+// endedBy returns the outcome of a request that got no whole answer: its caller
+// may have left before.
+func endedBy(ctx context.Context, otherwise string) string {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errTimeout) {
+		return "caller_left"
+	}
+	return otherwise
+}
+
 // done is the step after an answer that was passed on.
 const done attempt.Step = 255
 
@@ -269,7 +282,8 @@
 	if r.account != nil {
 		s.Account = r.account.Name
 	}
-	s.CacheFrom = r.cacheFrom()
+	r.cacheSource = r.cacheFrom()
+	s.CacheFrom = r.cacheSource
 	return s
 }
 
@@ -380,6 +394,12 @@
 		fields["load"] = r.choice.Load
 		fields["mean"] = r.choice.Mean
 	}
+	if len(r.Parts) > 0 {
+		fields["prompt"] = fmt.Sprintf("%x", r.Parts[len(r.Parts)-1])
+	}
+	if r.cacheSource != "" {
+		fields["cache_from"] = r.cacheSource
+	}
 	return r.s.logger.WithFields(fields)
 }
 
@@ -417,7 +437,7 @@
 		status = http.StatusGatewayTimeout
 	}
 	r.reply.Refuse(Refusal{Status: status, Message: "no whole answer from the target"})
-	r.finish("failed", status)
+	r.finish(endedBy(ctx, "failed"), status)
 }
 
 // errNoTarget tells that no target may get the request.
