--- a/cmd/zf-standin/all.go
+++ b/cmd/zf-standin/all.go
@@ -16,29 +16,26 @@
 const (
 	portLog     = 0
 	portVMList  = 1
-	portWeights = 2
 	portEngines = 10
 	portWorkers = 50
 )
 
 type allCommand struct {
-	Host    string       `help:"Host to listen on." default:"127.0.0.1"`
-	Port    int          `help:"First port: log, VM list, weight store; engines from 10 and workers from 50 behind it. 0 means any." default:"0"`
-	Seed    uint64       `help:"Seed of random choices." default:"1"`
-	Engines int          `help:"Number of engines, up to 40." default:"2"`
-	Workers int          `help:"Number of workers." default:"1"`
-	Log     logFlags     `embed:"" prefix:"log-"`
-	List    listFlags    `embed:"" prefix:"list-"`
-	Weights weightsFlags `embed:"" prefix:"weights-"`
-	Engine  engineFlags  `embed:"" prefix:"engine-"`
-	Worker  plainFlags   `embed:"" prefix:"worker-"`
+	Host    string      `help:"Host to listen on." default:"127.0.0.1"`
+	Port    int         `help:"First port: log, VM list; engines from 10 and workers from 50 behind it. 0 means any." default:"0"`
+	Seed    uint64      `help:"Seed of random choices." default:"1"`
+	Engines int         `help:"Number of engines, up to 40." default:"2"`
+	Workers int         `help:"Number of workers." default:"1"`
+	Log     logFlags    `embed:"" prefix:"log-"`
+	List    listFlags   `embed:"" prefix:"list-"`
+	Engine  engineFlags `embed:"" prefix:"engine-"`
+	Worker  plainFlags  `embed:"" prefix:"worker-"`
 }
 
 // addresses is what the command prints once everything listens.
 type addresses struct {
 	Log     string   `json:"log"`
 	VMList  string   `json:"vm_list"`
-	Weights string   `json:"weights"`
 	Engines []string `json:"engines"`
 	Workers []string `json:"workers"`
 }
@@ -73,12 +70,8 @@
 		return err
 	}
 	out := addresses{
-		Log:     start(portLog, log),
-		VMList:  start(portVMList, list),
-		Weights: start(portWeights, c.Weights.build()),
-	}
-	if c.Engine.WeightsURL == "" {
-		c.Engine.WeightsURL = out.Weights
+		Log:    start(portLog, log),
+		VMList: start(portVMList, list),
 	}
 	for i := range c.Engines {
 		s := c.Engine.build(fmt.Sprintf("engine-%d", i+1), c.Seed+uint64(i))
--- a/cmd/zf-standin/main.go
+++ b/cmd/zf-standin/main.go
@@ -11,7 +11,6 @@
 type command struct {
 	Log     logCommand       `cmd:"" help:"Serve the log service."`
 	VMList  listCommand      `cmd:"" name:"vm-list" help:"Serve the VM list."`
-	Weights weightsCommand   `cmd:"" help:"Serve the weight store."`
 	Engine  engineCommand    `cmd:"" help:"Serve a model engine."`
 	Plain   plainCommand     `cmd:"" help:"Serve a worker of a plain service."`
 	All     allCommand       `cmd:"" help:"Serve a whole platform with engines and workers."`
--- a/cmd/zf-standin/platform.go
+++ b/cmd/zf-standin/platform.go
@@ -12,7 +12,6 @@
 	"github.com/zinniafork/zinniafork/internal/service/configsync"
 	"github.com/zinniafork/zinniafork/internal/standin/logd"
 	"github.com/zinniafork/zinniafork/internal/standin/vmlistd"
-	"github.com/zinniafork/zinniafork/internal/standin/weightd"
 )
 
 type logFlags struct {
@@ -92,22 +91,3 @@
 	}
 	return c.run(ctx, s)
 }
-
-type weightsFlags struct {
-	Bytes          int `help:"Size of the weights of a model in bytes." default:"1048576"`
-	BytesPerSecond int `help:"Limit of all downloads together." default:"16777216"`
-	Downloads      int `help:"Limit of downloads at once." default:"4"`
-}
-
-func (f *weightsFlags) build() standin {
-	s := weightd.New(weightd.Options{Bytes: f.Bytes, BytesPerSecond: f.BytesPerSecond, Downloads: f.Downloads})
-	return standin{service: s.Handler(), records: func() any { return s.Downloads() }}
-}
-
-type weightsCommand struct {
-	commonFlags
-	weightsFlags
-}
-
-// Run serves the weight store.
-func (c *weightsCommand) Run(ctx context.Context) error { return c.run(ctx, c.build()) }
--- a/cmd/zf-standin/targets.go
+++ b/cmd/zf-standin/targets.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/fleet"
-	"github.com/zinniafork/zinniafork/internal/kernel"
-	"github.com/zinniafork/zinniafork/internal/platform/weights"
 	"github.com/zinniafork/zinniafork/internal/standin/engined"
 	"github.com/zinniafork/zinniafork/internal/standin/plaind"
 	"github.com/zinniafork/zinniafork/internal/target"
-	"github.com/zinniafork/zinniafork/internal/target/engine"
 )
 
 type engineFlags struct {
@@ -31,8 +27,7 @@
 	QuietCold          bool          `help:"Keep the incarnation when the engine turns cold."`
 	IgnoresFencing     bool          `help:"Apply orders whatever their fencing number."`
 	Models             []string      `help:"Models that are loaded at the start; none means any."`
-	LoadTime           time.Duration `help:"Time that loading takes beside the download." default:"0s"`
-	WeightsURL         string        `name:"weights-url" help:"URL of the weight store for orders to load."`
+	LoadTime           time.Duration `help:"Time that an order to load takes." default:"0s"`
 }
 
 func (f *engineFlags) build(name string, seed uint64) standin {
@@ -59,9 +54,6 @@
 	for _, m := range f.Models {
 		opt.Models = append(opt.Models, target.LoadedModel{Model: fleet.Model(m)})
 	}
-	if f.WeightsURL != "" {
-		opt.Fetch = fetchFrom(f.WeightsURL)
-	}
 	s := engined.New(opt)
 	return standin{
 		service: s.Handler(),
@@ -70,15 +62,6 @@
 	}
 }
 
-// fetchFrom returns a function that downloads what an order loads.
-func fetchFrom(url string) func(context.Context, engine.Order) error {
-	store := weights.New(url, target.NewHTTPClient(kernel.SystemNetwork{}))
-	return func(ctx context.Context, o engine.Order) error {
-		_, err := store.Fetch(ctx, weights.Weights{Model: o.Model, Version: o.Version, Adapter: o.Adapter}, io.Discard)
-		return err
-	}
-}
-
 type engineCommand struct {
 	commonFlags
 	engineFlags
--- a/internal/service/loader/loader.go
+++ b/internal/service/loader/loader.go
@@ -34,7 +34,7 @@
 }
 
 // Service looks at one engine after the other, so that a router puts no more
-// than one load on the weight store at a time.
+// than one load on the store of weights at a time.
 type Service struct {
 	config configsync.Source
 	owners owner.Ownership
--- a/internal/standin/engined/orders.go
+++ b/internal/standin/engined/orders.go
@@ -98,7 +98,7 @@
 	if !s.fence(w, o) {
 		return
 	}
-	if err := s.fetch(r, o); err != nil {
+	if err := s.load(r, o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
 	}
@@ -134,18 +134,15 @@
 	return false
 }
 
-// fetch gets the weights that an order to load needs.
-func (s *Server) fetch(r *http.Request, o engine.Order) error {
+// load takes the time that an order to load needs.
+func (s *Server) load(r *http.Request, o engine.Order) error {
 	if o.Kind != engine.OrderLoadModel && o.Kind != engine.OrderLoadAdapter {
 		return nil
 	}
 	if !fault.Sleep(r.Context(), s.opt.LoadTime) {
 		return r.Context().Err()
 	}
-	if s.opt.Fetch == nil {
-		return nil
-	}
-	return s.opt.Fetch(r.Context(), o)
+	return nil
 }
 
 // exported is the content of an exported KV cache.
--- a/internal/standin/engined/server.go
+++ b/internal/standin/engined/server.go
@@ -54,11 +54,8 @@
 	IgnoresFencing bool
 	// Models are loaded at the start. None means that the engine serves any.
 	Models []target.LoadedModel
-	// LoadTime is the time that an order to load takes beside Fetch.
+	// LoadTime is the time that an order to load takes.
 	LoadTime time.Duration
-	// Fetch gets the weights of an order to load; nil means that they are
-	// there.
-	Fetch func(ctx context.Context, o engine.Order) error
 	// Seed feeds the random choices.
 	Seed uint64
 }
