Tell tables of targets to new routers only, and spare seeds

Cause: a table of all targets went out with each change of the view, 12 KB to every member at 3,000 targets, many times a second while VMs come and go. And routers that know nothing but seeds sent these ten heartbeats a second each.

Change: a table is told when a router is alive that was not before, once in four messages at most, and once in 16 otherwise. Quick heartbeats begin with the first change of the list, when each router has a few neighbours.

--- a/internal/core/loadtable/loadtable.go
+++ b/internal/core/loadtable/loadtable.go
@@ -20,6 +20,9 @@
 	// fullEvery is the number of messages of which one tells all targets: a
 	// reader that missed a part waits for 4 s at four messages a second.
 	fullEvery = 16
+	// fullApart is the least number of messages between two that tell all
+	// targets, however often new readers ask for them.
+	fullApart = 4
 	// tableLife is the number of messages after which a table without the
 	// targets that have gone takes the place of the last one.
 	tableLife = 256
@@ -58,7 +61,10 @@
 	at     map[fleet.Ref]int
 	told   int
 	writes int
-	full   bool
+	// full is set while all targets are to be told, lastFull is the message
+	// that told them last.
+	full     bool
+	lastFull int
 }
 
 // NewWriter returns a writer whose tables are numbered from first on, a number
@@ -67,7 +73,8 @@
 	return &Writer{table: first, at: make(map[fleet.Ref]int), full: true}
 }
 
-// TellAll makes the next message tell all targets, for readers that are new.
+// TellAll makes one of the next messages tell all targets, for readers that are
+// new.
 func (w *Writer) TellAll() { w.full = true }
 
 // Position returns the number of a target, for other parts of the message.
@@ -90,10 +97,10 @@
 	w.writes++
 	if w.writes%tableLife == 0 {
 		w.table++
-		w.refs, w.told, w.full = nil, 0, true
+		w.refs, w.told = nil, 0
 		clear(w.at)
 	}
-	if w.writes%fullEvery == 0 {
+	if w.writes-w.lastFull >= fullEvery {
 		w.full = true
 	}
 }
@@ -103,8 +110,8 @@
 	for _, l := range loads {
 		w.Position(l.Target)
 	}
-	if w.full {
-		w.told, w.full = 0, false
+	if w.full && (w.lastFull == 0 || w.writes-w.lastFull >= fullApart) {
+		w.told, w.full, w.lastFull = 0, false, w.writes
 	}
 	m := Message{Table: w.table, First: uint32(w.told)}
 	for _, ref := range w.refs[w.told:] {
--- a/internal/core/loadtable/loadtable_test.go
+++ b/internal/core/loadtable/loadtable_test.go
@@ -117,3 +117,18 @@
 		}
 	}
 }
+
+// TestTablesAreNotToldWithoutEnd asks for all targets before every message, as
+// while routers come and go.
+func TestTablesAreNotToldWithoutEnd(t *testing.T) {
+	w := loadtable.NewWriter(1)
+	full := 0
+	for range 100 {
+		w.TellAll()
+		w.Begin()
+		if m := w.Write([]loadtable.Load{{Target: 7, Running: 1}}); len(m.Targets) > 0 {
+			full++
+		}
+	}
+	must.Eq(t, 25, full)
+}
--- a/internal/service/forward/caches.go
+++ b/internal/service/forward/caches.go
@@ -177,6 +177,7 @@
 func (s *Service) tellCaches(view *members.Snapshot) {
 	tree := s.tree.Load()
 	young := s.age() < cacheTime
+	newcomers := s.noteAlive(view)
 	for _, m := range view.Members {
 		if m.VM == s.self || m.Status != members.StateAlive || s.greeted[m.VM] == m.Incarnation {
 			continue
@@ -186,12 +187,34 @@
 			s.sendCaches(m.VM)
 		}
 	}
-	if hub := tree.Above(); hub != s.greetedHub {
-		s.greetedHub = hub
-		if young && hub != "" {
-			s.sendCaches(hub)
+	hub := tree.Above()
+	if hub != s.greetedHub && young && hub != "" {
+		s.sendCaches(hub)
+	}
+	if hub != s.greetedHub || newcomers {
+		s.mu.Lock()
+		s.writers.tellAll()
+		s.mu.Unlock()
+	}
+	s.greetedHub = hub
+}
+
+// noteAlive notes the processes that are alive and reports whether some were
+// not before.
+func (s *Service) noteAlive(view *members.Snapshot) bool {
+	alive := make(map[fleet.VM]fleet.Incarnation)
+	newcomers := false
+	for _, m := range view.Members {
+		if m.Status != members.StateAlive {
+			continue
+		}
+		alive[m.VM] = m.Incarnation
+		if before, ok := s.alive[m.VM]; !ok || before != m.Incarnation {
+			newcomers = true
 		}
 	}
+	s.alive = alive
+	return newcomers
 }
 
 // greets reports whether it falls to this router to tell a new one.
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -90,10 +90,12 @@
 	toMembers outbox
 	toHubs    outbox
 
-	// greeted holds the processes that were told of the caches, and greetedHub
-	// the last hub. Only the goroutine that watches the members uses them.
+	// greeted holds the processes that were told of the caches, greetedHub the
+	// last hub, and alive the processes of the last view. Only the goroutine
+	// that watches the members uses them.
 	greeted    map[fleet.VM]fleet.Incarnation
 	greetedHub fleet.VM
+	alive      map[fleet.VM]fleet.Incarnation
 }
 
 // Name returns the service's name.
@@ -195,7 +197,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.beat.SetTree(tree)
-	s.writers.tellAll()
 	s.balancer.SetRelayed(!tree.Mesh())
 	s.cold.SetRouters(vms)
 	s.routers = max(len(vms), 1)
--- a/internal/service/members/service.go
+++ b/internal/service/members/service.go
@@ -36,9 +36,11 @@
 	// time between reads that a peer's different list causes.
 	listRetry   = time.Second
 	listTimeout = 2 * time.Second
-	// youngTime is the time after the start in which heartbeats follow each
-	// other by youngPeriod, so that routers that start together soon know of
-	// each other: news crosses a sparse graph by several of them.
+	// youngTime is the time after the first change of the list in which
+	// heartbeats follow each other by youngPeriod, so that routers that start
+	// together soon know of each other: news crosses a sparse graph by several of
+	// them. Before that change a router may know nothing but seeds, which bear
+	// the heartbeats of all.
 	youngTime   = 3 * time.Second
 	youngPeriod = 100 * time.Millisecond
 	// headerBytes stands for the headers of one read of the VM list.
@@ -67,8 +69,8 @@
 	beatNow    chan struct{}
 	// listChanged holds a value when the VM list is known to have changed.
 	listChanged chan struct{}
-	// started is the time at which heartbeats began.
-	started time.Time
+	// grewAt is the time at which the list changed for the first time.
+	grewAt time.Time
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -125,7 +127,6 @@
 func (s *Service) Start(ctx context.Context) error {
 	s.mu.Lock()
 	s.reset()
-	s.started = s.clock.Now()
 	s.mu.Unlock()
 	go s.notify(ctx)
 	go s.followList(ctx)
@@ -304,6 +305,9 @@
 		}
 	}
 	if !slices.Equal(names, s.listed) {
+		if len(s.listed) > 0 && s.grewAt.IsZero() {
+			s.grewAt = s.clock.Now()
+		}
 		s.listed = names
 		s.neighbours = membership.Neighbours(self, names, meshLimit, treeDegree)
 		signal(s.beatNow)
@@ -349,7 +353,9 @@
 	for _, to := range neighbours {
 		s.send(to, hb, keep)
 	}
-	if now.Sub(s.started) < youngTime {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.grewAt.IsZero() && now.Sub(s.grewAt) < youngTime {
 		return min(period, youngPeriod)
 	}
 	return period
