Give every end of a request a reason, and find failures from logs

A refusal for an unknown key told neither route nor version of the configuration; a time-out while the body of a failure was awaited had no error; news of a target came once from each of 8 routers and hid the rest.

Change: fields route and config on every line, an error for that end, and explain-log prints like news once with a count. The test of explain-log failed before.

--- a/internal/service/forward/pass.go
+++ b/internal/service/forward/pass.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -105,6 +106,7 @@
 	body, err := io.ReadAll(io.LimitReader(a.Body, wholeLimit))
 	now := r.s.clock.Now()
 	if gaveUp(ctx) {
+		r.lastErr = fmt.Errorf("read failure of %s: %w", r.choice.Target.ID, context.Cause(ctx))
 		r.s.release(now, r.choice.Target.ID, outlier.Failed, false)
 		return r.over(true)
 	}
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -48,8 +48,10 @@
 // request is a call in progress.
 type request struct {
 	*Call
-	s       *Service
-	reply   Reply
+	s     *Service
+	reply Reply
+	// version is that of the configuration that decided, zero for none.
+	version int64
 	route   *routing.Route
 	account *routing.Account
 	service *routing.Service
@@ -102,10 +104,13 @@
 	if table == nil {
 		return Refusal{Status: http.StatusServiceUnavailable, RetryAfter: r.backWhenReady(), Message: "no configuration yet"}, false
 	}
+	r.version = table.Config.Version
 	route, ok := table.Match(r.Host, r.Path)
 	if !ok {
 		return Refusal{Status: http.StatusNotFound, Message: "no route"}, false
 	}
+	r.route = route
+	r.machine = attempt.New(route)
 	if table.Config.Keyed && !route.Public {
 		account, ok := table.Account(r.Key)
 		if !ok {
@@ -119,12 +124,10 @@
 	if r.s.closed.Load() {
 		return Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryDraining, Message: "router stops"}, false
 	}
-	r.route = route
 	r.service = table.Service(route.ServiceFor(r.s.draw()))
 	if r.service == nil {
 		return Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryFull, Message: "no service"}, false
 	}
-	r.machine = attempt.New(route)
 	r.until = r.Received.Add(r.limit())
 	if r.left() <= 0 {
 		return Refusal{Status: http.StatusServiceUnavailable, Message: "deadline has passed"}, false
@@ -410,7 +413,7 @@
 	if age, known := r.s.site.Age(); known {
 		ageMS = age.Milliseconds()
 	}
-	entry := r.line().WithFields(logrus.Fields{"outcome": outcome, "status": status, "state_age_ms": ageMS})
+	entry := r.line().WithFields(logrus.Fields{"outcome": outcome, "status": status, "state_age_ms": ageMS, "config": r.version})
 	if r.lastErr != nil {
 		entry = entry.WithError(r.lastErr)
 	}
--- a/internal/zfctl/explainlog.go
+++ b/internal/zfctl/explainlog.go
@@ -26,9 +26,24 @@
 	Time    time.Time `json:"time"`
 	Request string    `json:"request"`
 	Target  string    `json:"target"`
+	Message string    `json:"msg"`
+	Offset  int64     `json:"offset"`
 	text    string
 }
 
+// fact is what a line tells of a target. Routers that learn the same within a
+// second tell the same fact.
+type fact struct {
+	target  string
+	message string
+	offset  int64
+	second  int64
+}
+
+func (l *logLine) fact() fact {
+	return fact{target: l.Target, message: l.Message, offset: l.Offset, second: l.Time.Unix()}
+}
+
 // errNoRequest tells that no line is about the request.
 var errNoRequest = errors.New("explain-log: no line is about this request")
 
@@ -65,12 +80,30 @@
 	if first.IsZero() {
 		return errNoRequest
 	}
+	var kept []logLine
+	times := make(map[fact]int)
 	for _, l := range lines {
 		near := !l.Time.Before(first.Add(-c.Around)) && !l.Time.After(last.Add(c.Around))
-		if l.Request == c.Request || l.Request == "" && targets[l.Target] && near {
-			if _, err := fmt.Fprintln(out, l.text); err != nil {
-				return fmt.Errorf("explain-log: %w", err)
-			}
+		about := l.Request == "" && targets[l.Target] && near
+		if about {
+			times[l.fact()]++
+		}
+		if l.Request == c.Request || about && times[l.fact()] == 1 {
+			kept = append(kept, l)
+		}
+	}
+	return printLines(out, kept, times)
+}
+
+// printLines prints lines, and how many more routers told the same of a target.
+func printLines(out io.Writer, lines []logLine, times map[fact]int) error {
+	for _, l := range lines {
+		text := l.text
+		if more := times[l.fact()] - 1; l.Request == "" && more > 0 {
+			text += fmt.Sprintf(" (and %d more times)", more)
+		}
+		if _, err := fmt.Fprintln(out, text); err != nil {
+			return fmt.Errorf("explain-log: %w", err)
 		}
 	}
 	return nil
--- a/internal/zfctl/explainlog_test.go
+++ b/internal/zfctl/explainlog_test.go
@@ -10,6 +10,7 @@
 
 const routerLog = `vm1 {"time":"2026-01-01T10:00:00Z","msg":"site: Target changed.","target":"t9","gone":true}
 vm1 {"time":"2026-01-01T10:00:07Z","msg":"site: Target changed.","target":"t1","leaving":true}
+vm2 {"time":"2026-01-01T10:00:07Z","msg":"site: Target changed.","target":"t1","leaving":true}
 vm1 {"time":"2026-01-01T10:00:08Z","msg":"forward: Request ended.","target":"t1","request":"other"}
 not a line of ours
 vm1 {"time":"2026-01-01T10:00:09Z","msg":"forward: Send ended without an answer.","target":"t1","request":"r1"}
@@ -25,7 +26,9 @@
 	must.NoError(t, c.print(&out, lines))
 	got := strings.Split(strings.TrimSpace(out.String()), "\n")
 	must.Len(t, 3, got)
+	must.StrHasPrefix(t, "vm1", got[0])
 	must.StrContains(t, got[0], `"leaving":true`)
+	must.StrHasSuffix(t, "(and 1 more times)", got[0])
 	must.StrContains(t, got[1], "Send ended")
 	must.StrContains(t, got[2], "Request ended")
 	c.Request = "r2"
