Limit the requests that engines hold, and refuse the rest at once

Nothing was refused; each late response cost as much engine time as one in time. Change: core/overload holds a limit of requests per slot for each engine service. It starts at the slots that a target lists, follows the ratio of late first bytes, and is higher for urgent and for returning callers. The balancer leaves out targets at the limit; a request that no target below it can take is refused as not run, with a Retry-After that grows with the share of refused requests. Cold targets are tried before refusing. The log tells the first byte and the longest pause.

--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,7 +32,7 @@
 	workers map[string]*workerd.Server
 	routers map[string]*kernel.Kernel
 	client  *http.Client
-	serial  int
+	serial  atomic.Int64
 }
 
 const storeAddress = "10.0.9.9:80"
@@ -157,12 +158,12 @@
 
 // call sends a request to a router.
 func (b *siteBed) call(router, route string) answer {
-	b.serial++
+	serial := b.serial.Add(1)
 	request := &siteclient.Request{
-		ID: fmt.Sprintf("r%d", b.serial), Host: "a.example", Route: route, Key: "key", Deadline: 3 * time.Second, Body: "body",
+		ID: fmt.Sprintf("r%d", serial), Host: "a.example", Route: route, Key: "key", Deadline: 3 * time.Second, Body: "body",
 	}
 	if route == "chat" || route == "draft" {
-		request.Prompt = []string{"aa", "bb", fmt.Sprint(b.serial)}
+		request.Prompt = []string{"aa", "bb", fmt.Sprint(serial)}
 	}
 	r, err := request.HTTP(b.t.Context(), "10.0.0."+router+":80")
 	must.NoError(b.t, err)
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -54,6 +54,9 @@
 	// Avoid holds the targets that must not be chosen, such as those that were
 	// tried before.
 	Avoid map[fleet.Target]bool
+	// MaxLoadPerSlot is the load per slot from which a target gets no request,
+	// zero for no limit.
+	MaxLoadPerSlot float64
 }
 
 // prompt returns the identifier of the longest shared prefix, which stands for
@@ -74,6 +77,8 @@
 	LeastLoaded Reason = "least_loaded"
 	// None: no target may get the request.
 	None Reason = "none"
+	// Overloaded: targets may get requests, but their load is at the limit.
+	Overloaded Reason = "overloaded"
 )
 
 // Choice is the chosen target with the loads behind the choice. Load is the number
@@ -116,14 +121,19 @@
 // be up to hubs.MaxRelayedAge old.
 func (b *Balancer) SetRelayed(relayed bool) { b.relayed = relayed }
 
-// Choose returns the target for a request, or a Choice with the reason None if
-// no target may get it.
+// Choose returns the target for a request, or a Choice without a target and with
+// the reason None or Overloaded if no target may get it.
 func (b *Balancer) Choose(now time.Time, r *Request, targets []sitestate.AvailableTarget, gate Gate) Choice {
-	eligible := b.eligible(now, r, targets, gate)
-	if len(eligible) == 0 {
+	allowed := b.eligible(now, r, targets, gate)
+	if len(allowed) == 0 {
 		return Choice{Reason: None}
 	}
 	mean := b.meanLoad(targets)
+	eligible := b.belowLimit(r, allowed)
+	if len(eligible) == 0 {
+		c := b.selectLeastLoaded(allowed, mean)
+		return Choice{Reason: Overloaded, Load: c.Load, Mean: mean}
+	}
 	if len(r.Prefixes) == 0 {
 		return b.selectLeastLoaded(eligible, mean)
 	}
@@ -146,6 +156,21 @@
 	return out
 }
 
+// belowLimit returns the targets whose load per slot is below the limit of the
+// request.
+func (b *Balancer) belowLimit(r *Request, targets []*sitestate.AvailableTarget) []*sitestate.AvailableTarget {
+	if r.MaxLoadPerSlot <= 0 {
+		return targets
+	}
+	out := make([]*sitestate.AvailableTarget, 0, len(targets))
+	for _, t := range targets {
+		if t.Slots <= 0 || b.loads.load(t.ID.Ref()) < r.MaxLoadPerSlot*float64(t.Slots) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // meanLoad returns the mean load of all targets of the service.
 func (b *Balancer) meanLoad(targets []sitestate.AvailableTarget) float64 {
 	total := 0.0
--- a/internal/core/balance/balance_test.go
+++ b/internal/core/balance/balance_test.go
@@ -333,3 +333,27 @@
 	}
 	return over, total
 }
+
+// TestFullEnginesGetNothing fills all engines to the load limit of a request: the
+// next one is told that they are overloaded, and one with a higher limit is not.
+func TestFullEnginesGetNothing(t *testing.T) {
+	b, all := newBalancer("dc0"), engines(3)
+	for i := range all {
+		all[i].Slots = 4
+	}
+	r := func(limit float64) *balance.Request {
+		return &balance.Request{Prefixes: []uint64{7}, MaxLoadPerSlot: limit}
+	}
+	for range 3 * 4 {
+		c := b.Choose(start, r(1), all, allowAll{})
+		must.NotEq(t, balance.Overloaded, c.Reason)
+		b.RequestStarted(start, c.Target.ID, []uint64{7})
+	}
+	full := b.Choose(start, r(1), all, allowAll{})
+	must.Eq(t, balance.Overloaded, full.Reason)
+	must.Eq(t, fleet.Target(""), full.Target.ID)
+	must.Eq(t, 4, full.Load)
+	must.NotEq(t, balance.Overloaded, b.Choose(start, r(1.1), all, allowAll{}).Reason)
+	b.RequestEnded(all[1].ID)
+	must.Eq(t, all[1].ID, b.Choose(start, r(1), all, allowAll{}).Target.ID)
+}
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -45,11 +45,11 @@
 	g := &targetGate{s: s, service: service, skipCold: s.enoughWarm(now, targets)}
 	g.ignoreOutliers = !outlier.MayEject(s.countNotInUse(now, targets), len(targets))
 	choice := s.balancer.Choose(now, r, targets, g)
-	if choice.Reason == balance.None && g.skipCold {
+	if choice.Target.ID == "" && g.skipCold {
 		g.skipCold = false
 		choice = s.balancer.Choose(now, r, targets, g)
 	}
-	if choice.Reason == balance.None {
+	if choice.Target.ID == "" {
 		return choice, len(targets)
 	}
 	t := &choice.Target
--- /dev/null
+++ b/internal/service/forward/limit.go
@@ -0,0 +1,70 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/core/overload"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+)
+
+// returningRatio is the ratio of its route's timeout below which the time that a
+// caller has left shows that it was refused before.
+const returningRatio = 0.98
+
+// limiter returns the limiter of a service. The caller holds the lock.
+func (s *Service) limiter(name fleet.Service) *overload.Limiter {
+	l, ok := s.limiters[name]
+	if !ok {
+		l = overload.New()
+		s.limiters[name] = l
+	}
+	return l
+}
+
+// maxLoadPerSlot returns the load per slot from which an engine gets no request of
+// this caller. A stream that has begun is resumed regardless of the load.
+func (r *request) maxLoadPerSlot() float64 {
+	if r.headSent {
+		return 0
+	}
+	c := overload.Caller{
+		Rank:      r.route.PriorityFor(r.account),
+		Returning: r.Timeout > 0 && float64(r.Timeout) < returningRatio*float64(r.route.Timeout),
+	}
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	return r.s.limiter(r.service.Name).LoadPerSlot(c)
+}
+
+// decided records whether an engine service admitted or refused a request.
+func (s *Service) decided(now time.Time, name fleet.Service, refused bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limiter(name).Decided(now, refused)
+}
+
+// observeFirstByte records how long the engine took to start its response, or to
+// let the request time out.
+func (r *request) observeFirstByte() {
+	if !r.service.Engine || r.choice.Target.Slots <= 0 {
+		return
+	}
+	now := r.s.clock.Now()
+	f := overload.FirstByte{
+		Latency:     now.Sub(r.sentAt),
+		Objective:   r.route.Objective,
+		LoadPerSlot: r.choice.Load / float64(r.choice.Target.Slots),
+	}
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	r.s.limiter(r.service.Name).Observe(now, f)
+}
+
+// overloadRetryAfter returns when a caller that an overloaded service refused
+// should return.
+func (s *Service) overloadRetryAfter(name fleet.Service, left time.Duration) time.Duration {
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limiter(name).RetryAfter(now, left, s.rng.Float64())
+}
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -244,14 +244,26 @@
 	if !r.headSent {
 		r.reply.WriteHead(resp)
 		r.headSent = true
-		r.s.metrics.firstByteSent(r.s.clock.Now().Sub(r.Received))
+		r.observeFirstByte()
+		r.firstByte = r.s.clock.Now().Sub(r.Received)
+		r.s.metrics.firstByteSent(r.firstByte)
 	}
+	r.noteWrite()
 	if id, ok := lastEventID(events); ok {
 		r.lastSentID = id
 	}
 	return r.reply.Write(events)
 }
 
+// noteWrite records the pause since the last write of a stream.
+func (r *request) noteWrite() {
+	now := r.s.clock.Now()
+	if !r.lastWriteAt.IsZero() {
+		r.longestPause = max(r.longestPause, now.Sub(r.lastWriteAt))
+	}
+	r.lastWriteAt = now
+}
+
 // streamEnded handles the end of a stream. A stream that ends within an event is
 // incomplete.
 func (r *request) streamEnded(ctx context.Context, resp *Response, rest []byte) attempt.Action {
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -65,10 +65,18 @@
 	deadline time.Time
 	// headSent is true once the head of a response was passed on.
 	headSent bool
+	// firstByte is the time from the request's arrival to the first byte of its
+	// response, and longestPause the longest time between two writes of a stream;
+	// lastWriteAt is the time of the last one.
+	firstByte    time.Duration
+	longestPause time.Duration
+	lastWriteAt  time.Time
 	// lastSentID is the ID of the last event that the caller has received.
 	lastSentID string
 	// choice holds the target of the current send and the reason for it.
 	choice balance.Choice
+	// sentAt is the time of the current send.
+	sentAt time.Time
 	// cacheSource is the address from which the target is to fetch the cached prompt
 	// prefixes, empty if there is none.
 	cacheSource string
@@ -177,7 +185,7 @@
 		case attempt.Retry, attempt.Resume:
 			continue
 		case attempt.Refuse:
-			r.refuse(Refusal{Status: http.StatusServiceUnavailable, RetryAfter: r.noTargetRetryDelay(), Message: "no target took the request"})
+			r.refuse(Refusal{Status: http.StatusServiceUnavailable, RetryAfter: r.refusalRetryAfter(), Message: "no target took the request"})
 			return
 		case attempt.Cut:
 			r.cut(outcomeUnlessLeft(ctx, "broken"))
@@ -208,22 +216,36 @@
 	return noTargetRetryAfter + time.Duration(r.s.randomFloat()*float64(noTargetRetryAfter))
 }
 
+// refusalRetryAfter returns the Retry-After of a request that no target took.
+func (r *request) refusalRetryAfter() time.Duration {
+	if r.choice.Reason == balance.Overloaded {
+		return r.s.overloadRetryAfter(r.service.Name, r.remaining())
+	}
+	return r.noTargetRetryDelay()
+}
+
 // sendOnce chooses a target, sends the request to it and returns what to do next.
 func (r *request) sendOnce(ctx context.Context) attempt.Action {
 	now := r.s.clock.Now()
 	query := &balance.Request{Prefixes: r.Prefixes, Avoid: r.tried}
 	if !r.service.Engine {
 		query.Prefixes = nil
+	} else {
+		query.MaxLoadPerSlot = r.maxLoadPerSlot()
 	}
 	choice, available := r.s.chooseTarget(now, r.service, query)
-	if choice.Reason == balance.None {
-		r.lastErr = errNoTarget{targets: available}
+	if r.service.Engine && !r.machine.IsRetry() {
+		r.s.decided(now, r.service.Name, choice.Reason == balance.Overloaded)
+	}
+	if choice.Target.ID == "" {
+		r.choice = choice
+		r.lastErr = errNoTarget{targets: available, overloaded: choice.Reason == balance.Overloaded}
 		if r.headSent {
 			return attempt.Cut
 		}
 		return r.machine.NoTarget()
 	}
-	r.choice = choice
+	r.choice, r.sentAt = choice, now
 	r.tried[choice.Target.ID] = true
 	if !r.machine.IsRetry() {
 		r.s.countRequest(now, r.service.Name)
@@ -327,6 +349,9 @@
 func (r *request) sendFailed(ctx context.Context, err error) attempt.Action {
 	now := r.s.clock.Now()
 	r.lastErr = err
+	if errors.Is(context.Cause(ctx), errSilent) {
+		r.observeFirstByte()
+	}
 	var failure *SendError
 	if !errors.As(err, &failure) {
 		failure = &SendError{Target: r.choice.Target.ID, Sent: true, Err: err}
@@ -419,6 +444,10 @@
 	if r.cacheSource != "" {
 		fields["cache_from"] = r.cacheSource
 	}
+	if r.firstByte > 0 {
+		fields["first_ms"] = r.firstByte.Milliseconds()
+		fields["pause_ms"] = r.longestPause.Milliseconds()
+	}
 	return r.s.logger.WithFields(fields)
 }
 
@@ -463,12 +492,19 @@
 }
 
 // errNoTarget is the error when no target may get the request.
-type errNoTarget struct{ targets int }
+type errNoTarget struct {
+	targets    int
+	overloaded bool
+}
 
-// Error tells whether the service has no available target or all were excluded.
+// Error tells whether the service has no available target, all were excluded, or
+// the remaining ones are overloaded.
 func (e errNoTarget) Error() string {
 	if e.targets == 0 {
 		return "choose target: none available"
 	}
+	if e.overloaded {
+		return "choose target: all are overloaded"
+	}
 	return "choose target: all available targets are excluded"
 }
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -14,6 +14,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/hubs"
 	"github.com/zinniafork/zinniafork/internal/core/loadtable"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
+	"github.com/zinniafork/zinniafork/internal/core/overload"
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
 	"github.com/zinniafork/zinniafork/internal/fleet"
@@ -71,6 +72,8 @@
 	cold     *balance.ColdLimit
 	outliers *outlier.Detector
 	budgets  map[fleet.Service]*retry.WindowBudget
+	// limiters bound the load of the engines of each service.
+	limiters map[fleet.Service]*overload.Limiter
 	routers  int
 	// born holds the Born value of the last known process of each target, to detect
 	// restarts.
@@ -134,6 +137,7 @@
 	s.cold = balance.NewColdLimit(id.Self().VM)
 	s.outliers = outlier.New()
 	s.budgets = make(map[fleet.Service]*retry.WindowBudget)
+	s.limiters = make(map[fleet.Service]*overload.Limiter)
 	s.born = make(map[fleet.Target]int64)
 	s.targetNames = make(map[fleet.Ref]fleet.Target)
 	tree := hubs.New(id.Self().VM, nil)
