Cut a plain response that breaks off after a part was passed on

Change: only streams are resumed; another response that broke off is cut. The silence timer stops once a long response is passed on; the deadline bounds it. The soak plays the store's return from a copy, workers that say that they leave or ask for a pause, and heads, bodies and refusals without end. It checks from what callers and workers see that a router heeds what a worker told it.

--- a/internal/app/site_reports_test.go
+++ b/internal/app/site_reports_test.go
@@ -66,7 +66,7 @@
 			b.restartWorker(id, "plain", workerd.Options{Slots: 6, Work: 30 * time.Millisecond, Pause: "2.5"})
 			b.workers[id].Set(workerd.FaultPause)
 		}
-		refused := func() int { return b.workers["p1"].Refused() + b.workers["p2"].Refused() }
+		refused := func() int { return len(b.workers["p1"].Refused()) + len(b.workers["p2"].Refused()) }
 		for refused() < 2 {
 			must.Eq(t, 503, b.call("1", "order").status)
 		}
@@ -118,3 +118,16 @@
 		})
 	}
 }
+
+// TestLongResponseIsNotContinuedByAnother covers a response that is too long to be
+// buffered and breaks off after a part was passed on. The request may be repeated, but
+// the response of another run must not be appended to what the caller has.
+func TestLongResponseIsNotContinuedByAnother(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.workers["p1"].Set(workerd.FaultEndlessBody)
+		a := b.call("1", "status")
+		must.Eq(t, 1, len(b.workers["p1"].Runs()))
+		must.Error(t, a.err, must.Sprint("a response that broke off must not look complete"))
+		must.SliceEmpty(t, b.workers["p2"].Runs())
+	})
+}
--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -108,7 +108,9 @@
 //	refused       Retry within Attempts and the budget, then Refuse
 //	unknown       Retry if idempotent, within Attempts and the budget, else Fail
 //	failed        as unknown, but PassFailure instead of Fail
-//	broken        Resume if resumable, within Attempts and the budget, else Cut
+//	broken        Resume if it is a resumable stream, within Attempts and the
+//	              budget, else Cut: the response of another run can't go on
+//	              where another kind of response broke off
 //
 // Refuse becomes Fail if an earlier send of the request may have run.
 func (m *Machine) SendEnded(now time.Time, s Outcome, left time.Duration, b Budget) Action {
@@ -128,6 +130,9 @@
 	}
 	m.sends++
 	m.mayHaveRun = true
+	if s == Broken && m.route.Kind != routing.Stream {
+		return Cut
+	}
 	if m.route.Idempotent() && m.mayRetry(now, left, b) {
 		if s == Broken {
 			return Resume
--- a/internal/core/attempt/attempt_test.go
+++ b/internal/core/attempt/attempt_test.go
@@ -77,6 +77,9 @@
 		must.Less(t, route.Attempts+1, sends+1, what)
 	}
 	must.Eq(t, last == attempt.Broken && again, action == attempt.Resume, what)
+	if route.Kind != routing.Stream {
+		must.NotEq(t, attempt.Resume, action, what)
+	}
 	if action == attempt.Cut {
 		must.Eq(t, attempt.Broken, last, what)
 	}
--- a/internal/lab/soak/bed.go
+++ b/internal/lab/soak/bed.go
@@ -25,6 +25,10 @@
 	host    = "soak.example"
 	account = "acme"
 	key     = "key"
+	// drainedDC is the data centre that is drained.
+	drainedDC = "dc1"
+	// pause is the time that workers ask for.
+	pause = 1500 * time.Millisecond
 )
 
 // bed is the store, the workers, the routers and the proxies of one run.
@@ -40,6 +44,7 @@
 
 	mu      sync.Mutex
 	version int
+	drained bool
 }
 
 // worker is one stand-in of a worker and the link to it.
@@ -47,6 +52,29 @@
 	*workerd.Server
 	id, service, dc string
 	link            *proxy
+
+	mu      sync.Mutex
+	leaving bool
+	// starts are the times at which the worker started under its name.
+	starts []time.Time
+}
+
+// restart lets the worker start anew under its name.
+func (w *worker) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = false
+	w.starts = append(w.starts, time.Now())
+}
+
+// entry returns what the worker writes about itself.
+func (w *worker) entry() keyedlog.Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return keyedlog.Worker{
+		ID: w.id, Service: w.service, Address: w.link.listener.Addr().String(), DataCentre: w.dc, Slots: slots,
+		Leaving: w.leaving, Born: w.starts[len(w.starts)-1].UnixMilli(),
+	}
 }
 
 // newBed serves the store and the workers and writes the settings of routers.
@@ -94,7 +122,7 @@
 
 func (b *bed) addWorker(i int, service string) error {
 	w := &worker{id: fmt.Sprintf("w%d", i), service: service, dc: fmt.Sprintf("dc%d", i%2+1)}
-	w.Server = workerd.New(workerd.Options{ID: w.id, Slots: slots, Events: events, Work: 15 * time.Millisecond})
+	w.Server = workerd.New(workerd.Options{ID: w.id, Slots: slots, Events: events, Work: 15 * time.Millisecond, Pause: fmt.Sprint(pause.Seconds())})
 	own := fmt.Sprintf("%s.2:%d", b.net, 7000+i)
 	if err := b.serve(own, w.Handler()); err != nil {
 		return err
@@ -104,15 +132,46 @@
 		return err
 	}
 	b.workers = append(b.workers, w)
-	b.entry(w, false)
+	w.restart()
+	b.store.PutWorker(w.entry())
 	return nil
 }
 
-// entry writes a worker's entry.
-func (b *bed) entry(w *worker, leaving bool) {
-	b.store.PutWorker(keyedlog.Worker{
-		ID: w.id, Service: w.service, Address: w.link.listener.Addr().String(), DataCentre: w.dc, Slots: slots, Leaving: leaving,
-	})
+// setLeaving writes a worker's entry with another state.
+func (b *bed) setLeaving(w *worker, leaving bool) {
+	w.mu.Lock()
+	w.leaving = leaving
+	w.mu.Unlock()
+	b.store.PutWorker(w.entry())
+}
+
+// setDrained drains a data centre or takes it back.
+func (b *bed) setDrained(drained bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drained = drained
+	b.putDrain()
+}
+
+// putDrain writes the drain mark. The caller holds the lock.
+func (b *bed) putDrain() {
+	if b.drained {
+		b.store.Drain(drainedDC)
+		return
+	}
+	b.store.Return(drainedDC)
+}
+
+// rewrite writes again what operators and workers have in force, as they do after the
+// store has lost it.
+func (b *bed) rewrite() {
+	b.mu.Lock()
+	b.putConfig()
+	b.putDrain()
+	b.mu.Unlock()
+	for _, w := range b.workers {
+		b.store.PutWorker(w.entry())
+	}
 }
 
 func (b *bed) addRouter(dir string, i int, binary, storeAddress string) error {
@@ -141,6 +200,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.version += 2
+	b.putConfig()
+}
+
+// putConfig writes the configuration in force. The caller holds the lock.
+func (b *bed) putConfig() {
 	b.store.Publish(keyedlog.Config{
 		Version: b.version,
 		Host:    host,
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/zinniafork/zinniafork/internal/standin/workerd"
 )
@@ -24,6 +25,9 @@
 	Calm bool
 	// Read is true when the router may have read the request.
 	Read bool
+	// Began and Ended are the times at which the caller sent the request and had its
+	// answer.
+	Began, Ended time.Time
 }
 
 // notRun are the statuses that promise that a request did not run.
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -53,6 +54,43 @@
 	}
 }
 
+// TestCheckerFindsIgnoredReports gives the checker histories in which a router heeds or
+// ignores what a worker said.
+func TestCheckerFindsIgnoredReports(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	at := func(d time.Duration) time.Time { return begin.Add(d) }
+	call := func(id string, router int, began time.Duration) Call {
+		return Call{ID: id, Router: router, Status: 200, Whole: true, Began: at(began), Ended: at(began + 10*time.Millisecond)}
+	}
+	said := workerd.Run{Request: "a", At: at(0), Leaving: true}
+	later := workerd.Run{Request: "b", At: at(1100 * time.Millisecond)}
+	asked := workerd.Refusal{Request: "a", At: at(0), Pause: true}
+	paused := []workerd.Run{{Request: "b", At: at(600 * time.Millisecond)}, {Request: "c", At: at(700 * time.Millisecond)}, {Request: "d", At: at(800 * time.Millisecond)}}
+	calls := []Call{call("a", 0, 0), call("b", 0, 1050*time.Millisecond), call("c", 0, 0), call("d", 0, 0)}
+	others := []Call{call("a", 0, 0), call("b", 1, 1050*time.Millisecond)}
+	for name, c := range map[string]struct {
+		calls  []Call
+		worker workerHistory
+		starts []time.Time
+		want   string
+	}{
+		"leaves":                   {calls: calls, worker: workerHistory{runs: []workerd.Run{said, later}}, want: "that it leaves"},
+		"leaves, another router":   {calls: others, worker: workerHistory{runs: []workerd.Run{said, later}}},
+		"leaves, worker restarted": {calls: calls, worker: workerHistory{runs: []workerd.Run{said, later}, starts: []time.Time{at(time.Second)}}},
+		"leaves, router restarted": {calls: calls, worker: workerHistory{runs: []workerd.Run{said, later}}, starts: []time.Time{at(time.Second)}},
+		"pause":                    {calls: calls, worker: workerHistory{runs: paused, refused: []workerd.Refusal{asked}}, want: "3 requests"},
+		"pause, two":               {calls: calls, worker: workerHistory{runs: paused[:2], refused: []workerd.Refusal{asked}}},
+	} {
+		found := checkReports(c.calls, []*router{{index: 0, starts: c.starts}}, c.worker)
+		if c.want == "" {
+			must.SliceEmpty(t, found, must.Sprint(name))
+			continue
+		}
+		must.Len(t, 1, found, must.Sprint(name))
+		must.StrContains(t, found[0], c.want, must.Sprint(name))
+	}
+}
+
 func TestProxyModes(t *testing.T) {
 	must.Len(t, 5, linkModes)
 	total := 0
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -89,7 +89,9 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
 	defer cancel()
+	out.Began = began
 	c.send(ctx, &out, address)
+	out.Ended = time.Now()
 	since := c.calm.Load()
 	out.Calm = since != 0 && began.Sub(time.Unix(0, since)) > calmBefore
 	c.mu.Lock()
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -25,6 +25,7 @@
 var workerFaults = []workerd.Fault{
 	workerd.FaultFail, workerd.FaultRefuse, workerd.FaultMute, workerd.FaultLose, workerd.FaultCut,
 	workerd.FaultCrossed, workerd.FaultExtra, workerd.FaultUnframed, workerd.FaultForged,
+	workerd.FaultPause, workerd.FaultEndlessHead, workerd.FaultEndlessBody, workerd.FaultEndlessRefusal,
 }
 
 // storeFaults are what the store does wrong.
@@ -47,7 +48,9 @@
 		{"reset connections", 2, resetConnections},
 		{"store", 3, breakStore},
 		{"history of the store", 1, forgetHistory},
+		{"return of the store from a copy", 2, restoreStore},
 		{"worker", 4, breakWorker},
+		{"worker says that it leaves", 2, leaveWorker},
 		{"worker leaves and comes back", 2, bounceWorker},
 		{"configuration", 2, changeConfig},
 		{"drain", 1, drain},
@@ -164,8 +167,39 @@
 
 func bounceWorker(b *bed, random *rand.Rand) (string, func()) {
 	w := pick(random, b.workers)
-	b.entry(w, true)
-	return w.id, func() { b.entry(w, false) }
+	b.setLeaving(w, true)
+	return w.id, func() { b.setLeaving(w, false) }
+}
+
+// leaveWorker lets a worker say in its answers, but not at the store, that it leaves,
+// and then start anew under its name.
+func leaveWorker(b *bed, random *rand.Rand) (string, func()) {
+	w := pick(random, b.workers)
+	w.Set(workerd.FaultLeaving)
+	return w.id, func() {
+		w.Set(workerd.FaultNone)
+		w.restart()
+		b.store.PutWorker(w.entry())
+	}
+}
+
+// rewriteDelay is the time after which operators and workers write again what the
+// store has lost.
+const rewriteDelay = 800 * time.Millisecond
+
+// restoreStore takes the store away for a moment and brings it back from a copy that
+// is as old as the fault lasted.
+func restoreStore(b *bed, random *rand.Rand) (string, func()) {
+	b.store.Copy()
+	away := time.Duration(random.Int64N(int64(time.Second)))
+	return fmt.Sprintf("away for %d ms", away.Milliseconds()), func() {
+		b.store.Set(keyedlog.Faults{Status: 503})
+		time.Sleep(away)
+		b.store.Restore()
+		b.store.Set(keyedlog.Faults{})
+		time.Sleep(rewriteDelay)
+		b.rewrite()
+	}
 }
 
 func changeConfig(b *bed, _ *rand.Rand) (string, func()) {
@@ -176,6 +210,6 @@
 }
 
 func drain(b *bed, _ *rand.Rand) (string, func()) {
-	b.store.Drain("dc1")
-	return "dc1", func() { b.store.Return("dc1") }
+	b.setDrained(true)
+	return drainedDC, func() { b.setDrained(false) }
 }
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -28,6 +29,8 @@
 	code  int
 	// ending is true once the process was told to end.
 	ending bool
+	// starts are the times at which a process was started.
+	starts []time.Time
 	// restarting keeps two faults from starting a process each.
 	restarting sync.Mutex
 }
@@ -67,6 +70,7 @@
 	defer r.mu.Unlock()
 	cmd := exec.Command(r.binary, r.settings)
 	cmd.Stdout, cmd.Stderr = r.log, r.log
+	r.starts = append(r.starts, time.Now())
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start router %d: %w", r.index, err)
 	}
@@ -82,6 +86,13 @@
 	return nil
 }
 
+// startTimes returns the times at which a process was started.
+func (r *router) startTimes() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.starts)
+}
+
 // signal sends a signal to the process that start started.
 func (r *router) signal(s syscall.Signal) {
 	r.mu.Lock()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -207,12 +207,12 @@
 
 // checkDrain drains a data centre: its workers get nothing after a few seconds.
 func (r *run) checkDrain() {
-	r.bed.store.Drain("dc1")
+	r.bed.setDrained(true)
 	time.Sleep(settleTime)
 	since := time.Now()
 	time.Sleep(time.Second)
 	for _, w := range r.bed.workers {
-		if w.dc != "dc1" {
+		if w.dc != drainedDC {
 			continue
 		}
 		for _, one := range w.Runs() {
@@ -238,6 +238,9 @@
 		}
 	}
 	r.report.Violations = append(r.report.Violations, check(calls, runs)...)
+	for _, w := range r.bed.workers {
+		r.report.Violations = append(r.report.Violations, checkReports(calls, r.bed.routers, w.history())...)
+	}
 	if r.report.Whole == 0 {
 		r.violation("nothing was served")
 	}
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -105,7 +105,7 @@
 	if r.route.Kind == routing.Stream {
 		return r.forwardStream(ctx, resp, timer)
 	}
-	return r.forwardBuffered(ctx, resp)
+	return r.forwardBuffered(ctx, resp, timer)
 }
 
 // errNoStamp is the error of a response without the stamp of a target, which comes
@@ -151,13 +151,15 @@
 }
 
 // forwardBuffered reads a response completely before passing it on. One of
-// maxBufferedBytes or more is passed on while it is read.
-func (r *request) forwardBuffered(ctx context.Context, resp *Response) attempt.Action {
+// maxBufferedBytes or more is passed on while it is read, until the deadline: it is
+// not sent again once a part of it was passed on.
+func (r *request) forwardBuffered(ctx context.Context, resp *Response, timer *silenceTimer) attempt.Action {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err != nil {
 		return r.responseBroken(ctx, err, attempt.Unknown)
 	}
 	if len(body) == maxBufferedBytes {
+		timer.stop()
 		return r.forwardLong(ctx, resp, body)
 	}
 	r.reply.WriteHead(resp)
--- a/internal/standin/keyedlog/site.go
+++ b/internal/standin/keyedlog/site.go
@@ -1,6 +1,9 @@
 package keyedlog
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Topics that operators and workers write.
 const (
@@ -19,6 +22,9 @@
 	DataCentre string
 	Slots      int
 	Leaving    bool
+	// Born is the start of the worker as a Unix time in milliseconds, zero for one
+	// that all workers share.
+	Born int64
 }
 
 // PutWorker writes a worker's entry.
@@ -29,7 +35,7 @@
 	}
 	s.PutJSON(topicWorkers, w.ID, map[string]any{
 		"Service": w.Service, "Addr": w.Address, "Zone": w.DataCentre, "Slots": w.Slots, "State": state,
-		"ColdLeftMs": 0, "Seq": 1, "born": born,
+		"ColdLeftMs": 0, "Seq": 1, "born": cmp.Or(w.Born, born),
 	})
 }
 
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -79,6 +80,15 @@
 	// Ended is the time at which the worker stopped, by itself or since its
 	// caller had gone.
 	Ended time.Time `json:"ended"`
+	// Leaving is true if the answer said that the worker is leaving.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Refusal is a request that was refused. Pause is true if the answer asked for a pause.
+type Refusal struct {
+	Request string
+	At      time.Time
+	Pause   bool
 }
 
 // Server is one worker.
@@ -91,7 +101,7 @@
 	runs    []*Run
 	cached  []string
 	lists   int
-	refused int
+	refused []Refusal
 	sent    int64
 }
 
@@ -130,11 +140,11 @@
 	return out
 }
 
-// Refused returns how many requests were refused.
-func (s *Server) Refused() int {
+// Refused returns the requests that were refused.
+func (s *Server) Refused() []Refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.refused
+	return slices.Clone(s.refused)
 }
 
 // Sent returns the number of bytes that faults without end have sent.
@@ -178,7 +188,7 @@
 	defer s.mu.Unlock()
 	refuses := s.fault == FaultRefuse || s.fault == FaultPause || s.fault == FaultEndlessRefusal
 	if refuses || s.opt.Slots > 0 && s.running >= s.opt.Slots {
-		s.refused++
+		s.refused = append(s.refused, Refusal{Request: r.Header.Get("X-Request-Id"), At: time.Now(), Pause: s.fault == FaultPause})
 		return nil, s.fault, false
 	}
 	s.running++
@@ -193,6 +203,7 @@
 		CacheFrom: r.Header.Get("Kv-Fetch"),
 		LeftMS:    left,
 		At:        time.Now(),
+		Leaving:   s.fault == FaultLeaving,
 	}
 	s.runs = append(s.runs, run)
 	return run, s.fault, true
@@ -259,8 +270,12 @@
 	}
 }
 
-// endlessChunk is the length of the pieces of a fault without end.
-const endlessChunk = 16 << 10
+// endlessChunk is the length of the pieces of a fault without end, and endlessPause
+// the time between them, so that many such answers do not use up the machine.
+const (
+	endlessChunk = 16 << 10
+	endlessPause = 2 * time.Millisecond
+)
 
 // endless sends a head or a body without end, until the caller closes.
 func (s *Server) endless(w http.ResponseWriter, fault Fault, id string) {
@@ -282,6 +297,7 @@
 		if err != nil {
 			return
 		}
+		time.Sleep(endlessPause)
 	}
 }
 
