--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -58,7 +58,7 @@
 // ignores what a worker said.
 func TestCheckerFindsIgnoredReports(t *testing.T) {
 	begin := time.Unix(1_700_000_000, 0)
-	at := func(d time.Duration) time.Time { return begin.Add(d) }
+	at := begin.Add
 	call := func(id string, router int, began time.Duration) Call {
 		return Call{ID: id, Router: router, Status: 200, Whole: true, Began: at(began), Ended: at(began + 10*time.Millisecond)}
 	}
--- a/internal/lab/soak/reports.go
+++ b/internal/lab/soak/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -47,59 +48,89 @@
 	return slices.ContainsFunc(starts, func(s time.Time) bool { return s.After(from) && s.Before(to) })
 }
 
+// reportChecker checks what routers sent to one worker after it had told them
+// something of itself.
+type reportChecker struct {
+	worker   workerHistory
+	calls    map[string]*Call
+	arrivals []arrival
+	// routerStarts holds the times at which each router was started.
+	routerStarts map[int][]time.Time
+}
+
 // checkReports returns where a router sent requests to a worker that had said to it
-// that it leaves, or had asked it for a pause. A start of either one in between ends
-// what was said.
+// that it leaves, or had asked it for a pause.
 func checkReports(calls []Call, routers []*router, w workerHistory) []string {
-	byID := make(map[string]*Call)
+	c := &reportChecker{worker: w, calls: make(map[string]*Call), routerStarts: make(map[int][]time.Time)}
 	for i := range calls {
-		byID[calls[i].ID] = &calls[i]
+		c.calls[calls[i].ID] = &calls[i]
 	}
-	starts := make(map[int][]time.Time)
 	for _, r := range routers {
-		starts[r.index] = r.startTimes()
-	}
-	var arrivals []arrival
-	add := func(request string, at time.Time) {
-		if c, ok := byID[request]; ok {
-			arrivals = append(arrivals, arrival{request: request, router: c.Router, at: at, began: c.Began})
-		}
+		c.routerStarts[r.index] = r.startTimes()
 	}
 	for _, r := range w.runs {
-		add(r.Request, r.At)
+		c.addArrival(r.Request, r.At)
 	}
 	for _, r := range w.refused {
-		add(r.Request, r.At)
-	}
-	holds := func(router int, from, to time.Time) bool {
-		return !startedBetween(w.starts, from, to) && !startedBetween(starts[router], from, to)
+		c.addArrival(r.Request, r.At)
 	}
 	var out []string
 	for _, r := range w.runs {
-		c, ok := byID[r.Request]
-		if !r.Leaving || !ok || !c.Whole || c.Status != 200 {
-			continue
-		}
-		for _, a := range arrivals {
-			if a.router == c.Router && a.began.After(c.Ended.Add(leavingSlack)) && holds(a.router, r.At, a.at) {
-				out = append(out, fmt.Sprintf("request %s: reached worker %s, which had told router %d with %s that it leaves", a.request, w.id, a.router, r.Request))
-			}
-		}
+		out = append(out, c.checkLeaving(&r)...)
 	}
 	for _, r := range w.refused {
-		c, ok := byID[r.Request]
-		if !r.Pause || !ok {
-			continue
-		}
-		n := 0
-		for _, a := range arrivals {
-			if a.router == c.Router && a.at.After(r.At.Add(pauseSlack)) && a.at.Before(r.At.Add(pause)) && holds(a.router, r.At, a.at) {
-				n++
-			}
-		}
-		if n > pauseRequests {
-			out = append(out, fmt.Sprintf("%d requests reached worker %s in the pause that it had asked router %d for with %s", n, w.id, c.Router, r.Request))
+		out = append(out, c.checkPause(&r)...)
+	}
+	return out
+}
+
+// addArrival records a request at the worker, if a client sent it.
+func (c *reportChecker) addArrival(request string, at time.Time) {
+	if call, ok := c.calls[request]; ok {
+		c.arrivals = append(c.arrivals, arrival{request: request, router: call.Router, at: at, began: call.Began})
+	}
+}
+
+// holds reports whether what the worker told a router at one time still holds at
+// another: a start of either in between ends it.
+func (c *reportChecker) holds(router int, from, to time.Time) bool {
+	return !startedBetween(c.worker.starts, from, to) && !startedBetween(c.routerStarts[router], from, to)
+}
+
+// checkLeaving returns the requests that reached the worker after an answer that said
+// that it leaves.
+func (c *reportChecker) checkLeaving(said *workerd.Run) []string {
+	call, ok := c.calls[said.Request]
+	if !said.Leaving || !ok || !call.Whole || call.Status != http.StatusOK {
+		return nil
+	}
+	var out []string
+	for _, a := range c.arrivals {
+		if a.router == call.Router && a.began.After(call.Ended.Add(leavingSlack)) && c.holds(a.router, said.At, a.at) {
+			out = append(out, fmt.Sprintf("request %s: reached worker %s, which had told router %d with %s that it leaves",
+				a.request, c.worker.id, a.router, said.Request))
 		}
 	}
 	return out
 }
+
+// checkPause returns the pause that the worker asked for if too many requests reached
+// it from the same router before its end.
+func (c *reportChecker) checkPause(asked *workerd.Refusal) []string {
+	call, ok := c.calls[asked.Request]
+	if !asked.Pause || !ok {
+		return nil
+	}
+	from, to := asked.At.Add(pauseSlack), asked.At.Add(pause)
+	n := 0
+	for _, a := range c.arrivals {
+		if a.router == call.Router && a.at.After(from) && a.at.Before(to) && c.holds(a.router, asked.At, a.at) {
+			n++
+		}
+	}
+	if n <= pauseRequests {
+		return nil
+	}
+	return []string{fmt.Sprintf("%d requests reached worker %s in the pause that it had asked router %d for with %s",
+		n, c.worker.id, call.Router, asked.Request)}
+}
