Refuse messages that declare more than they hold, and survive failed handlers

Cause: a fuzz run of updates between routers stopped after 72 inputs: a msgpack list that declares billions of elements is allocated in full by the decoder (its limit does not work for lists), and 12 bytes ended the process with 'cannot allocate- byte block'. A value nested a million deep could use up the stack. A control message whose handler panics ended the process too, since it runs on the goroutine that reads the connection; a panic of a caller's request was swallowed without a log line. Change: wire.Unmarshal checks declared lengths and depth in one pass first, and all decoding of messages and log records goes through it. Ruled out: the decoder's own limits, which cover byte strings and maps only.

--- a/internal/core/configstate/codec.go
+++ b/internal/core/configstate/codec.go
@@ -9,6 +9,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 // A record is a header followed by a msgpack body. The header holds the magic,
@@ -114,7 +116,7 @@
 // unmarshal decodes the body of a record.
 func unmarshal[T any](body []byte) (*T, error) {
 	out := new(T)
-	if err := msgpack.Unmarshal(body, out); err != nil {
+	if err := wire.Unmarshal(body, out); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrFormat, err)
 	}
 	return out, nil
--- a/internal/core/fencing/fencing.go
+++ b/internal/core/fencing/fencing.go
@@ -16,6 +16,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 // Nonce identifies one claim: a random number of the process and a sequence
@@ -46,7 +47,7 @@
 // DecodeClaim decodes a claim from the log.
 func DecodeClaim(data []byte) (Claim, error) {
 	var c Claim
-	if err := msgpack.Unmarshal(data, &c); err != nil {
+	if err := wire.Unmarshal(data, &c); err != nil {
 		return Claim{}, fmt.Errorf("decode claim: %w", err)
 	}
 	return c, nil
--- a/internal/core/orders/key.go
+++ b/internal/core/orders/key.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 // Key identifies an order. The caller chooses it.
@@ -80,7 +81,7 @@
 		return ParsedKey{}, ErrInvalidKey
 	}
 	var t Ticket
-	if err := msgpack.Unmarshal(data, &t); err != nil {
+	if err := wire.Unmarshal(data, &t); err != nil {
 		return ParsedKey{}, ErrInvalidKey
 	}
 	if string(t.Key()) != text {
--- a/internal/core/orders/record.go
+++ b/internal/core/orders/record.go
@@ -7,6 +7,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 // Run tells whether an order had an effect on a target.
@@ -126,7 +127,7 @@
 // DecodeRecord decodes a record of the log.
 func DecodeRecord(data []byte) (Record, error) {
 	var r Record
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	if err := wire.Unmarshal(data, &r); err != nil {
 		return Record{}, fmt.Errorf("decode order record: %w", err)
 	}
 	return r, nil
--- a/internal/service/configsync/emergency.go
+++ b/internal/service/configsync/emergency.go
@@ -11,6 +11,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/members"
+	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 const (
@@ -125,7 +126,7 @@
 // consumeEmergencies merges the emergency marks of a received heartbeat.
 func (s *Service) consumeEmergencies(from fleet.VM, part []byte) {
 	var marks []configstate.EmergencyMark
-	if err := msgpack.Unmarshal(part, &marks); err != nil {
+	if err := wire.Unmarshal(part, &marks); err != nil {
 		s.logger.WithError(fmt.Errorf("emergency drains from %s: %w", from, err)).Warn("Emergency drains rejected.")
 		return
 	}
--- a/internal/service/configsync/peers.go
+++ b/internal/service/configsync/peers.go
@@ -12,6 +12,7 @@
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
+	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 const (
@@ -140,7 +141,7 @@
 // handleQuery answers the queries of other routers.
 func (s *Service) handleQuery(_ context.Context, _ fleet.VM, payload []byte) ([]byte, error) {
 	var q query
-	if err := msgpack.Unmarshal(payload, &q); err != nil {
+	if err := wire.Unmarshal(payload, &q); err != nil {
 		return nil, fmt.Errorf("configuration query: %w", err)
 	}
 	if q.Status {
@@ -184,7 +185,7 @@
 		return err
 	}
 	var offer configstate.Offer
-	if err := msgpack.Unmarshal(data, &offer); err != nil {
+	if err := wire.Unmarshal(data, &offer); err != nil {
 		return fmt.Errorf("offer from %s: %w", from, err)
 	}
 	s.update(func(st *configstate.State) []configstate.Event {
--- a/internal/service/configsync/status.go
+++ b/internal/service/configsync/status.go
@@ -7,11 +7,10 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/zinniafork/zinniafork/internal/core/configstate"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/members"
+	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 // maxStatusQueries is the largest number of status queries in flight for one Status
@@ -99,7 +98,7 @@
 		return RouterStatus{VM: vm, Unreachable: true}
 	}
 	var out RouterStatus
-	if err := msgpack.Unmarshal(data, &out); err != nil || out.VM != vm {
+	if err := wire.Unmarshal(data, &out); err != nil || out.VM != vm {
 		return RouterStatus{VM: vm, Unreachable: true}
 	}
 	s.mu.Lock()
--- a/internal/service/journal/query.go
+++ b/internal/service/journal/query.go
@@ -13,6 +13,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/orders"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
+	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 // operation is the kind of a query between routers.
@@ -62,7 +63,7 @@
 		return queryResult{}, err
 	}
 	var r queryResult
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	if err := wire.Unmarshal(data, &r); err != nil {
 		return queryResult{}, fmt.Errorf("decode order query result from %s: %w", vm, err)
 	}
 	return r, nil
@@ -71,7 +72,7 @@
 // handleQuery executes the query of another router.
 func (s *Service) handleQuery(ctx context.Context, _ fleet.VM, payload []byte) ([]byte, error) {
 	var q query
-	if err := msgpack.Unmarshal(payload, &q); err != nil {
+	if err := wire.Unmarshal(payload, &q); err != nil {
 		return nil, &call.Error{Code: call.CodeBadRequest, Step: step, Peer: string(s.self()), Run: call.RunNot, Message: "cannot decode order query", Cause: err}
 	}
 	if count := s.partitionCount(); count == 0 || q.Partition < 0 || q.Partition >= count {
--- a/internal/service/peer/dispatch.go
+++ b/internal/service/peer/dispatch.go
@@ -62,10 +62,20 @@
 		c.host.metrics.unknownKind.Inc(1)
 		return KindTransport
 	}
-	h(c.vm, f.Body)
+	if err := c.runControl(h, f.Body); err != nil {
+		c.host.metrics.failedHandlers.Inc(1)
+	}
 	return kind
 }
 
+// runControl runs a handler of control messages. It runs on the goroutine that reads
+// the connection, where a panic would end the process.
+func (c *conn) runControl(h ControlHandler, payload []byte) (err error) {
+	defer c.recovered(&err)
+	h(c.vm, payload)
+	return nil
+}
+
 // handleAnswer passes a frame to the stream that waits for it.
 func (c *conn) handleAnswer(f *wire.Frame) (Kind, error) {
 	c.mu.Lock()
--- a/internal/service/peer/meters.go
+++ b/internal/service/peer/meters.go
@@ -13,19 +13,22 @@
 	refused     metrics.Counter
 	replaced    metrics.Counter
 	unknownKind metrics.Counter
+	// failedHandlers counts control messages whose handler panicked.
+	failedHandlers metrics.Counter
 }
 
 func newMeters(r metrics.Registry) meters {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("peer."+name, r) }
 	return meters{
-		late:        counter("frames_late"),
-		crossed:     counter("frames_crossed"),
-		repeated:    counter("frames_repeated"),
-		broken:      counter("answers_broken"),
-		malformed:   counter("frames_malformed"),
-		silent:      counter("connections_silent"),
-		refused:     counter("connections_refused"),
-		replaced:    counter("connections_replaced"),
-		unknownKind: counter("frames_unknown_kind"),
+		late:           counter("frames_late"),
+		crossed:        counter("frames_crossed"),
+		repeated:       counter("frames_repeated"),
+		broken:         counter("answers_broken"),
+		malformed:      counter("frames_malformed"),
+		silent:         counter("connections_silent"),
+		refused:        counter("connections_refused"),
+		replaced:       counter("connections_replaced"),
+		unknownKind:    counter("frames_unknown_kind"),
+		failedHandlers: counter("handlers_failed"),
 	}
 }
--- a/internal/service/peer/service_test.go
+++ b/internal/service/peer/service_test.go
@@ -62,6 +62,26 @@
 	must.Eq(t, "a:y", <-got)
 }
 
+// TestFailedControlHandlerKeepsTheRouter sends a control message whose handler panics:
+// the router and the connection must go on.
+func TestFailedControlHandlerKeepsTheRouter(t *testing.T) {
+	got := make(chan string, 1)
+	a := startRouter(t, "a", kernel.SystemNetwork{}, "", nil)
+	b := startRouter(t, "b", kernel.SystemNetwork{}, "", func(s *Service) {
+		s.HandleControl(KindHeartbeat, func(_ fleet.VM, payload []byte) {
+			if len(payload) == 0 {
+				panic("malformed")
+			}
+			got <- string(payload)
+		})
+	})
+	introduceAll(t, a, b)
+	eventually(t, "a connection", func() bool { return a.Send("b", KindHeartbeat, nil) == nil })
+	must.NoError(t, a.Send("b", KindHeartbeat, []byte("y")))
+	must.Eq(t, "y", <-got)
+	must.Eq(t, 1, b.count("handlers_failed"))
+}
+
 func TestErrorsOfCalls(t *testing.T) {
 	refusal := &call.Error{Code: call.CodeOverloaded, Step: "admission", Peer: "engine-1", Message: "full", Run: call.RunNot}
 	a := startRouter(t, "a", kernel.SystemNetwork{}, "", nil)
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -44,6 +44,7 @@
 	{name: "peer.connections_silent", help: "Connections closed because the peer did not answer a probe in time."},
 	{name: "peer.connections_refused", help: "Connections refused during the handshake."},
 	{name: "peer.connections_replaced", help: "Connections replaced by another connection of the same pair of routers."},
+	{name: "peer.handlers_failed", help: "Control messages whose handler panicked; each one was dropped."},
 	{name: "peer.frames_unknown_kind", help: "Control messages of a kind that this version does not support."},
 	{name: "route.spilled", help: "Requests that an owner redirected to a less loaded target."},
 	{name: "route.recalled", help: "Requests redirected to the target that their chat was moved to earlier."},
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -194,6 +194,9 @@
 // prefix, or the body of a frame. Errors, also for bytes after the value, wrap
 // ErrMalformed.
 func Unmarshal(data []byte, v any) error {
+	if err := checkLengths(data); err != nil {
+		return err
+	}
 	in := bytes.NewReader(data)
 	dec := msgpack.GetDecoder()
 	defer msgpack.PutDecoder(dec)
