Let a slow stream run to its end on its last target

Cause: a resumable stream that paused for 1.2 s was broken off and resumed elsewhere, and on the last target that its route allows it was cut, though the target may be sound and the caller still waits: callers leave by themselves after two seconds or more. Change: the idle timer runs only while another target may still take the stream over. After that the caller or the deadline ends it.

--- a/internal/app/site_reports_test.go
+++ b/internal/app/site_reports_test.go
@@ -131,3 +131,18 @@
 		must.SliceEmpty(t, b.workers["p2"].Runs())
 	})
 }
+
+// TestSlowStreamIsNotCut plays engines that pause for longer than the idle timeout of
+// streams. A stream is resumed once; on the last engine that it may go to, it must be
+// let run to its end.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		for _, id := range []string{"e1", "e2"} {
+			b.restartWorker(id, "llm", workerd.Options{Slots: 64, Events: 3, Work: 20 * time.Millisecond, Gap: 1300 * time.Millisecond})
+		}
+		a := b.call("1", "chat")
+		must.NoError(t, a.err)
+		must.Eq(t, wholeStream(3), a.body)
+		must.Eq(t, 2, b.runs())
+	})
+}
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -241,7 +241,7 @@
 			pending = append(pending, buf[:n]...)
 			complete := bytes.LastIndex(pending, eventDelimiter) + len(eventDelimiter)
 			if complete >= len(eventDelimiter) {
-				timer.reset(streamIdleTimeout)
+				r.resetIdleTimer(timer)
 				if writeErr := r.forwardEvents(resp, pending[:complete]); writeErr != nil {
 					return r.callerLeft(writeErr)
 				}
@@ -260,6 +260,17 @@
 	}
 }
 
+// resetIdleTimer restarts the timer after an event. On the last target that a stream
+// may be sent to, a pause ends nothing: the stream may still go on, and its caller or
+// the deadline ends it if it does not.
+func (r *request) resetIdleTimer(timer *silenceTimer) {
+	if r.mayRetry() {
+		timer.reset(streamIdleTimeout)
+		return
+	}
+	timer.stop()
+}
+
 // eventDelimiter ends each event of a stream.
 var eventDelimiter = []byte("\n\n")
 
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -62,6 +62,8 @@
 	Work time.Duration
 	// Events is the number of events of a stream.
 	Events int
+	// Gap is the time before each event of a stream after the first, zero for Work.
+	Gap time.Duration
 	// Pause is the value of Retry-After with FaultPause.
 	Pause string
 }
@@ -302,11 +304,14 @@
 }
 
 // work waits for the time of the work, or until the caller has gone.
-func (s *Server) work(r *http.Request) {
+func (s *Server) work(r *http.Request) { wait(r, s.opt.Work) }
+
+// wait waits for a time, or until the caller has gone.
+func wait(r *http.Request, d time.Duration) {
 	select {
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler)
-	case <-time.After(s.opt.Work):
+	case <-time.After(d):
 	}
 }
 
@@ -371,7 +376,11 @@
 	flush := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := first + 1; i <= s.opt.Events; i++ {
-		s.work(r)
+		if i > first+1 && s.opt.Gap > 0 {
+			wait(r, s.opt.Gap)
+		} else {
+			s.work(r)
+		}
 		if i == first+1+s.opt.Events/2 {
 			s.breakOff(w, r, fault, i)
 		}
