--- a/internal/app/site_reports_test.go
+++ b/internal/app/site_reports_test.go
@@ -123,13 +123,17 @@
 // buffered and breaks off after a part was passed on. The request may be repeated, but
 // the response of another run must not be appended to what the caller has.
 func TestLongResponseIsNotContinuedByAnother(t *testing.T) {
-	onSite(t, func(t *testing.T, b *siteBed) {
-		b.workers["p1"].Set(workerd.FaultEndlessBody)
-		a := b.call("1", "status")
-		must.Eq(t, 1, len(b.workers["p1"].Runs()))
-		must.Error(t, a.err, must.Sprint("a response that broke off must not look complete"))
-		must.SliceEmpty(t, b.workers["p2"].Runs())
-	})
+	for _, fault := range []workerd.Fault{workerd.FaultEndlessBody, workerd.FaultCutLong} {
+		t.Run(string(fault), func(t *testing.T) {
+			onSite(t, func(t *testing.T, b *siteBed) {
+				b.workers["p1"].Set(fault)
+				a := b.call("1", "status")
+				must.Eq(t, 1, len(b.workers["p1"].Runs()))
+				must.Error(t, a.err, must.Sprint("a response that broke off must not look complete"))
+				must.SliceEmpty(t, b.workers["p2"].Runs())
+			})
+		})
+	}
 }
 
 // TestSlowStreamIsNotCut plays engines that pause for longer than the idle timeout of
--- a/internal/app/site_test.go
+++ b/internal/app/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strings"
@@ -255,6 +256,52 @@
 	})
 }
 
+// TestStopUnderLoadAnswersAllThatItAccepted stops a router while streams are sent to it
+// all the time, from before it refuses new requests until it has ended. Each one must
+// be served whole, be refused as not run, or find no listener.
+func TestStopUnderLoadAnswersAllThatItAccepted(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		k := b.routers["3"]
+		delete(b.routers, "3")
+		drained := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 7*time.Second)
+			defer cancel()
+			err := k.Drain(ctx)
+			drained <- errors.Join(err, k.Stop(context.Background()))
+		}()
+		answers := make(chan answer, 1000)
+		served, refused := 0, 0
+		take := func(a answer) {
+			switch {
+			case a.err != nil:
+				must.StrContains(t, a.err.Error(), "connection refused")
+			case a.status == 503:
+				must.NotEq(t, "", a.header.Get("Retry-After"))
+				refused++
+			default:
+				must.Eq(t, wholeStream(6), a.body)
+				served++
+			}
+		}
+		sent := 0
+		for ended := false; !ended; sent++ {
+			go func() { answers <- b.call("3", "draft") }()
+			select {
+			case err := <-drained:
+				must.NoError(t, err)
+				ended = true
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+		for range sent {
+			take(<-answers)
+		}
+		must.Greater(t, 200, served, must.Sprint("it serves on while callers have not heard"))
+		must.Positive(t, refused)
+	})
+}
+
 func TestOneRouterReadsTheStoreForAll(t *testing.T) {
 	onSite(t, func(t *testing.T, b *siteBed) {
 		before := b.store.Calls()["/-/log-read"]
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -25,7 +25,7 @@
 var workerFaults = []workerd.Fault{
 	workerd.FaultFail, workerd.FaultRefuse, workerd.FaultMute, workerd.FaultLose, workerd.FaultCut,
 	workerd.FaultCrossed, workerd.FaultExtra, workerd.FaultUnframed, workerd.FaultForged,
-	workerd.FaultPause, workerd.FaultEndlessHead, workerd.FaultEndlessBody, workerd.FaultEndlessRefusal,
+	workerd.FaultCutLong, workerd.FaultPause, workerd.FaultEndlessHead, workerd.FaultEndlessBody, workerd.FaultEndlessRefusal,
 }
 
 // storeFaults are what the store does wrong.
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -40,6 +40,8 @@
 	// FaultForged answers without the mark of a run, and claims that the worker is
 	// leaving.
 	FaultForged Fault = "forged"
+	// FaultCutLong breaks a long answer off in the middle.
+	FaultCutLong Fault = "cut_long"
 	// FaultLeaving answers and says that the worker is leaving.
 	FaultLeaving Fault = "leaving"
 	// FaultPause refuses and asks for a pause of Options.Pause.
@@ -332,6 +334,11 @@
 		_, _ = io.WriteString(w, content[:len(content)/2])
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case FaultCutLong:
+		w.Header().Set("Content-Length", strconv.Itoa(longBytes))
+		_, _ = io.WriteString(w, strings.Repeat("x", longBytes/2))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
 	case FaultCrossed, FaultExtra, FaultUnframed:
 		s.raw(w, r, fault, content)
 		return
@@ -339,6 +346,9 @@
 	_, _ = io.WriteString(w, content)
 }
 
+// longBytes is the length of a long answer.
+const longBytes = 1 << 20
+
 // raw writes an answer in a form that net/http would not.
 func (s *Server) raw(w http.ResponseWriter, r *http.Request, fault Fault, content string) {
 	conn, _, err := http.NewResponseController(w).Hijack()
