Read the log after a pause before targets are chosen

Heartbeats that waited in its sockets made its state look fresh, and the steady clock of a suspended VM stands still. Requests then wait for a read of the log that began after it, 0.25 s at most; if the read fails they go on. The soak stops a router while it drains a data centre and lets it go on afterwards. Ruled out: the age of the state, for both reasons above.

--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -45,6 +45,7 @@
 		workers: make(map[string]*workerd.Server),
 		routers: make(map[string]*kernel.Kernel),
 	}
+	t.Cleanup(func() { time.Sleep(time.Second) }) // answers without end notice the close
 	b.client = &http.Client{Transport: &http.Transport{DialContext: b.network.DialContext, DisableKeepAlives: true}}
 	b.serve(storeAddress, b.store.Handler())
 	b.publish(1, "plain")
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -131,7 +131,6 @@
 	time.Sleep(calmBefore)
 	r.checkPlannedStop()
 	r.checkDrain()
-	r.calm.Store(0)
 	stop()
 	running.Wait()
 	return nil
@@ -205,11 +204,16 @@
 	}
 }
 
-// checkDrain drains a data centre: its workers get nothing after a few seconds.
+// checkDrain drains a data centre: its workers get nothing after a few seconds, also
+// not from a router that was paused meanwhile and then handles what it had accepted.
 func (r *run) checkDrain() {
+	r.calm.Store(0)
+	paused := pick(r.random, r.bed.routers)
+	paused.signal(syscall.SIGSTOP)
 	r.bed.setDrained(true)
 	time.Sleep(settleTime)
 	since := time.Now()
+	paused.signal(syscall.SIGCONT)
 	time.Sleep(time.Second)
 	for _, w := range r.bed.workers {
 		if w.dc != drainedDC {
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -230,6 +230,7 @@
 
 // sendOnce chooses a target, sends the request to it and returns what to do next.
 func (r *request) sendOnce(ctx context.Context) attempt.Action {
+	r.s.site.AwaitCurrent(ctx)
 	now := r.s.clock.Now()
 	query := &balance.Request{Prefixes: r.Prefixes, Avoid: r.tried}
 	if !r.service.Engine {
--- a/internal/service/site/service.go
+++ b/internal/service/site/service.go
@@ -52,6 +52,9 @@
 	treeHeartbeat = 500 * time.Millisecond
 	// announceRetry is the wait after a failed write of this router's row.
 	announceRetry = 2 * time.Second
+	// currentReadWait is how long requests wait for the read after a pause. It covers
+	// one scheduleCheckPeriod and a read.
+	currentReadWait = 250 * time.Millisecond
 	// announceSpread is the time over which the routers write their rows again after
 	// the log was restored from a copy without them.
 	announceSpread = 2 * time.Second
@@ -113,6 +116,12 @@
 	gapSince time.Time
 	// unlistedRouter is true while a live router is missing on the VM list.
 	unlistedRouter bool
+	// pause detects that this process did not run for a while. currentRead is then
+	// closed by the first read of the log that began after resumedAt, and is nil at
+	// other times.
+	pause       refresh.PauseDetector
+	currentRead chan struct{}
+	resumedAt   time.Time
 	// logUnavailable is true from a failed read until the next successful one.
 	logUnavailable bool
 }
@@ -273,9 +282,10 @@
 func (s *Service) readWhenDue(ctx context.Context) {
 	s.mu.Lock()
 	now := s.clock.Now()
+	s.detectPause(now)
 	age, known := s.state.Age(now)
 	vms := s.vmsDue(now)
-	due := s.schedule.Due(now, age, known) || s.gapDue(now) || s.eraDue(now)
+	due := s.schedule.Due(now, age, known) || s.gapDue(now) || s.eraDue(now) || s.currentRead != nil
 	s.mu.Unlock()
 	if !due {
 		return
@@ -288,6 +298,51 @@
 	if err := s.read(readCtx, vms); err != nil {
 		s.readFailed(ctx, err, age, known)
 	}
+	s.readEnded(now)
+}
+
+// detectPause notes that this process was paused, so that the state may be older than
+// it seems. The caller holds the lock.
+func (s *Service) detectPause(now time.Time) {
+	if !s.pause.Running(now) {
+		return
+	}
+	s.resumedAt = now
+	if s.currentRead == nil {
+		s.currentRead = make(chan struct{})
+	}
+	s.logger.Warn("This process was paused. The log is read before targets are chosen.")
+}
+
+// readEnded lets requests go on that wait for a read which began after a pause. If the
+// read failed, nothing newer can be had.
+func (s *Service) readEnded(began time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.currentRead != nil && !began.Before(s.resumedAt) {
+		close(s.currentRead)
+		s.currentRead = nil
+	}
+}
+
+// AwaitCurrent waits, after this process was paused, until the log has been read again,
+// for at most currentReadWait.
+func (s *Service) AwaitCurrent(ctx context.Context) {
+	s.mu.Lock()
+	s.detectPause(s.clock.Now())
+	read := s.currentRead
+	s.mu.Unlock()
+	if read == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := s.clock.AfterFunc(currentReadWait, cancel)
+	defer stop()
+	select {
+	case <-read:
+	case <-ctx.Done():
+	}
 }
 
 // read reads the changes since the known positions, applies them and sends them
--- a/internal/service/site/site.go
+++ b/internal/service/site/site.go
@@ -59,6 +59,9 @@
 	IsAvailable(id fleet.Target) bool
 	// Routers returns the routers on the VM list, whether or not they are alive.
 	Routers() []fleet.VM
+	// AwaitCurrent waits, after this process was paused, until the log has been read
+	// again, but not for long. At other times it returns at once.
+	AwaitCurrent(ctx context.Context)
 	// Age returns the time since the log was last known to match the state, and
 	// false if the state never matched a read of the log.
 	Age() (time.Duration, bool)
