--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -18,25 +18,6 @@
 	"github.com/zinniafork/zinniafork/internal/tracing"
 )
 
-// Retry-After values for refused callers.
-const (
-	// notReadyRetryRatio is the ratio of its timeout after which a caller retries at
-	// a router that knows no configuration because the log is unavailable. Callers
-	// retry only once, and reduce a longer Retry-After to a third of their timeout.
-	notReadyRetryRatio = 0.3
-	// minNotReadyRetry and maxNotReadyRetry bound that time. Once the log is
-	// available again, a router is ready within a few tenths of a second.
-	minNotReadyRetry = 250 * time.Millisecond
-	maxNotReadyRetry = 2500 * time.Millisecond
-	// drainingRetryAfter is the value at a router that stops: another one can serve
-	// the request at once.
-	drainingRetryAfter = 20 * time.Millisecond
-	// noTargetRetryAfter is the minimum for a service without a target that takes
-	// requests. A random part of up to the same length is added, so that callers do
-	// not retry all at once.
-	noTargetRetryAfter = 150 * time.Millisecond
-)
-
 // traceHeader is the header that carries the trace context from hop to hop.
 const traceHeader = "Traceparent"
 
@@ -148,14 +129,6 @@
 	return Refusal{}, true
 }
 
-// notReadyRetryAfter returns a randomized Retry-After for callers of a router that
-// is not ready, so that they do not retry all at once.
-func (r *request) notReadyRetryAfter() time.Duration {
-	ratio := notReadyRetryRatio * (0.6 + 0.4*r.s.randomFloat())
-	after := time.Duration(ratio * float64(r.Timeout))
-	return min(max(after, minNotReadyRetry), maxNotReadyRetry)
-}
-
 // defaultTimeLimit bounds the time of every request. Routes and callers can only
 // shorten it.
 const defaultTimeLimit = 60 * time.Second
@@ -210,24 +183,6 @@
 // left to do. It is no action of the attempt package.
 const responseDone attempt.Action = 255
 
-// noTargetRetryDelay returns a randomized Retry-After for callers of a service
-// without a target that takes requests.
-func (r *request) noTargetRetryDelay() time.Duration {
-	return noTargetRetryAfter + time.Duration(r.s.randomFloat()*float64(noTargetRetryAfter))
-}
-
-// refusalRetryAfter returns the Retry-After of a request that no target took.
-func (r *request) refusalRetryAfter() time.Duration {
-	if r.choice.Reason == balance.Overloaded {
-		return r.s.overloadRetryAfter(r.service.Name, r.remaining())
-	}
-	now := r.s.clock.Now()
-	if first := r.s.firstReturn(now, r.service.Name); !first.IsZero() {
-		return first.Sub(now) + r.noTargetRetryDelay() - noTargetRetryAfter
-	}
-	return r.noTargetRetryDelay()
-}
-
 // sendOnce chooses a target, sends the request to it and returns what to do next.
 func (r *request) sendOnce(ctx context.Context) attempt.Action {
 	r.s.site.AwaitCurrent(ctx)
@@ -476,15 +431,6 @@
 	entry.Info("Request ended.")
 }
 
-// refuse sends a refusal to the caller.
-func (r *request) refuse(refusal Refusal) {
-	r.reply.Refuse(refusal)
-	if r.lastErr == nil {
-		r.lastErr = errors.New(refusal.Message)
-	}
-	r.finish("refused", refusal.Status)
-}
-
 // cut ends a response as incomplete.
 func (r *request) cut(outcome string) {
 	r.reply.Cut()
@@ -500,21 +446,3 @@
 	r.reply.Refuse(Refusal{Status: status, Message: "no complete response from the target"})
 	r.finish(outcomeUnlessLeft(ctx, "failed"), status)
 }
-
-// errNoTarget is the error when no target may get the request.
-type errNoTarget struct {
-	targets    int
-	overloaded bool
-}
-
-// Error tells whether the service has no available target, all were excluded, or
-// the remaining ones are overloaded.
-func (e errNoTarget) Error() string {
-	if e.targets == 0 {
-		return "choose target: none available"
-	}
-	if e.overloaded {
-		return "choose target: all are overloaded"
-	}
-	return "choose target: all available targets are excluded"
-}
--- a/internal/service/site/service.go
+++ b/internal/service/site/service.go
@@ -50,14 +50,6 @@
 	// treeHeartbeat is the heartbeat period in a tree of routers, where heartbeats
 	// are larger.
 	treeHeartbeat = 500 * time.Millisecond
-	// announceRetry is the wait after a failed write of this router's row.
-	announceRetry = 2 * time.Second
-	// currentReadWait is how long requests wait for the read after a pause. It covers
-	// one scheduleCheckPeriod and a read.
-	currentReadWait = 250 * time.Millisecond
-	// announceSpread is the time over which the routers write their rows again after
-	// the log was restored from a copy without them.
-	announceSpread = 2 * time.Second
 )
 
 func init() {
@@ -301,50 +293,6 @@
 	s.readEnded(now)
 }
 
-// detectPause notes that this process was paused, so that the state may be older than
-// it seems. The caller holds the lock.
-func (s *Service) detectPause(now time.Time) {
-	if !s.pause.Running(now) {
-		return
-	}
-	s.resumedAt = now
-	if s.currentRead == nil {
-		s.currentRead = make(chan struct{})
-	}
-	s.logger.Warn("This process was paused. The log is read before targets are chosen.")
-}
-
-// readEnded lets requests go on that wait for a read which began after a pause. If the
-// read failed, nothing newer can be had.
-func (s *Service) readEnded(began time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.currentRead != nil && !began.Before(s.resumedAt) {
-		close(s.currentRead)
-		s.currentRead = nil
-	}
-}
-
-// AwaitCurrent waits, after this process was paused, until the log has been read again,
-// for at most currentReadWait.
-func (s *Service) AwaitCurrent(ctx context.Context) {
-	s.mu.Lock()
-	s.detectPause(s.clock.Now())
-	read := s.currentRead
-	s.mu.Unlock()
-	if read == nil {
-		return
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := s.clock.AfterFunc(currentReadWait, cancel)
-	defer stop()
-	select {
-	case <-read:
-	case <-ctx.Done():
-	}
-}
-
 // read reads the changes since the known positions, applies them and sends them
 // to the other routers. The VM list is read only if vms is true.
 func (s *Service) read(ctx context.Context, vms bool) error {
@@ -508,83 +456,6 @@
 	s.graph.RefreshList()
 }
 
-// announce writes this router's row of the VM list, and writes it again each time
-// that a restored log lacks it, until ctx ends.
-func (s *Service) announce(ctx context.Context) {
-	for {
-		s.announceUntilWritten(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-s.announceWake:
-		}
-		if s.clock.Sleep(ctx, s.announceDelay()) != nil {
-			return
-		}
-	}
-}
-
-// announceUntilWritten writes this router's row unless the log contains it, and
-// retries until it succeeds or ctx ends.
-func (s *Service) announceUntilWritten(ctx context.Context) {
-	for ctx.Err() == nil && !s.isListed() {
-		err := s.announceOnce(ctx)
-		if err == nil {
-			return
-		}
-		s.logger.WithError(err).Warn("Cannot write this VM's row of the VM list.")
-		if s.clock.Sleep(ctx, announceRetry) != nil {
-			return
-		}
-	}
-}
-
-// isListed reports whether the log contains this router's row. At the start it may
-// contain the row of an earlier process, which is written again.
-func (s *Service) isListed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.announced && s.state.VMListed(s.identity.Self().VM)
-}
-
-// wakeAnnounce makes announce check this router's row.
-func (s *Service) wakeAnnounce() {
-	select {
-	case s.announceWake <- struct{}{}:
-	default: // a check is pending already
-	}
-}
-
-// announceDelay returns a random part of announceSpread.
-func (s *Service) announceDelay() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Duration(s.random.Float64() * float64(announceSpread))
-}
-
-// announceOnce writes this router's row within readTimeout, applies it and sends
-// it to the other routers.
-func (s *Service) announceOnce(ctx context.Context) error {
-	tryCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := s.clock.AfterFunc(readTimeout, cancel)
-	defer stop()
-	record, err := s.source.Announce(tryCtx, s.identity.Self())
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	s.announced = true
-	from := s.state.Positions()
-	s.mu.Unlock()
-	end := from
-	from.VMs, end.VMs = record.Offset, record.Offset+1
-	update := &sitestate.Update{VMs: []sitestate.Record[sitestate.VM]{record}, From: from, End: end, Age: -1}
-	s.apply(update, "self")
-	s.broadcast(update, "")
-	return nil
-}
-
 // Validate checks that a source was found.
 func (s *Service) Validate() error {
 	if s.source == nil {
