--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -9,7 +9,8 @@
 // and the first one whose load is near the mean is chosen, so that routers choose
 // the same engine before they have received each other's digests. A request without
 // shared prefixes goes to the least loaded target, with a preference for the
-// router's own data centre.
+// router's own data centre. A request may carry a load limit (core/overload); targets
+// at it are left out.
 package balance
 
 import (
--- a/internal/core/overload/limiter.go
+++ b/internal/core/overload/limiter.go
@@ -51,8 +51,8 @@
 	// that a caller has left. Callers reduce a longer one to a third.
 	minRetryRatio = 0.08
 	maxRetryRatio = 0.33
-	// pressureHalfLife is the time in which the share of refused requests that is
-	// remembered falls by half.
+	// pressureHalfLife is the time after which the remembered share of refused
+	// requests has fallen to half.
 	pressureHalfLife = time.Second
 )
 
--- a/internal/service/forward/refuse.go
+++ b/internal/service/forward/refuse.go
@@ -47,6 +47,7 @@
 	}
 	now := r.s.clock.Now()
 	if first := r.s.firstReturn(now, r.service.Name); !first.IsZero() {
+		// The random part of the delay alone spreads the callers.
 		return first.Sub(now) + r.noTargetRetryDelay() - noTargetRetryAfter
 	}
 	return r.noTargetRetryDelay()
