Log who ended a send, after which silence, and why none followed

The log of a response that was cut did not tell whether the target, its silence, the deadline or the caller had ended the send, nor whether attempts, budget or time kept it from being sent again.

Change: ended_by, quiet_ms and limit in the line of each send without a usable response. No decision changes; the tests of core/attempt, service/forward and app pass.

--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -65,6 +65,30 @@
 	return [...]string{"again", "resume", "refuse", "fail", "pass", "cut"}[s]
 }
 
+// Limit tells what kept a request from being sent again.
+type Limit uint8
+
+// Limits of further sends.
+const (
+	// NoLimit: the request is sent again, or no send has ended yet.
+	NoLimit Limit = iota
+	// NotIdempotent: the request may have run and must not run twice.
+	NotIdempotent
+	// NoAttempts: it was sent to as many targets as its route allows.
+	NoAttempts
+	// NoTime: its deadline is too close.
+	NoTime
+	// NoBudget: the retry budget of the service is used up.
+	NoBudget
+	// NoTarget: no target may get the request.
+	NoTarget
+)
+
+// String returns the name of the limit in logs, empty for NoLimit.
+func (l Limit) String() string {
+	return [...]string{"", "not_idempotent", "attempts", "time", "budget", "no_target"}[l]
+}
+
 // maxUndelivered is the number of targets tried for a request of which no byte
 // has reached its target.
 const maxUndelivered = 4
@@ -82,6 +106,8 @@
 	undelivered int
 	// mayHaveRun is true once a send had an outcome from Unknown on.
 	mayHaveRun bool
+	// limit is what kept the request from being sent again after its last send.
+	limit Limit
 }
 
 // New returns the state of a request that has not been sent yet.
@@ -94,6 +120,9 @@
 // target.
 func (m *Machine) IsRetry() bool { return m.sends > 0 }
 
+// Limit returns what kept the request from being sent again after its last send.
+func (m *Machine) Limit() Limit { return m.limit }
+
 // Budget limits retries.
 type Budget interface {
 	// Take reports whether one more retry is allowed, and counts it.
@@ -114,10 +143,11 @@
 //
 // Refuse becomes Fail if an earlier send of the request may have run.
 func (m *Machine) SendEnded(now time.Time, s Outcome, left time.Duration, b Budget) Action {
+	m.limit = NoLimit
 	switch s {
 	case NotSent, Misdirected:
 		m.undelivered++
-		if m.undelivered < maxUndelivered && left > minTimeLeft {
+		if m.limit = m.undeliveredLimit(left); m.limit == NoLimit {
 			return Retry
 		}
 		return m.failOrRefuse()
@@ -130,10 +160,9 @@
 	}
 	m.sends++
 	m.mayHaveRun = true
-	if s == Broken && m.route.Kind != routing.Stream {
-		return Cut
-	}
-	if m.route.Idempotent() && m.mayRetry(now, left, b) {
+	if s == Broken && m.route.Kind != routing.Stream || !m.route.Idempotent() {
+		m.limit = NotIdempotent
+	} else if m.mayRetry(now, left, b) {
 		if s == Broken {
 			return Resume
 		}
@@ -150,7 +179,10 @@
 }
 
 // NoTarget returns the action for a request for which no target can be chosen.
-func (m *Machine) NoTarget() Action { return m.failOrRefuse() }
+func (m *Machine) NoTarget() Action {
+	m.limit = NoTarget
+	return m.failOrRefuse()
+}
 
 // failOrRefuse ends a request that is not sent again.
 func (m *Machine) failOrRefuse() Action {
@@ -160,8 +192,29 @@
 	return Refuse
 }
 
-// mayRetry reports whether attempts, time and budget allow another send. It
-// takes the retry from the budget.
+// undeliveredLimit returns the limit of further sends after one that did not reach
+// its target.
+func (m *Machine) undeliveredLimit(left time.Duration) Limit {
+	switch {
+	case m.undelivered >= maxUndelivered:
+		return NoAttempts
+	case left <= minTimeLeft:
+		return NoTime
+	default:
+		return NoLimit
+	}
+}
+
+// mayRetry reports whether attempts, time and budget allow another send, and notes
+// what does not. It takes the retry from the budget.
 func (m *Machine) mayRetry(now time.Time, left time.Duration, b Budget) bool {
-	return m.sends < m.route.Attempts && left > minTimeLeft && b.Take(now)
+	switch {
+	case m.sends >= m.route.Attempts:
+		m.limit = NoAttempts
+	case left <= minTimeLeft:
+		m.limit = NoTime
+	case !b.Take(now):
+		m.limit = NoBudget
+	}
+	return m.limit == NoLimit
 }
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -131,13 +131,13 @@
 	r.s.sendEnded(now, r.choice.Target.ID, outlier.Failed, true)
 	if err != nil {
 		r.lastErr = err
-		return r.nextAction(now, attempt.Unknown)
+		return r.nextAction(ctx, now, attempt.Unknown)
 	}
 	if resp.Status < http.StatusInternalServerError {
 		r.lastErr = errNoStamp
-		return r.nextAction(now, attempt.Unknown)
+		return r.nextAction(ctx, now, attempt.Unknown)
 	}
-	action := r.nextAction(now, attempt.FailedResponse)
+	action := r.nextAction(ctx, now, attempt.FailedResponse)
 	if action != attempt.PassFailure {
 		return action
 	}
@@ -227,7 +227,7 @@
 	if !r.headSent {
 		outcome = attempt.Unknown // the caller can still get an error response
 	}
-	return r.nextAction(now, outcome)
+	return r.nextAction(ctx, now, outcome)
 }
 
 // forwardStream passes on complete events only, so that a stream that breaks off can
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -249,7 +249,7 @@
 		stop := r.s.clock.AfterFunc(discardTimeout, func() { cancel(errSilent) })
 		discard(resp.Body)
 		stop()
-		return r.notRun(resp)
+		return r.notRun(ctx, resp)
 	}
 	return r.forwardResponse(ctx, resp, timer)
 }
@@ -333,7 +333,7 @@
 	if failure.Sent {
 		result = attempt.Unknown
 	}
-	return r.nextAction(now, result)
+	return r.nextAction(ctx, now, result)
 }
 
 // canceled reports whether the caller has left or the deadline has passed.
@@ -355,27 +355,54 @@
 }
 
 // notRun handles the response of a target that did not run the request.
-func (r *request) notRun(resp *Response) attempt.Action {
+func (r *request) notRun(ctx context.Context, resp *Response) attempt.Action {
 	now := r.s.clock.Now()
 	if resp.Misdirected {
 		r.s.sendEnded(now, r.choice.Target.ID, outlier.Unreachable, true)
-		return r.nextAction(now, attempt.Misdirected)
+		return r.nextAction(ctx, now, attempt.Misdirected)
 	}
 	// A refusal counts as a failure of the target only while it has free slots, and
 	// neither leaves nor asks for a pause.
 	unexplained := r.choice.Load < float64(r.choice.Target.Slots) && !resp.Leaving && resp.RetryAfter == 0
 	r.s.sendEnded(now, r.choice.Target.ID, outlier.Failed, unexplained)
-	return r.nextAction(now, attempt.Refused)
+	return r.nextAction(ctx, now, attempt.Refused)
+}
+
+// endedBy returns who ended the send with this context, as logged.
+func endedBy(ctx context.Context) string {
+	switch cause := context.Cause(ctx); {
+	case cause == nil:
+		return "target"
+	case errors.Is(cause, errSilent):
+		return "silence"
+	case errors.Is(cause, errDeadline):
+		return "deadline"
+	default:
+		return "caller"
+	}
+}
+
+// quiet returns the time since the current send was started or last brought an event.
+func (r *request) quiet(now time.Time) time.Duration {
+	if r.lastWriteAt.After(r.sentAt) {
+		return now.Sub(r.lastWriteAt)
+	}
+	return now.Sub(r.sentAt)
 }
 
 // nextAction returns what to do after a send without a usable response, and logs it.
 // Once the head was sent, a request that is not resumed or retried is cut.
-func (r *request) nextAction(now time.Time, outcome attempt.Outcome) attempt.Action {
+func (r *request) nextAction(ctx context.Context, now time.Time, outcome attempt.Outcome) attempt.Action {
 	action := r.machine.SendEnded(now, outcome, r.remaining(), r)
 	if r.headSent && action != attempt.Resume && action != attempt.Retry {
 		action = attempt.Cut
 	}
-	entry := r.logEntry().WithField("sent", outcome.String()).WithField("step", action.String())
+	entry := r.logEntry().WithFields(logrus.Fields{
+		"sent": outcome.String(), "step": action.String(), "ended_by": endedBy(ctx), "quiet_ms": r.quiet(now).Milliseconds(),
+	})
+	if limit := r.machine.Limit(); limit != attempt.NoLimit {
+		entry = entry.WithField("limit", limit.String())
+	}
 	if r.lastErr != nil {
 		entry = entry.WithError(r.lastErr)
 	}
