Show that a silent target's response is cut before another takes over

Callers saw: responses cut in the middle, or 502, though their target was sound and went on 1.5 s later. The stand-in worker can fall silent before its first byte and in the middle of an answer.

--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -52,6 +52,12 @@
 	FaultEndlessBody Fault = "endless_body"
 	// FaultEndlessRefusal refuses with a body that sends a byte now and then.
 	FaultEndlessRefusal Fault = "endless_refusal"
+	// FaultSilent falls silent for Options.Silence in the middle of the answer, and
+	// FaultSilentHead before its first byte. The worker is sound and goes on.
+	FaultSilent     Fault = "silent"
+	FaultSilentHead Fault = "silent_head"
+	// FaultSilentLong falls silent in the middle of a long answer.
+	FaultSilentLong Fault = "silent_long"
 )
 
 // Options shape a worker.
@@ -68,6 +74,9 @@
 	Gap time.Duration
 	// Pause is the value of Retry-After with FaultPause.
 	Pause string
+	// Silence is the length of a silence with FaultSilent, FaultSilentHead and
+	// FaultSilentLong.
+	Silence time.Duration
 }
 
 // Run is one entry of the record.
@@ -248,6 +257,9 @@
 	if fault != FaultForged {
 		h.Set("X-Response-Stamp", "stamp-"+s.opt.ID)
 	}
+	if fault == FaultSilentHead {
+		wait(r, s.opt.Silence)
+	}
 	if r.Header.Get("X-Prompt-Prefix") != "" {
 		s.stream(w, r, fault, run)
 		return
@@ -339,6 +351,16 @@
 		_, _ = io.WriteString(w, strings.Repeat("x", longBytes/2))
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case FaultSilent, FaultSilentLong:
+		if fault == FaultSilentLong {
+			content = strings.Repeat("x", longBytes)
+		}
+		w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+		_, _ = io.WriteString(w, content[:len(content)/2])
+		_ = http.NewResponseController(w).Flush()
+		wait(r, s.opt.Silence)
+		_, _ = io.WriteString(w, content[len(content)/2:])
+		return
 	case FaultCrossed, FaultExtra, FaultUnframed:
 		s.raw(w, r, fault, content)
 		return
@@ -399,7 +421,8 @@
 	}
 }
 
-// breakOff ends a stream in the middle of an event, where a fault says so.
+// breakOff ends a stream in the middle of an event, or pauses it, where a fault says
+// so.
 func (s *Server) breakOff(w http.ResponseWriter, r *http.Request, fault Fault, i int) {
 	switch fault {
 	case FaultCut, FaultLose:
@@ -409,5 +432,7 @@
 	case FaultMute:
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
+	case FaultSilent:
+		wait(r, s.opt.Silence)
 	}
 }
