Keep a silent send until another target has responded

Cause: the router ended a send at a silent target first and looked for a replacement afterwards. Where none came, because the retry budget was used up, the other target refused or was silent as well, what the target would have finished was lost. Ruled out: a change of the configuration that ends requests (the cuts come at all times), and targets that end them (ended_by).

Change: a silent send goes on; the request is hedged at another target, within attempts, budget and load limit, and the silent send is ended once that one has responded. A stream that goes on at its first target drops the hedge. Only a request of which the caller has nothing, and whose hedge is silent too, is given up. What is known of a send moves from the request to a type of its own.

--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -4,6 +4,12 @@
 // Each send has one Outcome. The caller is told that its request was not run
 // only if every send ended as NotSent, Refused or Misdirected: after any other
 // outcome a target may have run it.
+//
+// A silent target may still go on. While a send is silent, the request may be hedged:
+// it is sent to another target as well, and the silent send is ended only once that
+// one responds. Load pattern: engines that pause or are slow while others are full,
+// lost or at their retry budget, so that a send that was given up could not be
+// replaced.
 package attempt
 
 import (
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -94,12 +94,13 @@
 	return first
 }
 
-// takeReport records what the target of the current send says of itself.
-func (r *request) takeReport(resp *Response) {
+// takeReport records what the target of a send says of itself in its response.
+func (r *request) takeReport(s *send) {
+	resp := s.resp
 	if !resp.Stamped && !resp.NotRun && resp.RetryAfter == 0 {
 		return // nothing shows that the target wrote it
 	}
-	now, t := r.s.clock.Now(), &r.choice.Target
+	now, t := r.s.clock.Now(), &s.choice.Target
 	r.s.mu.Lock()
 	r.s.reports.ReportPause(now, t.ID.Ref(), t.Born, resp.RetryAfter)
 	isNew := resp.Leaving && r.s.reports.ReportLeaving(now, t.ID.Ref(), t.Born)
--- a/internal/service/forward/limit.go
+++ b/internal/service/forward/limit.go
@@ -24,7 +24,10 @@
 // maxLoadPerSlot returns the load per slot from which an engine gets no request of
 // this caller. A stream that has begun is resumed regardless of the load.
 func (r *request) maxLoadPerSlot() float64 {
-	if r.headSent {
+	r.mu.Lock()
+	begun := r.headSent
+	r.mu.Unlock()
+	if begun {
 		return 0
 	}
 	c := overload.Caller{
@@ -43,17 +46,36 @@
 	s.limiter(name).Decided(now, refused)
 }
 
-// observeFirstByte records how long the engine took to start its response, or to
-// let the request time out.
-func (r *request) observeFirstByte() {
-	if !r.service.Engine || r.choice.Target.Slots <= 0 {
+// observeFirstByte records how long the engine of a send took to start its response.
+// Silence was recorded when it was noticed.
+func (r *request) observeFirstByte(s *send) {
+	if r.s.clock.Now().Sub(s.startedAt) < r.firstByteTimeout() {
+		r.observeLatency(s)
+	}
+}
+
+// observeSilence records that the engine of a send has not started its response in
+// time.
+func (r *request) observeSilence(s *send) {
+	r.mu.Lock()
+	begun := r.headSent
+	r.mu.Unlock()
+	if !begun {
+		r.observeLatency(s)
+	}
+}
+
+// observeLatency records the time since a send was started as the latency of the
+// engine's first byte.
+func (r *request) observeLatency(s *send) {
+	if !r.service.Engine || s.choice.Target.Slots <= 0 {
 		return
 	}
 	now := r.s.clock.Now()
 	f := overload.FirstByte{
-		Latency:     now.Sub(r.sentAt),
+		Latency:     now.Sub(s.startedAt),
 		Objective:   r.route.Objective,
-		LoadPerSlot: r.choice.Load / float64(r.choice.Target.Slots),
+		LoadPerSlot: s.choice.Load / float64(s.choice.Target.Slots),
 	}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
--- a/internal/service/forward/refuse.go
+++ b/internal/service/forward/refuse.go
@@ -42,7 +42,7 @@
 
 // refusalRetryAfter returns the Retry-After of a request that no target took.
 func (r *request) refusalRetryAfter() time.Duration {
-	if r.choice.Reason == balance.Overloaded {
+	if r.cur.choice.Reason == balance.Overloaded {
 		return r.s.overloadRetryAfter(r.service.Name, r.remaining())
 	}
 	now := r.s.clock.Now()
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -7,13 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/attempt"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
-	"github.com/zinniafork/zinniafork/internal/kernel"
 )
 
 const (
@@ -30,82 +28,19 @@
 	discardTimeout = 50 * time.Millisecond
 	// readBufferBytes is the size of the buffer for reading responses.
 	readBufferBytes = 16 << 10
-	// firstByteFactor times the latency objective of the route is the time without a
-	// first byte after which an idempotent request is canceled at a target.
-	firstByteFactor = 2
-	// lastTargetFactor extends that time for the last target that a request may be
-	// sent to. After it, the caller is told to retry.
-	lastTargetFactor = 2
-	// minFirstByteTimeout is the lower bound of that time. It keeps requests with a
-	// short objective from being retried while they only wait in a queue.
-	minFirstByteTimeout = 300 * time.Millisecond
-	// streamIdleTimeout is the time without an event after which a resumable stream
-	// is resumed at another target. Callers give up after two seconds or more.
-	streamIdleTimeout = 1200 * time.Millisecond
 )
 
-// silenceTimer cancels a send with errSilent when the target sends nothing for too
-// long. It is disabled for requests that are not idempotent.
-type silenceTimer struct {
-	clock  kernel.Clock
-	cancel context.CancelCauseFunc
-
-	mu        sync.Mutex
-	stopTimer func() bool
-	disabled  bool
-}
-
-// startSilenceTimer starts the timer for the first byte of a response.
-func (r *request) startSilenceTimer(cancel context.CancelCauseFunc) *silenceTimer {
-	t := &silenceTimer{clock: r.s.clock, cancel: cancel, disabled: !r.route.Idempotent()}
-	limit := max(firstByteFactor*r.route.Objective, minFirstByteTimeout)
-	if !r.mayRetry() {
-		limit *= lastTargetFactor
-	}
-	t.reset(limit)
-	return t
-}
-
-// mayRetry reports whether the request may still be sent to another target after
-// this send.
-func (r *request) mayRetry() bool {
-	return r.route.Idempotent() && r.machine.Sends()+1 < r.route.Attempts
-}
-
-// reset restarts the timer with a new duration.
-func (t *silenceTimer) reset(d time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.disabled {
-		return
-	}
-	if t.stopTimer != nil {
-		t.stopTimer()
-	}
-	t.stopTimer = t.clock.AfterFunc(d, func() { t.cancel(errSilent) })
-}
-
-// stop disables the timer for good.
-func (t *silenceTimer) stop() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.disabled = true
-	if t.stopTimer != nil {
-		t.stopTimer()
-	}
-}
-
 // forwardResponse passes a target's response on to the caller and returns what to do
 // next.
-func (r *request) forwardResponse(ctx context.Context, resp *Response, timer *silenceTimer) attempt.Action {
-	defer resp.Body.Close()
-	if resp.Status >= http.StatusInternalServerError || !resp.Stamped {
-		return r.forwardFailure(ctx, resp)
+func (r *request) forwardResponse(s *send, timer *silenceTimer) attempt.Action {
+	defer s.resp.Body.Close()
+	if s.resp.Status >= http.StatusInternalServerError || !s.resp.Stamped {
+		return r.forwardFailure(s)
 	}
 	if r.route.Kind == routing.Stream {
-		return r.forwardStream(ctx, resp, timer)
+		return r.forwardStream(s, timer)
 	}
-	return r.forwardBuffered(ctx, resp, timer)
+	return r.forwardBuffered(s, timer)
 }
 
 // errNoStamp is the error of a response without the stamp of a target, which comes
@@ -117,27 +52,28 @@
 
 // forwardFailure handles an error response, or one without a stamp. An error
 // response is passed on when the request cannot be retried.
-func (r *request) forwardFailure(ctx context.Context, resp *Response) attempt.Action {
+func (r *request) forwardFailure(s *send) attempt.Action {
+	resp := s.resp
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err == nil && len(body) == maxBufferedBytes {
 		err = errTooLong
 	}
 	now := r.s.clock.Now()
-	if canceled(ctx) {
-		r.lastErr = fmt.Errorf("read error response of %s: %w", r.choice.Target.ID, context.Cause(ctx))
-		r.s.sendEnded(now, r.choice.Target.ID, outlier.Failed, false)
+	if canceled(s.ctx) {
+		r.lastErr = fmt.Errorf("read error response of %s: %w", s.target(), context.Cause(s.ctx))
+		r.s.sendEnded(now, s.target(), outlier.Failed, false)
 		return r.canceledAction(true)
 	}
-	r.s.sendEnded(now, r.choice.Target.ID, outlier.Failed, true)
+	r.s.sendEnded(now, s.target(), outlier.Failed, true)
 	if err != nil {
 		r.lastErr = err
-		return r.nextAction(ctx, now, attempt.Unknown)
+		return r.nextAction(s, now, attempt.Unknown)
 	}
 	if resp.Status < http.StatusInternalServerError {
 		r.lastErr = errNoStamp
-		return r.nextAction(ctx, now, attempt.Unknown)
+		return r.nextAction(s, now, attempt.Unknown)
 	}
-	action := r.nextAction(ctx, now, attempt.FailedResponse)
+	action := r.nextAction(s, now, attempt.FailedResponse)
 	if action != attempt.PassFailure {
 		return action
 	}
@@ -153,48 +89,51 @@
 // forwardBuffered reads a response completely before passing it on. One of
 // maxBufferedBytes or more is passed on while it is read, until the deadline: it is
 // not sent again once a part of it was passed on.
-func (r *request) forwardBuffered(ctx context.Context, resp *Response, timer *silenceTimer) attempt.Action {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+func (r *request) forwardBuffered(s *send, timer *silenceTimer) attempt.Action {
+	body, err := io.ReadAll(io.LimitReader(s.resp.Body, maxBufferedBytes))
 	if err != nil {
-		return r.responseBroken(ctx, err, attempt.Unknown)
+		return r.responseBroken(s, err, attempt.Unknown)
 	}
 	if len(body) == maxBufferedBytes {
 		timer.stop()
-		return r.forwardLong(ctx, resp, body)
+		return r.forwardLong(s, body)
 	}
-	r.reply.WriteHead(resp)
+	r.dropHedge()
+	r.reply.WriteHead(s.resp)
 	err = r.reply.Write(body)
-	return r.responseComplete(resp, err)
+	return r.responseComplete(s, err)
 }
 
 // forwardLong passes on the first bytes of a long response, and the rest while it is
 // read.
-func (r *request) forwardLong(ctx context.Context, resp *Response, head []byte) attempt.Action {
-	r.reply.WriteHead(resp)
-	r.headSent = true
+func (r *request) forwardLong(s *send, head []byte) attempt.Action {
+	if !r.progress(nil) {
+		return r.responseBroken(s, errReplaced, attempt.Unknown)
+	}
+	r.reply.WriteHead(s.resp)
 	err := r.reply.Write(head)
 	buf := make([]byte, readBufferBytes)
 	for length := len(head); err == nil; {
-		n, readErr := resp.Body.Read(buf)
+		n, readErr := s.resp.Body.Read(buf)
 		if n > 0 {
 			err = r.reply.Write(buf[:n])
 		}
 		if length += n; length > maxResponseBytes {
-			return r.responseBroken(ctx, errTooLong, attempt.Broken)
+			return r.responseBroken(s, errTooLong, attempt.Broken)
 		}
 		if errors.Is(readErr, io.EOF) {
-			return r.responseComplete(resp, err)
+			return r.responseComplete(s, err)
 		}
 		if readErr != nil {
-			return r.responseBroken(ctx, readErr, attempt.Broken)
+			return r.responseBroken(s, readErr, attempt.Broken)
 		}
 	}
-	return r.callerLeft(err)
+	return r.callerLeft(s, err)
 }
 
 // responseComplete handles the end of a complete response.
-func (r *request) responseComplete(resp *Response, writeErr error) attempt.Action {
-	r.s.sendEnded(r.s.clock.Now(), r.choice.Target.ID, outlier.OK, true)
+func (r *request) responseComplete(s *send, writeErr error) attempt.Action {
+	r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.OK, true)
 	if writeErr != nil {
 		r.lastErr = writeErr
 		r.cut("caller_left")
@@ -202,91 +141,80 @@
 	}
 	r.reply.End()
 	r.lastErr = nil
-	r.finish("answered", resp.Status)
+	r.finish("answered", s.resp.Status)
 	return responseDone
 }
 
 // callerLeft handles a caller that no longer reads the response.
-func (r *request) callerLeft(err error) attempt.Action {
-	r.s.sendEnded(r.s.clock.Now(), r.choice.Target.ID, outlier.OK, false)
+func (r *request) callerLeft(s *send, err error) attempt.Action {
+	r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.OK, false)
 	r.lastErr = err
 	r.cut("caller_left")
 	return responseDone
 }
 
 // responseBroken handles a response that ended early or was canceled.
-func (r *request) responseBroken(ctx context.Context, err error, outcome attempt.Outcome) attempt.Action {
+func (r *request) responseBroken(s *send, err error, outcome attempt.Outcome) attempt.Action {
 	now := r.s.clock.Now()
 	r.lastErr = err
-	if canceled(ctx) {
-		timedOut := errors.Is(context.Cause(ctx), errDeadline)
-		r.s.sendEnded(now, r.choice.Target.ID, outlier.Failed, timedOut && !r.headSent)
+	if canceled(s.ctx) {
+		timedOut := errors.Is(context.Cause(s.ctx), errDeadline)
+		r.s.sendEnded(now, s.target(), outlier.Failed, timedOut && !r.headSent)
 		return r.canceledAction(true)
 	}
-	r.s.sendEnded(now, r.choice.Target.ID, outlier.Failed, true)
+	r.s.sendEnded(now, s.target(), outlier.Failed, true)
 	if !r.headSent {
 		outcome = attempt.Unknown // the caller can still get an error response
 	}
-	return r.nextAction(ctx, now, outcome)
+	return r.nextAction(s, now, outcome)
 }
 
 // forwardStream passes on complete events only, so that a stream that breaks off can
 // be resumed at another target after the last of them.
-func (r *request) forwardStream(ctx context.Context, resp *Response, timer *silenceTimer) attempt.Action {
+func (r *request) forwardStream(s *send, timer *silenceTimer) attempt.Action {
 	buf := make([]byte, readBufferBytes)
 	var pending []byte
 	for {
-		n, err := resp.Body.Read(buf)
+		n, err := s.resp.Body.Read(buf)
 		if n > 0 {
 			pending = append(pending, buf[:n]...)
 			complete := bytes.LastIndex(pending, eventDelimiter) + len(eventDelimiter)
 			if complete >= len(eventDelimiter) {
-				r.resetIdleTimer(timer)
-				if writeErr := r.forwardEvents(resp, pending[:complete]); writeErr != nil {
-					return r.callerLeft(writeErr)
+				first := !r.headSent
+				if !r.progress(pending[:complete]) {
+					return r.responseBroken(s, errReplaced, attempt.Broken)
+				}
+				timer.reset(streamIdleTimeout)
+				if writeErr := r.forwardEvents(s, pending[:complete], first); writeErr != nil {
+					return r.callerLeft(s, writeErr)
 				}
 				pending = append(pending[:0], pending[complete:]...)
 			}
 			if len(pending) > maxEventBytes {
-				return r.responseBroken(ctx, errTooLong, attempt.Broken)
+				return r.responseBroken(s, errTooLong, attempt.Broken)
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return r.streamEnded(ctx, resp, pending)
+			return r.streamEnded(s, pending)
 		}
 		if err != nil {
-			return r.responseBroken(ctx, err, attempt.Broken)
+			return r.responseBroken(s, err, attempt.Broken)
 		}
 	}
 }
 
-// resetIdleTimer restarts the timer after an event. On the last target that a stream
-// may be sent to, a pause ends nothing: the stream may still go on, and its caller or
-// the deadline ends it if it does not.
-func (r *request) resetIdleTimer(timer *silenceTimer) {
-	if r.mayRetry() {
-		timer.reset(streamIdleTimeout)
-		return
-	}
-	timer.stop()
-}
-
 // eventDelimiter ends each event of a stream.
 var eventDelimiter = []byte("\n\n")
 
-// forwardEvents passes on complete events, after the head if it was not sent yet.
-func (r *request) forwardEvents(resp *Response, events []byte) error {
-	if !r.headSent {
-		r.reply.WriteHead(resp)
-		r.headSent = true
-		r.observeFirstByte()
+// forwardEvents passes on complete events, the first ones after the head.
+func (r *request) forwardEvents(s *send, events []byte, first bool) error {
+	if first {
+		r.reply.WriteHead(s.resp)
+		r.observeFirstByte(s)
 		r.firstByte = r.s.clock.Now().Sub(r.Received)
 		r.s.metrics.firstByteSent(r.firstByte)
 	}
 	r.noteWrite()
-	if id, ok := lastEventID(events); ok {
-		r.lastSentID = id
-	}
 	return r.reply.Write(events)
 }
 
@@ -301,14 +229,15 @@
 
 // streamEnded handles the end of a stream. A stream that ends within an event is
 // incomplete.
-func (r *request) streamEnded(ctx context.Context, resp *Response, rest []byte) attempt.Action {
+func (r *request) streamEnded(s *send, rest []byte) attempt.Action {
 	if len(bytes.TrimSpace(rest)) > 0 {
-		return r.responseBroken(ctx, io.ErrUnexpectedEOF, attempt.Broken)
+		return r.responseBroken(s, io.ErrUnexpectedEOF, attempt.Broken)
 	}
 	if !r.headSent {
-		r.reply.WriteHead(resp)
+		r.dropHedge()
+		r.reply.WriteHead(s.resp)
 	}
-	return r.responseComplete(resp, nil)
+	return r.responseComplete(s, nil)
 }
 
 // lastEventID returns the ID of the last event that has one.
--- /dev/null
+++ b/internal/service/forward/send.go
@@ -0,0 +1,341 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/zinniafork/zinniafork/internal/core/attempt"
+	"github.com/zinniafork/zinniafork/internal/core/balance"
+	"github.com/zinniafork/zinniafork/internal/core/outlier"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/tracing"
+)
+
+// errSilent cancels a send whose response is not used when its body does not end.
+var errSilent = errors.New("target sent no data in time")
+
+// errReplaced cancels a send to a silent target once a hedge has responded.
+var errReplaced = errors.New("another target took over")
+
+// send is one send of a request to a target.
+type send struct {
+	// choice holds the target and the reason for it.
+	choice    balance.Choice
+	startedAt time.Time
+	// cacheSource is the address from which the target is to fetch the cached prompt
+	// prefixes, empty if there is none.
+	cacheSource string
+	// ctx ends the send, also while its response is being read.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// resp is the response, nil until its head has been read.
+	resp *Response
+}
+
+// target returns the ID of the target, empty if none was chosen.
+func (s *send) target() fleet.Target { return s.choice.Target.ID }
+
+// choose chooses a target for the next send and records the start of a request to it.
+// The send has no target if none may get the request. It also returns the number of
+// available targets.
+func (r *request) choose(now time.Time) (*send, int) {
+	query := &balance.Request{Prefixes: r.Prefixes}
+	if !r.service.Engine {
+		query.Prefixes = nil
+	} else {
+		query.MaxLoadPerSlot = r.maxLoadPerSlot()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	query.Avoid = r.tried
+	choice, available := r.s.chooseTarget(now, r.service, query)
+	if choice.Target.ID != "" {
+		r.tried[choice.Target.ID] = true
+	}
+	return &send{choice: choice, startedAt: now}, available
+}
+
+// open gives a send its context, which ends with ctx.
+func (s *send) open(ctx context.Context) { s.ctx, s.cancel = context.WithCancelCause(ctx) }
+
+// sendOnce chooses a target, sends the request to it and returns what to do next.
+func (r *request) sendOnce(ctx context.Context) attempt.Action {
+	r.s.site.AwaitCurrent(ctx)
+	now := r.s.clock.Now()
+	s, available := r.choose(now)
+	r.cur = s
+	if r.service.Engine && !r.isRetry() {
+		r.s.decided(now, r.service.Name, s.choice.Reason == balance.Overloaded)
+	}
+	if s.target() == "" {
+		r.lastErr = errNoTarget{targets: available, overloaded: s.choice.Reason == balance.Overloaded}
+		if r.headSent {
+			return attempt.Cut
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.machine.NoTarget()
+	}
+	if !r.isRetry() {
+		r.s.countRequest(now, r.service.Name)
+	}
+	return r.exchange(ctx, s)
+}
+
+// isRetry reports whether an earlier send of the request reached a target.
+func (r *request) isRetry() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.IsRetry()
+}
+
+// countRequest adds a request to the retry budget of its service. Only its first
+// send counts.
+func (s *Service) countRequest(now time.Time, name fleet.Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryBudget(name).AddRequest(now)
+}
+
+// Take reports whether the retry budget of the request's service allows a retry now,
+// and uses up that retry. It implements attempt.Budget.
+func (r *request) Take(now time.Time) bool {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	return r.s.retryBudget(r.service.Name).Take(now)
+}
+
+// exchange sends the request to the chosen target and passes the response on.
+func (r *request) exchange(ctx context.Context, s *send) attempt.Action {
+	s.open(ctx)
+	defer s.cancel(nil)
+	timer := r.startSilenceTimer(ctx, s)
+	defer timer.stop()
+	resp, err := r.roundTrip(s)
+	if err != nil {
+		return r.sendFailed(s, err)
+	}
+	if resp.NotRun || resp.Misdirected {
+		r.discardRefusal(s)
+		return r.notRun(s)
+	}
+	return r.forwardResponse(s, timer)
+}
+
+// roundTrip sends the request and reads the head of the response.
+func (r *request) roundTrip(s *send) (*Response, error) {
+	ctx, span := tracing.Start(s.ctx, "target")
+	defer span.End()
+	req := r.targetRequest(s)
+	req.Trace = tracing.Parent(ctx)
+	resp, err := r.s.targets.Send(s.ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	s.resp = resp
+	r.takeReport(s)
+	return resp, nil
+}
+
+// discardRefusal reads the rest of a refusal. A body that does not end must not hold
+// it up.
+func (r *request) discardRefusal(s *send) {
+	stop := r.s.clock.AfterFunc(discardTimeout, func() { s.cancel(errSilent) })
+	defer stop()
+	discard(s.resp.Body)
+}
+
+// maxDiscardBytes is the length up to which an unused response is read to its end,
+// so that its connection can be reused.
+const maxDiscardBytes = 4 << 10
+
+// discard reads up to maxDiscardBytes of a response and closes it.
+func discard(body io.ReadCloser) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxDiscardBytes))
+	_ = body.Close()
+}
+
+// targetByRef returns the target with a given ref, empty if it is unknown.
+func (s *Service) targetByRef(ref fleet.Ref) fleet.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targetNames[ref]
+}
+
+// targetRequest builds the request to the chosen target.
+func (r *request) targetRequest(s *send) *TargetRequest {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s.cacheSource = r.findCacheSource(s)
+	req := &TargetRequest{
+		Call:             r.Call,
+		Target:           s.choice.Target,
+		Timeout:          r.remaining(),
+		LastEventID:      r.lastSentID,
+		Priority:         r.route.PriorityFor(r.account),
+		RecentConnection: !r.route.Idempotent(),
+		CacheFrom:        s.cacheSource,
+	}
+	if r.account != nil {
+		req.Account = r.account.Name
+	}
+	return req
+}
+
+// findCacheSource returns the address of a target that can transfer the shared
+// prompt prefixes from its cache, empty if there is none. A target that was tried or
+// is not in use may still be able to, so it is the fallback when no other has the
+// prefixes. The caller holds r.mu.
+func (r *request) findCacheSource(s *send) string {
+	fallback := ""
+	for _, ref := range s.choice.Sources {
+		id := r.s.targetByRef(ref)
+		t, ok := r.s.site.Lookup(id)
+		switch {
+		case !ok:
+		case !r.tried[id] && r.s.inUse(id, t.Born):
+			return t.Address
+		case fallback == "":
+			fallback = t.Address
+		}
+	}
+	return fallback
+}
+
+// failedSend returns what is known of a send without a response, and the outcome for
+// its target.
+func failedSend(s *send, err error) (*SendError, outlier.Outcome) {
+	var failure *SendError
+	if !errors.As(err, &failure) {
+		failure = &SendError{Target: s.target(), Sent: true, Err: err}
+	}
+	if failure.Unreachable {
+		return failure, outlier.Unreachable
+	}
+	return failure, outlier.Failed
+}
+
+// sendFailed handles a send without a response.
+func (r *request) sendFailed(s *send, err error) attempt.Action {
+	now := r.s.clock.Now()
+	r.lastErr = err
+	failure, outcome := failedSend(s, err)
+	if canceled(s.ctx) {
+		r.s.sendEnded(now, s.target(), outlier.Failed, errors.Is(context.Cause(s.ctx), errDeadline))
+		return r.canceledAction(failure.Sent)
+	}
+	r.s.sendEnded(now, s.target(), outcome, true)
+	result := attempt.NotSent
+	if failure.Sent {
+		result = attempt.Unknown
+	}
+	return r.nextAction(s, now, result)
+}
+
+// canceled reports whether the caller has left or the deadline has passed.
+func canceled(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return cause != nil && !errors.Is(cause, errSilent) && !errors.Is(cause, errReplaced)
+}
+
+// canceledAction returns the action for a canceled request. It is refused as not run
+// only if this is its first send and no part of it may have reached the target.
+func (r *request) canceledAction(sent bool) attempt.Action {
+	switch {
+	case r.headSent:
+		return attempt.Cut
+	case sent || r.isRetry():
+		return attempt.Fail
+	default:
+		return attempt.Refuse
+	}
+}
+
+// notRunOutcome returns what the refusal of a target means for the request and for the
+// target. A refusal counts as a failure of the target only while it has free slots, and
+// neither leaves nor asks for a pause.
+func notRunOutcome(s *send) (result attempt.Outcome, outcome outlier.Outcome, observed bool) {
+	if s.resp.Misdirected {
+		return attempt.Misdirected, outlier.Unreachable, true
+	}
+	unexplained := s.choice.Load < float64(s.choice.Target.Slots) && !s.resp.Leaving && s.resp.RetryAfter == 0
+	return attempt.Refused, outlier.Failed, unexplained
+}
+
+// notRun handles the response of a target that did not run the request.
+func (r *request) notRun(s *send) attempt.Action {
+	now := r.s.clock.Now()
+	result, outcome, observed := notRunOutcome(s)
+	r.s.sendEnded(now, s.target(), outcome, observed)
+	return r.nextAction(s, now, result)
+}
+
+// endedBy returns who ended the send with this context, as logged.
+func endedBy(ctx context.Context) string {
+	switch cause := context.Cause(ctx); {
+	case cause == nil:
+		return "target"
+	case errors.Is(cause, errSilent), errors.Is(cause, errReplaced):
+		return "silence"
+	case errors.Is(cause, errDeadline):
+		return "deadline"
+	default:
+		return "caller"
+	}
+}
+
+// quiet returns the time since a send was started or last brought an event.
+func (r *request) quiet(now time.Time, s *send) time.Duration {
+	if r.lastWriteAt.After(s.startedAt) {
+		return now.Sub(r.lastWriteAt)
+	}
+	return now.Sub(s.startedAt)
+}
+
+// nextAction returns what to do after a send without a usable response, and logs it. A
+// hedge that is under way is awaited. Once the head was sent, a request that is not
+// resumed or retried is cut.
+func (r *request) nextAction(s *send, now time.Time, outcome attempt.Outcome) attempt.Action {
+	entry := r.logEntry().WithFields(logrus.Fields{
+		"sent": outcome.String(), "ended_by": endedBy(s.ctx), "quiet_ms": r.quiet(now, s).Milliseconds(),
+	})
+	if r.lastErr != nil {
+		entry = entry.WithError(r.lastErr)
+	}
+	if r.next = r.awaitHedge(); r.next != nil {
+		entry.WithField("step", "replaced").WithField("by", r.next.target()).Info("Send ended without a usable response.")
+		return replaced
+	}
+	r.mu.Lock()
+	action := r.machine.SendEnded(r.s.clock.Now(), outcome, r.remaining(), r)
+	limit := r.machine.Limit()
+	r.mu.Unlock()
+	if r.headSent && action != attempt.Resume && action != attempt.Retry {
+		action = attempt.Cut
+	}
+	if limit != attempt.NoLimit {
+		entry = entry.WithField("limit", limit.String())
+	}
+	entry.WithField("step", action.String()).Info("Send ended without a usable response.")
+	return action
+}
+
+// takeOver passes on the response of the hedge that replaces the current send.
+func (r *request) takeOver(ctx context.Context) attempt.Action {
+	s := r.next
+	r.cur, r.next = s, nil
+	defer s.cancel(nil)
+	timer := r.startSilenceTimer(ctx, s)
+	defer timer.stop()
+	return r.forwardResponse(s, timer)
+}
+
+// errNotUsable is the error of a hedge whose response can't be passed on.
+func errNotUsable(resp *Response) error {
+	return fmt.Errorf("hedge responded with status %d, not run %t", resp.Status, resp.NotRun || resp.Misdirected)
+}
