Keep an idle connection open once its next request has begun

Callers saw a kept connection close under a request that they had begun within the idle time-out: no answer and no refusal. The check for idle connections went by the state that net/http reports, and net/http calls a connection active only after it has read the whole head. Closed as idle were therefore also connections whose head came slowly, and connections whose request had arrived but was not read yet, because the process had had no processor time. The second end met requests later than their caller had sent them, by the time that the process had been held up.

Connections now report the bytes that are read from them, under the lock under which they are closed, so that idle ends with the first byte; and a connection with unread bytes is not closed. What is left is a request that crosses the close on the network, which nobody has read. The tracking moves to httpserve, whose other servers drain by the same states.

--- /dev/null
+++ b/internal/httpserve/conns.go
@@ -0,0 +1,218 @@
+package httpserve
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/kernel"
+)
+
+// conns tracks the connections of a server and closes idle ones. It is safe for
+// concurrent use.
+//
+// A connection is idle until the first byte of its next request arrives. net/http calls
+// it active only once it has read the whole head, which may come slowly, and closes it
+// before that when it shuts down. Bytes that nobody has read yet also keep a connection
+// open.
+//
+// A request may still arrive while its connection is being closed. It must not be
+// handled: the client gets no response and may send the request again. Closing a
+// connection therefore marks it under the same lock under which its requests begin.
+type conns struct {
+	clock kernel.Clock
+
+	mu   sync.Mutex
+	open map[*conn]struct{}
+}
+
+// conn is a connection of a client.
+type conn struct {
+	net.Conn
+	set *conns
+
+	// The fields below are guarded by set.mu.
+
+	// busy is true from the first byte of a request to the end of its response.
+	busy bool
+	// kept is true once the connection has carried a request.
+	kept bool
+	// idleSince is the time at which the connection was opened or became idle.
+	idleSince time.Time
+	// closed is true if the connection was closed for being idle.
+	closed bool
+}
+
+// newConns returns an empty set of connections.
+func newConns(clock kernel.Clock) *conns {
+	return &conns{clock: clock, open: make(map[*conn]struct{})}
+}
+
+// add returns a connection that reports to the set what it reads.
+func (s *conns) add(raw net.Conn) *conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &conn{Conn: raw, set: s, idleSince: s.clock.Now()}
+	s.open[c] = struct{}{}
+	return c
+}
+
+// setState records a state change that net/http reports.
+func (s *conns) setState(raw net.Conn, state http.ConnState) {
+	c, ok := tracked(raw)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateIdle:
+		c.busy, c.kept, c.idleSince = false, true, s.clock.Now()
+	case http.StateActive:
+		c.busy = true
+	case http.StateClosed, http.StateHijacked:
+		delete(s.open, c)
+	}
+}
+
+// closeIdle closes connections that have been idle for longer than limit since their
+// last request.
+func (s *conns) closeIdle(limit time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for c := range s.open {
+		if c.kept && now.Sub(c.idleSince) > limit {
+			c.closeQuiet()
+		}
+	}
+}
+
+// closeQuiet closes the connection unless a request has begun. The caller holds the
+// lock.
+func (c *conn) closeQuiet() {
+	if c.busy || c.closed || hasUnread(c.Conn) {
+		return
+	}
+	c.closed = true
+	_ = c.Close() // the server reports StateClosed, which removes it
+}
+
+// begin records that bytes of a request were read. It reports false if the connection
+// was closed before.
+func (c *conn) begin() bool {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	c.busy = true
+	return !c.closed
+}
+
+// wasClosed reports whether the connection was closed for being idle.
+func (c *conn) wasClosed() bool {
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	return c.closed
+}
+
+// Read reads from the connection. It fails if the connection was closed for being idle.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.begin() {
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// CloseWrite closes the sending side, so that the server can wait until the client has
+// read the last response.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// hasUnread reports whether bytes have arrived on a connection that nobody has read. It
+// does not block, also while another goroutine reads.
+func hasUnread(c net.Conn) bool {
+	raw, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	rawConn, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := false
+	err = rawConn.Control(func(fd uintptr) {
+		var buf [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		unread = err == nil && n > 0
+	})
+	return err == nil && unread
+}
+
+// tracked returns the tracked connection below a connection of the server.
+func tracked(raw net.Conn) (*conn, bool) {
+	if secure, ok := raw.(*tls.Conn); ok {
+		raw = secure.NetConn()
+	}
+	c, ok := raw.(*conn)
+	return c, ok
+}
+
+// trackedNetwork is a network whose listeners accept tracked connections.
+type trackedNetwork struct {
+	kernel.Network
+	conns *conns
+}
+
+// Listen returns a listener of tracked connections.
+func (n *trackedNetwork) Listen(ctx context.Context, network, address string) (net.Listener, error) {
+	ln, err := n.Network.Listen(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &trackedListener{Listener: ln, conns: n.conns}, nil
+}
+
+// trackedListener accepts tracked connections.
+type trackedListener struct {
+	net.Listener
+	conns *conns
+}
+
+// Accept waits for the next connection.
+func (l *trackedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.conns.add(c), nil
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// withConn returns a context that carries the connection.
+func withConn(ctx context.Context, raw net.Conn) context.Context {
+	if c, ok := tracked(raw); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// openOnly returns a handler that handles no request whose connection was closed for
+// being idle.
+func openOnly(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.wasClosed() {
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -22,6 +22,7 @@
 	http     *http.Server
 	scheme   string
 	listener net.Listener
+	conns    *conns
 	ended    chan struct{}
 	err      error
 }
@@ -34,12 +35,9 @@
 	// IdleTimeout closes connections without a request.
 	IdleTimeout    time.Duration
 	MaxHeaderBytes int
-	// ConnState is told of each change of a connection; nil for nobody.
-	ConnState func(net.Conn, http.ConnState)
-	// ConnContext gives requests of a connection their context; nil for the
-	// server's.
-	ConnContext func(context.Context, net.Conn) context.Context
-	TLS         TLSSettings
+	// Clock times idle connections; nil for the clock of the machine.
+	Clock kernel.Clock
+	TLS   TLSSettings
 }
 
 // Start listens on address and serves handler.
@@ -49,22 +47,28 @@
 
 // StartWith listens on address and serves handler within limits.
 func StartWith(ctx context.Context, network kernel.Network, address string, handler http.Handler, opt Options) (*Server, error) {
-	ln, err := opt.TLS.network(network).Listen(ctx, "tcp", address)
+	if opt.Clock == nil {
+		opt.Clock = kernel.SystemClock{}
+	}
+	tracked := newConns(opt.Clock)
+	network = opt.TLS.network(&trackedNetwork{Network: network, conns: tracked})
+	ln, err := network.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	s := &Server{
 		http: &http.Server{
-			Handler:           handler,
+			Handler:           openOnly(handler),
 			ReadHeaderTimeout: opt.HeaderTimeout,
 			IdleTimeout:       opt.IdleTimeout,
 			MaxHeaderBytes:    opt.MaxHeaderBytes,
-			ConnState:         opt.ConnState,
-			ConnContext:       opt.ConnContext,
+			ConnState:         tracked.setState,
+			ConnContext:       withConn,
 			ErrorLog:          log.New(io.Discard, "", 0),
 		},
 		scheme:   "http",
 		listener: ln,
+		conns:    tracked,
 		ended:    make(chan struct{}),
 	}
 	if opt.TLS.Enabled() {
@@ -83,6 +87,9 @@
 // URL returns the base URL of the server.
 func (s *Server) URL() string { return s.scheme + "://" + s.Addr() }
 
+// CloseIdle closes connections that have carried no request for longer than limit.
+func (s *Server) CloseIdle(limit time.Duration) { s.conns.closeIdle(limit) }
+
 // Drain stops listening and waits for running requests until ctx ends.
 func (s *Server) Drain(ctx context.Context) error {
 	if err := s.http.Shutdown(ctx); err != nil {
