Answer requests that arrive while a server shuts down

Callers saw a router that stopped read their whole request and close the connection without an answer. net/http's Shutdown does so by design: a request whose head has been read after the call began is dropped, also on a connection that was opened before, and a connection counts as idle, and is closed, until the whole head of its next request has been read. Once a router had served its last request it called Shutdown at once, while callers that had just connected were still sending.

TestRequestBegunBeforeEndOfDrainIsAnswered opens a connection, or begins a head, 0.1 s before the router stops to listen and sends the rest 0.4 s after; before: "unexpected EOF" on new connections, "read/write on closed pipe" on kept ones.

Drain now closes the listener and waits until no connection is left: those without a request are closed by the states that httpserve tracks, those with one are answered, with Connection: close, and new ones get a second for their first request.

--- a/internal/app/site_conns_test.go
+++ b/internal/app/site_conns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -39,6 +40,9 @@
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
+	if resp.Close {
+		resp.Header.Set("Connection", "close") // http.ReadResponse removes it
+	}
 	return answer{status: resp.StatusCode, body: string(body), header: resp.Header, err: err}
 }
 
@@ -55,6 +59,20 @@
 	return err
 }
 
+// drain drains and stops a router in the background, within the time that the platform
+// gives it.
+func (b *siteBed) drain(router string) <-chan error {
+	k := b.routers[router]
+	delete(b.routers, router)
+	drained := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 7*time.Second)
+		defer cancel()
+		drained <- k.Drain(ctx)
+	}()
+	return drained
+}
+
 // TestSlowHeadOnKeptConnectionIsNotCut begins a request within the idle time-out and
 // ends its head after it.
 func TestSlowHeadOnKeptConnectionIsNotCut(t *testing.T) {
@@ -70,3 +88,43 @@
 		must.Eq(t, 404, a.status)
 	})
 }
+
+// TestRequestBegunBeforeEndOfDrainIsAnswered sends the rest of a request when the
+// drained router no longer listens.
+func TestRequestBegunBeforeEndOfDrainIsAnswered(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		kept        bool
+		begin, rest string
+	}{
+		{"new connection", false, "", headBegin + headEnd},
+		{"new connection, part of the head", false, headBegin, headEnd},
+		{"kept connection, part of the head", true, headBegin, headEnd},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			onSite(t, func(t *testing.T, b *siteBed) {
+				kept := b.connect("3")
+				if c.kept {
+					must.Eq(t, 404, kept.ask().status)
+				}
+				drained := b.drain("3")
+				b.wait(2400 * time.Millisecond)
+				conn := kept
+				if !c.kept {
+					conn = b.connect("3")
+				}
+				if c.begin != "" {
+					must.NoError(t, conn.send(c.begin))
+				}
+				b.wait(500 * time.Millisecond)
+				_, err := b.network.DialContext(t.Context(), "tcp", "10.0.0.3:80")
+				must.Error(t, err)
+				must.NoError(t, conn.send(c.rest))
+				a := conn.receive()
+				must.NoError(t, a.err)
+				must.Eq(t, "close", a.header.Get("Connection"))
+				must.NoError(t, <-drained)
+			})
+		})
+	}
+}
--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -12,6 +12,10 @@
 	"github.com/zinniafork/zinniafork/internal/kernel"
 )
 
+// newConnGrace is how long a draining server waits for the first request of a new
+// connection.
+const newConnGrace = time.Second
+
 // conns tracks the connections of a server and closes idle ones. It is safe for
 // concurrent use.
 //
@@ -92,6 +96,20 @@
 	}
 }
 
+// closeRest closes connections without a request for good, and reports whether none is
+// left. New ones get newConnGrace for their first request.
+func (s *conns) closeRest() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for c := range s.open {
+		if c.kept || now.Sub(c.idleSince) >= newConnGrace {
+			c.closeQuiet()
+		}
+	}
+	return len(s.open) == 0
+}
+
 // closeQuiet closes the connection unless a request has begun. The caller holds the
 // lock.
 func (c *conn) closeQuiet() {
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -9,6 +9,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/kernel"
@@ -17,12 +18,18 @@
 // DefaultHeaderTimeout limits how long a client may take to send its header.
 const DefaultHeaderTimeout = 10 * time.Second
 
+// drainCheckPeriod is the interval at which a draining server looks for connections
+// that are still in use.
+const drainCheckPeriod = 50 * time.Millisecond
+
 // Server is a running HTTP server.
 type Server struct {
 	http     *http.Server
 	scheme   string
 	listener net.Listener
+	clock    kernel.Clock
 	conns    *conns
+	draining atomic.Bool
 	ended    chan struct{}
 	err      error
 }
@@ -58,7 +65,6 @@
 	}
 	s := &Server{
 		http: &http.Server{
-			Handler:           openOnly(handler),
 			ReadHeaderTimeout: opt.HeaderTimeout,
 			IdleTimeout:       opt.IdleTimeout,
 			MaxHeaderBytes:    opt.MaxHeaderBytes,
@@ -68,9 +74,11 @@
 		},
 		scheme:   "http",
 		listener: ln,
+		clock:    opt.Clock,
 		conns:    tracked,
 		ended:    make(chan struct{}),
 	}
+	s.http.Handler = openOnly(s.closeWhenDraining(handler))
 	if opt.TLS.Enabled() {
 		s.scheme = "https"
 	}
@@ -90,20 +98,45 @@
 // CloseIdle closes connections that have carried no request for longer than limit.
 func (s *Server) CloseIdle(limit time.Duration) { s.conns.closeIdle(limit) }
 
-// Drain stops listening and waits for running requests until ctx ends.
+// Drain stops listening and waits until no connection carries a request, or until ctx
+// ends. Requests that arrive on open connections are still answered; net/http's
+// Shutdown would drop them after it has read them.
 func (s *Server) Drain(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
-		return fmt.Errorf("shut down server on %s: %w", s.Addr(), err)
+	s.draining.Store(true)
+	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return fmt.Errorf("drain server on %s: %w", s.Addr(), err)
+	}
+	for !s.conns.closeRest() {
+		if err := s.clock.Sleep(ctx, drainCheckPeriod); err != nil {
+			return fmt.Errorf("drain server on %s: %w", s.Addr(), err)
+		}
 	}
 	return nil
 }
 
+// closeWhenDraining asks for the end of the connection with responses whose request
+// began during the drain.
+func (s *Server) closeWhenDraining(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Close ends the server at once. It may be called again.
 func (s *Server) Close() error {
 	err := s.http.Close()
 	<-s.ended
-	if errors.Is(s.err, http.ErrServerClosed) {
-		return err
+	return errors.Join(s.unlessEnded(err), s.unlessEnded(s.err))
+}
+
+// unlessEnded returns err, or nil if it only tells that the server was closed or
+// drained.
+func (s *Server) unlessEnded(err error) error {
+	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
 	}
-	return errors.Join(err, s.err)
+	return err
 }
