--- a/internal/app/site_conns_test.go
+++ b/internal/app/site_conns_test.go
@@ -10,6 +10,9 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/zinniafork/zinniafork/internal/standin/siteclient"
+	"github.com/zinniafork/zinniafork/internal/standin/workerd"
 )
 
 // callerConn is a connection of a caller that sends requests piece by piece.
@@ -128,3 +131,26 @@
 		})
 	}
 }
+
+// TestAnswerOfRunningRequestClosesConnectionDuringDrain stops a router before it answers
+// a request. A caller that keeps the connection would lose its next request at the end
+// of the drain.
+func TestAnswerOfRunningRequestClosesConnectionDuringDrain(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		for _, id := range []string{"p1", "p2"} {
+			b.restartWorker(id, "plain", workerd.Options{Slots: 6, Work: 300 * time.Millisecond})
+		}
+		c := b.connect("3")
+		request := &siteclient.Request{ID: "r", Host: "a.example", Route: "status", Key: "key", Deadline: 3 * time.Second}
+		r, err := request.HTTP(t.Context(), "10.0.0.3:80")
+		must.NoError(t, err)
+		must.NoError(t, r.Write(c))
+		b.wait(100 * time.Millisecond)
+		drained := b.drain("3")
+		a := c.receive()
+		must.NoError(t, a.err)
+		must.Eq(t, 200, a.status)
+		must.Eq(t, "close", a.header.Get("Connection"))
+		must.NoError(t, <-drained)
+	})
+}
