Apply a lowered idle timeout from the next response on

Beside a change of the configuration that lowers the idle timeout, callers lost connections, and the requests that crossed the close, although they had kept to the limit in force when the connection became idle. The check measured all connections by the newest limit, and closed those between the two limits at once.

TestLoweredIdleTimeoutSparesConnectionsThatAreIdle lowers the limit from 5 s to 1 s 2 s after an answer and sends the next request after 4 s; before: "read/write on closed pipe". The limit at the time of the last response now stays in force for a connection until its next one; a raised limit holds at once. Idle connections last at most as long as before the change.

--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -99,6 +99,11 @@
 
 // publish writes a configuration whose orders go to a service.
 func (b *siteBed) publish(version int, orders string) {
+	b.publishIdle(version, orders, 5*time.Second)
+}
+
+// publishIdle writes a configuration with an idle timeout of callers' connections.
+func (b *siteBed) publishIdle(version int, orders string, idle time.Duration) {
 	b.store.Publish(keyedlog.Config{
 		Version: version,
 		Host:    "a.example",
@@ -113,7 +118,7 @@
 		Account:   "acme",
 		Key:       "key",
 		BodyBytes: 4096,
-		Idle:      5 * time.Second,
+		Idle:      idle,
 	})
 }
 
--- a/internal/app/site_conns_test.go
+++ b/internal/app/site_conns_test.go
@@ -92,6 +92,23 @@
 	})
 }
 
+// TestLoweredIdleTimeoutSparesConnectionsThatAreIdle lowers the limit while a connection
+// is idle. Its caller may know only the limit that was in force at the last answer.
+func TestLoweredIdleTimeoutSparesConnectionsThatAreIdle(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		c := b.connect("1")
+		must.Eq(t, 404, c.ask().status)
+		b.wait(2 * time.Second)
+		b.publishIdle(2, "plain", time.Second)
+		b.wait(2 * time.Second)
+		a := c.ask()
+		must.NoError(t, a.err)
+		must.Eq(t, 404, a.status)
+		b.wait(2100 * time.Millisecond)
+		must.Error(t, c.ask().err, must.Sprint("the new limit holds from the next answer on"))
+	})
+}
+
 // TestRequestBegunBeforeEndOfDrainIsAnswered sends the rest of a request when the
 // drained router no longer listens.
 func TestRequestBegunBeforeEndOfDrainIsAnswered(t *testing.T) {
--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -32,6 +32,8 @@
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
+	// limit is the limit of the last call of closeIdle.
+	limit time.Duration
 }
 
 // conn is a connection of a client.
@@ -47,6 +49,9 @@
 	kept bool
 	// idleSince is the time at which the connection was opened or became idle.
 	idleSince time.Time
+	// idleLimit is the limit that was in force when it became idle. A client may not
+	// know of a shorter one yet.
+	idleLimit time.Duration
 	// closed is true if the connection was closed for being idle.
 	closed bool
 }
@@ -75,7 +80,7 @@
 	defer s.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.busy, c.kept, c.idleSince = false, true, s.clock.Now()
+		c.busy, c.kept, c.idleSince, c.idleLimit = false, true, s.clock.Now(), s.limit
 	case http.StateActive:
 		c.busy = true
 	case http.StateClosed, http.StateHijacked:
@@ -84,13 +89,14 @@
 }
 
 // closeIdle closes connections that have been idle for longer than limit since their
-// last request.
+// last request, and for longer than the limit at that time.
 func (s *conns) closeIdle(limit time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.limit = limit
 	now := s.clock.Now()
 	for c := range s.open {
-		if c.kept && now.Sub(c.idleSince) > limit {
+		if c.kept && now.Sub(c.idleSince) > max(limit, c.idleLimit) {
 			c.closeQuiet()
 		}
 	}
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -95,7 +95,9 @@
 // URL returns the base URL of the server.
 func (s *Server) URL() string { return s.scheme + "://" + s.Addr() }
 
-// CloseIdle closes connections that have carried no request for longer than limit.
+// CloseIdle closes connections that have carried no request for longer than limit. It
+// is to be called periodically. A lower limit than before holds for a connection from
+// its next response on.
 func (s *Server) CloseIdle(limit time.Duration) { s.conns.closeIdle(limit) }
 
 // Drain stops listening and waits until no connection carries a request, or until ctx
