--- a/internal/app/site_conns_test.go
+++ b/internal/app/site_conns_test.go
@@ -109,6 +109,21 @@
 	})
 }
 
+// TestIdleTimeoutAboveDefaultHolds keeps a connection for longer than the limit without
+// a configuration.
+func TestIdleTimeoutAboveDefaultHolds(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.publishIdle(2, "plain", 2*time.Minute)
+		b.wait(2 * time.Second)
+		c := b.connect("1")
+		must.Eq(t, 404, c.ask().status)
+		b.wait(96 * time.Second)
+		a := c.ask()
+		must.NoError(t, a.err)
+		must.Eq(t, 404, a.status)
+	})
+}
+
 // TestRequestBegunBeforeEndOfDrainIsAnswered sends the rest of a request when the
 // drained router no longer listens.
 func TestRequestBegunBeforeEndOfDrainIsAnswered(t *testing.T) {
