Report the progress of requests in the stand-in engine's queue

A request that waited in the queue of an engine for longer than a quarter of deadlines.progress, 0.5 s by default, was canceled as silent and ended as "unavailable, unknown": asked for its progress, the stand-in answered 404 until the request had left the queue.

TestRequestInQueueOfEngineIsNotCut queues a request for 3 x progress; before: "target went silent (unavailable, unknown)".

--- a/internal/standin/engined/chat.go
+++ b/internal/standin/engined/chat.go
@@ -74,9 +74,11 @@
 	}
 	if s.batch.mustWait() {
 		waiting := s.batch.enqueue(priority)
+		s.activate(g)
 		s.noteLoad()
 		s.mu.Unlock()
 		if !s.wait(r, waiting) {
+			s.drop(g)
 			return false
 		}
 		s.mu.Lock()
@@ -88,6 +90,7 @@
 	if !g.run.Refused {
 		return true
 	}
+	s.deactivate(g)
 	s.leave(g)
 	http.Error(w, "engine is overloaded", http.StatusServiceUnavailable)
 	return false
--- a/internal/standin/engined/generation.go
+++ b/internal/standin/engined/generation.go
@@ -61,9 +61,7 @@
 	g.run.Refused = s.batch.overloaded()
 	if !g.run.Refused {
 		g.run.CachedTokens = s.store(g.key, g.prompt)
-		if g.run.RequestID != "" {
-			s.active[g.run.RequestID] = g
-		}
+		s.activate(g)
 	}
 	s.noteLoad()
 }
@@ -121,6 +119,19 @@
 	g.cancel()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.deactivate(g)
+}
+
+// activate makes the engine report the progress of a request. The caller holds the
+// lock.
+func (s *Server) activate(g *generation) {
+	if g.run.RequestID != "" {
+		s.active[g.run.RequestID] = g
+	}
+}
+
+// deactivate ends the reports. The caller holds the lock.
+func (s *Server) deactivate(g *generation) {
 	if s.active[g.run.RequestID] == g {
 		delete(s.active, g.run.RequestID)
 	}
--- a/internal/target/engine/silence_test.go
+++ b/internal/target/engine/silence_test.go
@@ -77,3 +77,19 @@
 		must.Eq(t, wanted("hello"), words(out.Body()))
 	})
 }
+
+// TestRequestInQueueOfEngineIsNotCut lets a request wait in the queue of an engine for
+// longer than the progress time.
+func TestRequestInQueueOfEngineIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, _, client := serveOn(t, kerneltest.NewNetwork(), engined.Options{Slots: 1, Queue: 4, Prefill: 3 * progress},
+			engine.WithProgress(kernel.SystemClock{}, progress))
+		done := make(chan error, 2)
+		for _, id := range []string{"r1", "r2"} {
+			go func() { done <- client.Run(t.Context(), chat(id, "hello", true), new(standintest.Answer)) }()
+			synctest.Wait()
+		}
+		must.NoError(t, <-done)
+		must.NoError(t, <-done)
+	})
+}
