Take the bytes of a large frame for a sign of life

A request with a large body to the owner of its target on another VM ended as "connection to the router was lost (unavailable, unknown)" while it was still arriving. The sender's probe waits behind its own frame, and the receiver counted whole frames only: with 4 MiB at 1 MiB/s nothing was heard for 4 s, the connection was suspected after 0.5 s, replaced and closed. Requests that may run once only were lost to the caller; others were sent again, over the same link.

The receiver now counts bytes, and sends a ping now and then while a frame is arriving for longer than half the ping time, which the sender takes as the sign of life that it lacks. The entry in KNOWN-RED stays open for the remaining failure, a call that is refused as not run because a late probe has replaced its connection.

--- a/internal/service/peer/conn.go
+++ b/internal/service/peer/conn.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
@@ -17,12 +18,29 @@
 	writeBytes  = 64 << 10
 )
 
+// timedConn is a connection that records when bytes arrive.
+type timedConn struct {
+	net.Conn
+	clock kernel.Clock
+	// arrived is the time of the last bytes in nanoseconds, zero for never.
+	arrived atomic.Int64
+}
+
+// Read reads from the connection.
+func (c *timedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.arrived.Store(c.clock.Now().UnixNano())
+	}
+	return n, err
+}
+
 // conn is one connection to another router, after the hello.
 //
 // Control messages, queries and pings are sent ahead of the frames of calls.
 type conn struct {
 	host   *Service
-	raw    net.Conn
+	raw    *timedConn
 	remote wire.Hello
 	vm     fleet.VM
 	number uint64
@@ -35,7 +53,8 @@
 	bulk   chan *item
 	done   chan struct{}
 
-	// Times in nanoseconds of the process clock, zero for never.
+	// Times in nanoseconds of the process clock, zero for never. received is that of
+	// the last whole frame.
 	received atomic.Int64
 	sent     atomic.Int64
 	pinged   atomic.Int64
@@ -54,7 +73,7 @@
 	replayed  wire.ReplayWindow
 }
 
-func newConn(host *Service, raw net.Conn, remote wire.Hello, dialedHere bool) *conn {
+func newConn(host *Service, raw *timedConn, remote wire.Hello, dialedHere bool) *conn {
 	c := &conn{
 		host:       host,
 		raw:        raw,
--- a/internal/service/peer/hello.go
+++ b/internal/service/peer/hello.go
@@ -40,7 +40,8 @@
 		return
 	}
 	stop := s.clock.AfterFunc(s.settings.DialTimeout.Std(), func() { _ = secure.Close() })
-	in := wire.NewReader(secure, s.settings.MaxFrameBytes)
+	timed := &timedConn{Conn: secure, clock: s.clock}
+	in := wire.NewReader(timed, s.settings.MaxFrameBytes)
 	remote, err := s.readHello(in, secure)
 	if err != nil {
 		s.sayWhy(secure, err)
@@ -50,7 +51,7 @@
 		s.logger.WithField("address", raw.RemoteAddr()).WithError(err).Warn("Connection refused.")
 		return
 	}
-	c := newConn(s, secure, remote, false)
+	c := newConn(s, timed, remote, false)
 	c.number, c.previous = remote.Connection, remote.Previous
 	err = s.writeHello(secure, s.hello(remote.Connection, remote.Previous))
 	if !stop() || err != nil {
@@ -114,7 +115,8 @@
 	if err := s.writeHello(secure, s.hello(number, previous)); err != nil {
 		return nil, nil, errorf("hello to %s: %w", vm, err)
 	}
-	in := wire.NewReader(secure, s.settings.MaxFrameBytes)
+	timed := &timedConn{Conn: secure, clock: s.clock}
+	in := wire.NewReader(timed, s.settings.MaxFrameBytes)
 	remote, err := s.readHello(in, secure)
 	if err != nil {
 		return nil, nil, errorf("hello of %s: %w", vm, err)
@@ -122,7 +124,7 @@
 	if fleet.VM(remote.VM) != vm {
 		return nil, nil, errorf("hello of %s: it says that it is %q", vm, remote.VM)
 	}
-	c := newConn(s, secure, remote, true)
+	c := newConn(s, timed, remote, true)
 	c.number, c.previous = number, previous
 	return c, in, nil
 }
--- a/internal/service/peer/silence.go
+++ b/internal/service/peer/silence.go
@@ -12,6 +12,9 @@
 // when the silence lasts too long.
 func (c *conn) tick(now time.Time) {
 	at := now.UnixNano()
+	if c.midFrame(at) {
+		return
+	}
 	if p := c.pinged.Load(); p != 0 {
 		c.judge(time.Duration(at - p))
 		return
@@ -29,6 +32,22 @@
 	}
 }
 
+// midFrame reports whether a frame has been arriving for a while. Its bytes show that the
+// other router is alive. That one hears nothing all the while, since its own probes and
+// whatever this router would answer wait behind the frame: it is sent a ping now and
+// then.
+func (c *conn) midFrame(at int64) bool {
+	arrived, limit := c.raw.arrived.Load(), int64(c.host.settings.Ping)/2
+	if arrived <= c.received.Load() || at-arrived > limit {
+		return false
+	}
+	c.pinged.Store(0)
+	if at-c.received.Load() > limit && at-c.sent.Load() > limit/2 {
+		c.offerFrame(&wire.Frame{Type: wire.TypePing}, KindTransport)
+	}
+	return true
+}
+
 // judge decides on a connection whose probe has been unanswered for a time.
 func (c *conn) judge(unanswered time.Duration) {
 	limit := c.host.settings.Silence.Std()
