Let a replaced connection between routers answer its probe

A response that came by way of another router was cut after a stall of the link of 0.8 s, though peer.silence allows 1.5 s ("connection to the router was lost (unavailable, unknown)"). A probe without an answer for 0.25 s opens a second connection, and as soon as that worked the first was given up if its probe had been unanswered for 0.5 s. After a stall, or a pause of the other router, the hello on the new connection and the answer on the old one arrive at the same moment, and the order in which they were read decided. Requests that may run once only were lost; others ran again.

A replaced connection now has the time of one probe (peer.suspect) from the replacement on: enough to show that it works as the other one does. A silent one is still given up within the bound of TestSilentConnectionIsNoticedAndReplaced.

--- a/internal/service/peer/links.go
+++ b/internal/service/peer/links.go
@@ -32,6 +32,8 @@
 	listed        bool
 	unlistedSince time.Time
 	current       *conn
+	// currentSince is the time at which current was taken on.
+	currentSince time.Time
 	// last is the number of the last connection to the router.
 	last        uint64
 	incarnation uint64
@@ -174,7 +176,7 @@
 	l.conns[c] = struct{}{}
 	old := k.current
 	if old == nil || newer || prefer(old.origin(), c.origin()) {
-		k.current, k.last = c, c.number
+		k.current, k.currentSince, k.last = c, l.host.clock.Now(), c.number
 		k.notify()
 		return old, nil
 	}
@@ -220,12 +222,16 @@
 	l.host.background(func() { l.dial(vm, address, previous) })
 }
 
-// replaced reports whether another connection to the router of c is in use.
-func (l *links) replaced(c *conn) bool {
+// replaced reports whether another connection to the router of c is in use, and since
+// when.
+func (l *links) replaced(c *conn) (since time.Time, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := l.byVM[c.vm]
-	return k != nil && k.current != nil && k.current != c
+	if k == nil || k.current == nil || k.current == c {
+		return time.Time{}, false
+	}
+	return k.currentSince, true
 }
 
 // all returns the connections that have not ended.
--- a/internal/service/peer/silence.go
+++ b/internal/service/peer/silence.go
@@ -16,7 +16,7 @@
 		return
 	}
 	if p := c.pinged.Load(); p != 0 {
-		c.judge(time.Duration(at - p))
+		c.judge(now, time.Duration(at-p))
 		return
 	}
 	opened, served := c.streams()
@@ -48,18 +48,20 @@
 	return true
 }
 
-// judge decides on a connection whose probe has been unanswered for a time.
-func (c *conn) judge(unanswered time.Duration) {
-	limit := c.host.settings.Silence.Std()
-	if c.host.links.replaced(c) {
-		limit = min(limit, 2*c.host.settings.Suspect.Std())
+// judge decides on a connection whose probe has been unanswered for a time. One that has
+// been replaced has the time of a probe from then on: after a pause of the link or of
+// the other router, both connections work again at the same moment.
+func (c *conn) judge(now time.Time, unanswered time.Duration) {
+	limit, suspect := c.host.settings.Silence.Std(), c.host.settings.Suspect.Std()
+	if since, ok := c.host.links.replaced(c); ok && now.Sub(since) > suspect {
+		limit = min(limit, 2*suspect)
 	}
 	switch {
 	case unanswered > limit:
 		c.host.metrics.silent.Inc(1)
 		c.host.logger.WithField("peer", c.vm).Warn("Connection went silent.")
 		c.close(errSilent)
-	case unanswered > c.host.settings.Suspect.Std():
+	case unanswered > suspect:
 		c.host.links.suspect(c)
 	}
 }
--- a/internal/service/peer/slowlink_test.go
+++ b/internal/service/peer/slowlink_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,8 @@
 type slowNetwork struct {
 	*kerneltest.Network
 	bytesPerSecond int
+	// stalledUntil is the time in nanoseconds before which nothing arrives.
+	stalledUntil atomic.Int64
 }
 
 func (n *slowNetwork) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
@@ -70,6 +73,7 @@
 				return
 			case p := <-c.queue:
 				time.Sleep(time.Duration(len(p)) * time.Second / time.Duration(n.bytesPerSecond))
+				time.Sleep(time.Until(time.Unix(0, n.stalledUntil.Load())))
 				if _, err := inner.Write(p); err != nil {
 					return
 				}
@@ -110,3 +114,21 @@
 		must.Eq(t, 0, a.count("connections_silent")+b.count("connections_silent"))
 	})
 }
+
+// TestStalledLinkDoesNotCutAnswer holds up all bytes between two routers, also those of
+// new connections, for less than the time after which a connection counts as silent.
+func TestStalledLinkDoesNotCutAnswer(t *testing.T) {
+	for stall := 300 * time.Millisecond; stall < 1400*time.Millisecond; stall += 10 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			t.Cleanup(func() { time.Sleep(2 * time.Second) }) // bytes under way arrive
+			network := &slowNetwork{Network: kerneltest.NewNetwork(), bytesPerSecond: 10 << 20}
+			a := startRouter(t, "a", network, "", nil)
+			b := startRouter(t, "b", network, "", func(s *Service) { s.HandleCall(KindRun, slowly(4*time.Second, 1)) })
+			introduceAll(t, a, b)
+			answer := startCall(t, a)
+			time.Sleep(time.Second)
+			network.stalledUntil.Store(time.Now().Add(stall).UnixNano())
+			must.NoError(t, <-answer, must.Sprint(stall))
+		})
+	}
+}
