End the write time-out of a caller with its write

The product's own interface cut whole responses of plain services: when the end of a response came later than caller.write_timeout (15 s) after its last part, the caller got "unexpected EOF". Each write set a deadline on the connection and none took it back, so that the end of the body, which net/http writes after the handler, failed. Streams were spared by their heartbeats.

TestWriteTimeoutEndsWithItsWrite pauses for 16 s between the only part and the end; before: "unexpected EOF". A deadline now ends with the write that it was set for, and the handler sets one for what net/http writes after it.

--- a/internal/service/callerapi/handler.go
+++ b/internal/service/callerapi/handler.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
@@ -29,6 +30,10 @@
 	})
 	mux.HandleFunc("/", other)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The server writes what is left of a response after the handler has returned.
+		defer func() {
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.settings.WriteTimeout.Std()))
+		}()
 		if strings.HasPrefix(r.URL.Path, servicesPath) {
 			service(w, r)
 			return
--- a/internal/service/callerapi/sink.go
+++ b/internal/service/callerapi/sink.go
@@ -101,7 +101,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.scheduleHeartbeat()
-	return c.controller.Flush()
+	return c.flush(nil)
 }
 
 // Chunk writes a part of the response. Of a streamed response, it writes the events
@@ -149,14 +149,26 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastWrite = c.clock.Now()
+	if err := c.flush(data); err != nil {
+		return fmt.Errorf("write to caller: %w", err)
+	}
+	return nil
+}
+
+// flush writes bytes to the caller, with those that wait, within the setting
+// write_timeout. A deadline that stayed would end later writes of the response. The caller
+// must hold c.mu.
+func (c *callerSink) flush(data []byte) error {
 	_ = c.controller.SetWriteDeadline(time.Now().Add(c.writeTimeout))
-	_, err := c.w.Write(data)
-	if err == nil {
-		err = c.controller.Flush()
+	if len(data) > 0 {
+		if _, err := c.w.Write(data); err != nil {
+			return err
+		}
 	}
-	if err != nil {
-		return fmt.Errorf("write to caller: %w", err)
+	if err := c.controller.Flush(); err != nil {
+		return err
 	}
+	_ = c.controller.SetWriteDeadline(time.Time{})
 	return nil
 }
 
@@ -174,9 +186,7 @@
 		return
 	}
 	if c.clock.Now().Sub(c.lastWrite) >= c.heartbeat {
-		_ = c.controller.SetWriteDeadline(time.Now().Add(c.writeTimeout))
-		_, err := c.w.Write([]byte(": waiting\n\n"))
-		if err != nil || c.controller.Flush() != nil {
+		if c.flush([]byte(": waiting\n\n")) != nil {
 			return
 		}
 	}
