Ask callers of the product's interface to close during a drain

A draining router that serves on until lookups have expired let callers keep their connections, and closed them when the drain ended: a request that crossed the close got no answer. Only what net/http wrote after its own shutdown had begun carried Connection: close.

TestDrainingRouterAsksCallersToClose reads the answers of a request that runs when the drain begins and of one that comes later; before, the first had no Connection header. Both do now, by the state at the time of the head.

--- a/internal/service/callerapi/deadline_test.go
+++ b/internal/service/callerapi/conn_test.go
@@ -34,3 +34,31 @@
 		must.Eq(t, http.StatusNotFound, resp.StatusCode)
 	})
 }
+
+// TestDrainingRouterAsksCallersToClose reads the answers of a router that drains: of a
+// request that ran before, and of one that came later. A caller that keeps the
+// connection would lose its next request at the end of the drain.
+func TestDrainingRouterAsksCallersToClose(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarness(t, kerneltest.NewNetwork(), "")
+		h.router.run = func(ctx context.Context, req *call.Request, sink call.Sink) error {
+			time.Sleep(time.Second)
+			return respondWith("text/event-stream", stream)(ctx, req, sink)
+		}
+		closes := make(chan bool, 2)
+		sendChat := func() {
+			resp, _ := h.send(t, http.MethodPost, chatPath, chatText, nil)
+			closes <- resp.Close
+		}
+		go sendChat()
+		synctest.Wait()
+		drained := make(chan error, 1)
+		go func() { drained <- h.kernel.Drain(context.Background()) }()
+		synctest.Wait()
+		go sendChat()
+		first, second := <-closes, <-closes
+		must.NoError(t, <-drained)
+		must.True(t, first)
+		must.True(t, second)
+	})
+}
--- a/internal/service/callerapi/handler.go
+++ b/internal/service/callerapi/handler.go
@@ -30,6 +30,9 @@
 	})
 	mux.HandleFunc("/", other)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.draining.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		// The server writes what is left of a response after the handler has returned.
 		defer func() {
 			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.settings.WriteTimeout.Std()))
--- a/internal/service/callerapi/sink.go
+++ b/internal/service/callerapi/sink.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/call"
@@ -23,7 +24,9 @@
 	heartbeat    time.Duration
 	writeTimeout time.Duration
 	stream       bool
-	from         answers.Position
+	// draining is true when the caller is to close the connection.
+	draining *atomic.Bool
+	from     answers.Position
 
 	// started is true once the head has been written.
 	started   bool
@@ -48,6 +51,7 @@
 		heartbeat:    s.settings.Heartbeat.Std(),
 		writeTimeout: s.settings.WriteTimeout.Std(),
 		stream:       x.stream,
+		draining:     &s.draining,
 		from:         x.from,
 	}
 }
@@ -94,6 +98,9 @@
 		c.w.Header().Del("Content-Length")
 		c.w.Header().Set("Cache-Control", "no-store")
 	}
+	if c.draining.Load() {
+		c.w.Header().Set("Connection", "close")
+	}
 	c.w.WriteHeader(h.Status)
 	if c.events == nil {
 		return nil
