Keep a silent send until the hedge has something to pass on

Callers got 502 though their target was sound and only silent for a second or so: a hedge took over with the head of its response, the silent send was ended, and then the hedge's response broke off. With the attempts used up nothing was left to wait for.

A head does not secure a response; a target may send it and break off.

Change: the hedge's response is read ahead up to the first event of a stream, or as far as other responses are buffered. If it breaks off before, the hedge has failed and the silent send goes on. The silent target may still come first meanwhile. The time after which silent sends are given up ends with the hedge's head, as before.

TestSilentTargetOutlastsABrokenHedge failed before (502 instead of 200, both cases) and passes now. A stream that the hedge breaks off after its first event is still cut if no attempt is left.

--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -1,7 +1,10 @@
 package forward
 
 import (
+	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -11,6 +14,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/core/attempt"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
+	"github.com/zinniafork/zinniafork/internal/core/routing"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 )
 
@@ -133,9 +137,9 @@
 		}
 		s.open(ctx)
 		stop := r.s.clock.AfterFunc(hedgeTimeoutFactor*r.firstByteTimeout(), func() { r.giveUp(silent, s) })
-		usable := r.respondsUsably(s)
+		responded := r.respondsUsably(s)
 		stop()
-		if usable {
+		if responded && r.readAhead(s) {
 			return s
 		}
 		s.cancel(nil)
@@ -167,7 +171,8 @@
 	return s
 }
 
-// respondsUsably sends the request and reports whether its response can be passed on.
+// respondsUsably sends the request and reports whether the head of its response can be
+// passed on.
 // If not, it records how the send ended.
 func (r *request) respondsUsably(s *send) bool {
 	resp, err := r.roundTrip(s)
@@ -191,13 +196,65 @@
 		return true
 	}
 	r.s.sendEnded(r.s.clock.Now(), s.target(), outcome, observed)
+	r.hedgeFailed(s, result, err)
+	return false
+}
+
+// readAhead reads a hedge's response up to its first event, or the buffered part of
+// one that is no stream, and reports whether it got that far: until then the response
+// may break off, and the silent send is still needed.
+func (r *request) readAhead(s *send) bool {
+	body := s.resp.Body
+	read, err := readStart(body, r.route.Kind == routing.Stream)
+	if err != nil {
+		_ = body.Close()
+		r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.Failed, !canceled(s.ctx))
+		r.hedgeFailed(s, attempt.Unknown, err)
+		return false
+	}
+	s.resp.Body = &startedBody{Reader: io.MultiReader(bytes.NewReader(read), body), Closer: body}
+	return true
+}
+
+// startedBody is the body of a response whose start was read ahead.
+type startedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// readStart reads a body up to the end of the first event of a stream, otherwise up to
+// maxBufferedBytes.
+func readStart(body io.Reader, stream bool) ([]byte, error) {
+	var read []byte
+	buf := make([]byte, readBufferBytes)
+	for len(read) < maxBufferedBytes {
+		n, err := body.Read(buf)
+		read = append(read, buf[:n]...)
+		switch {
+		case stream && bytes.Contains(read, eventDelimiter):
+			return read, nil
+		case errors.Is(err, io.EOF) && stream && len(bytes.TrimSpace(read)) > 0:
+			return nil, io.ErrUnexpectedEOF
+		case errors.Is(err, io.EOF):
+			return read, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+	if stream {
+		return nil, errTooLong
+	}
+	return read, nil
+}
+
+// hedgeFailed records and logs the end of a hedge that is not used.
+func (r *request) hedgeFailed(s *send, result attempt.Outcome, err error) {
 	r.mu.Lock()
 	r.machine.HedgeEnded(result)
 	r.mu.Unlock()
 	r.s.logger.WithFields(logrus.Fields{
 		"request": r.ID, "target": s.target(), "sent": result.String(), "ended_by": endedBy(s.ctx),
 	}).WithError(err).Info("Hedge ended without a usable response.")
-	return false
 }
 
 // giveUp ends sends to silent targets, unless their response has begun.
