Do not hedge a long response that is being passed on

A response of 256 KB or more that is no stream is passed on while it is read, and its silence timer is stopped then. A timer that had fired just before still started a hedge; once that one responded, the first response was ended and the other one would have been written behind the bytes that the caller had. Seen by reading and in the test, not in a run.

Change: only a stream is hedged once it has begun.

TestLateSilenceDoesNotReplaceAResponse failed before (a hedge was sent and took over) and passes now, 3 times with the race detector.

--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -107,7 +107,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	h.cancel = cancel
 	r.mu.Lock()
-	if r.hedge != nil || s.ctx.Err() != nil {
+	// The timer may have fired just before it was stopped. Only a stream can be replaced
+	// once it has begun.
+	begun := r.headSent && r.route.Kind != routing.Stream
+	if begun || r.hedge != nil || s.ctx.Err() != nil {
 		r.mu.Unlock()
 		cancel()
 		return
