Pass nothing on of a send that was given up

A request is given up when its hedge is silent too, unless its response has begun. If that happened between the read of the first event and its being passed on, the event was passed on although the connection had just been closed: the caller got a response cut after its first event instead of a 502 or a further send.

Change: events of a send that was given up are not passed on; the request ends as others that are given up. The error in the log is the reason for which the send ended.

--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -337,11 +337,14 @@
 }
 
 // progress records that the current send has brought events, which ends its hedge. It
-// returns false if the hedge has already taken over: its response goes on after the
-// events before these.
+// returns false if the send was given up or the hedge has already taken over: its
+// response goes on after the events before these.
 func (r *request) progress(events []byte) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if errors.Is(context.Cause(r.cur.ctx), errSilent) {
+		return false
+	}
 	if h := r.hedge; h != nil {
 		if h.won {
 			return false
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -108,7 +108,7 @@
 // read.
 func (r *request) forwardLong(s *send, head []byte) attempt.Action {
 	if !r.progress(nil) {
-		return r.responseBroken(s, errReplaced, attempt.Unknown)
+		return r.responseBroken(s, context.Cause(s.ctx), attempt.Unknown)
 	}
 	r.reply.WriteHead(s.resp)
 	err := r.reply.Write(head)
@@ -182,7 +182,7 @@
 			if complete >= len(eventDelimiter) {
 				first := !r.headSent
 				if !r.progress(pending[:complete]) {
-					return r.responseBroken(s, errReplaced, attempt.Broken)
+					return r.responseBroken(s, context.Cause(s.ctx), attempt.Broken)
 				}
 				timer.reset(streamIdleTimeout)
 				if writeErr := r.forwardEvents(s, pending[:complete], first); writeErr != nil {
