Ask the retry budget before a hedge chooses its target

Callers got a stream cut in the middle though another target was free: "choose target: all available targets are excluded".

Cause: a hedge chose its target first and asked the retry budget afterwards. Where the budget denied it, every 1.2 s of silence left a target marked as tried that never got the request. When the silent send then broke off, there was nowhere to resume the stream. The choice was also recorded with the balancer, which took the target for a holder of the prompt's cache, and with the rate of cold targets.

Change: the budget is asked before the choice, and a target that is not used after all is not marked.

TestDeniedHedgeLeavesItsTarget and TestDeniedHedgeDoesNotCutTheStream failed before (the latter 3 of 3 times, unexpected EOF) and pass now, 3 and 5 times with the race detector.

--- a/internal/app/site_hedge_test.go
+++ b/internal/app/site_hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -25,3 +26,26 @@
 		})
 	}
 }
+
+// TestDeniedHedgeDoesNotCutTheStream lets the retry budget deny a hedge and then break
+// the stream off: it is resumed at the target that the hedge did not reach.
+func TestDeniedHedgeDoesNotCutTheStream(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.replaceTargets(64)
+		b.fault(workerd.FaultPause)
+		for range 30 {
+			must.Eq(t, 503, b.call("1", "chat").status)
+		}
+		b.fault(workerd.FaultSilentCut)
+		done := make(chan answer, 1)
+		go func() { done <- b.call("1", "chat") }()
+		b.wait(1350 * time.Millisecond) // the hedge has been denied
+		b.fault(workerd.FaultNone)
+		for range 20 {
+			go b.call("1", "chat")
+		}
+		a := <-done
+		must.NoError(t, a.err)
+		must.Eq(t, wholeStream(6), a.body)
+	})
+}
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -64,6 +64,15 @@
 
 // Take reports whether a retry is allowed, and counts it.
 func (w *WindowBudget) Take(now time.Time) bool {
+	if !w.Allows(now) {
+		return false
+	}
+	w.slot(now).retries++
+	return true
+}
+
+// Allows reports whether a retry is allowed.
+func (w *WindowBudget) Allows(now time.Time) bool {
 	current := w.slot(now)
 	requests, retries := 0, 0
 	for _, s := range w.slots {
@@ -73,9 +82,5 @@
 		}
 	}
 	limit := ratioFraction*w.ratio*float64(requests) + slackFraction*w.slack/float64(w.routers)
-	if float64(retries+1) > limit {
-		return false
-	}
-	current.retries++
-	return true
+	return float64(retries+1) <= limit
 }
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -157,7 +157,9 @@
 	r.mu.Lock()
 	allowed := !h.dropped && r.machine.MayHedge(r.remaining())
 	r.mu.Unlock()
-	if !allowed {
+	// A choice is recorded with the target: its load, its cache, its rate while cold. The
+	// budget is therefore asked before.
+	if !allowed || !r.retryAllowed(now) {
 		return nil
 	}
 	s, _ := r.choose(now)
@@ -166,6 +168,9 @@
 	}
 	r.mu.Lock()
 	allowed = !h.dropped && r.machine.StartHedge(now, r.remaining(), r)
+	if !allowed {
+		delete(r.tried, s.target())
+	}
 	r.mu.Unlock()
 	if !allowed {
 		r.s.sendEnded(now, s.target(), outlier.OK, false)
--- a/internal/service/forward/hedge_test.go
+++ b/internal/service/forward/hedge_test.go
@@ -114,3 +114,17 @@
 	must.False(t, r.progress([]byte("id: 1\ndata: 1\n\n")))
 	must.False(t, r.headSent)
 }
+
+// TestDeniedHedgeLeavesItsTarget denies a hedge for lack of budget: the target that
+// it did not reach may still get the request.
+func TestDeniedHedgeLeavesItsTarget(t *testing.T) {
+	f := new(twoTargets)
+	r := sentRequest(&routing.Route{Kind: routing.Stream, Resumable: true, Attempts: 2}, f)
+	for r.Take(time.Now()) {
+		continue
+	}
+	must.Nil(t, r.chooseHedge(new(hedge)))
+	must.MapLen(t, 1, r.tried)
+	s, _ := r.choose(time.Now())
+	must.NotEq(t, "", s.target())
+}
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -110,6 +110,14 @@
 	return r.s.retryBudget(r.service.Name).Take(now)
 }
 
+// retryAllowed reports whether the retry budget of the request's service allows a retry
+// now.
+func (r *request) retryAllowed(now time.Time) bool {
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	return r.s.retryBudget(r.service.Name).Allows(now)
+}
+
 // exchange sends the request to the chosen target and passes the response on.
 func (r *request) exchange(ctx context.Context, s *send) attempt.Action {
 	s.open(ctx)
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -58,6 +58,8 @@
 	FaultSilentHead Fault = "silent_head"
 	// FaultSilentLong falls silent in the middle of a long answer.
 	FaultSilentLong Fault = "silent_long"
+	// FaultSilentCut falls silent in the middle of a stream and then breaks it off.
+	FaultSilentCut Fault = "silent_cut"
 )
 
 // Options shape a worker.
@@ -425,7 +427,10 @@
 // so.
 func (s *Server) breakOff(w http.ResponseWriter, r *http.Request, fault Fault, i int) {
 	switch fault {
-	case FaultCut, FaultLose:
+	case FaultCut, FaultLose, FaultSilentCut:
+		if fault == FaultSilentCut {
+			wait(r, s.opt.Silence)
+		}
 		fmt.Fprintf(w, "id: %d\nda", i)
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
