Let a silent hedge give way to a further target

On a route with three attempts, a stream whose target and hedge both fell silent stayed without events until its caller or the deadline ended it, though a third target was free. Before the hedges, the third one took over.

Cause: only one hedge is under way at a time, and once a response has begun nothing ended a silent one. A request whose first target broke off meanwhile waited for it as well.

Change: after the time at which other requests are given up, the hedge of a response that has begun is ended if attempts, time and budget allow another one. The silent send goes on. Routes with two attempts, as on the sites in use, are not affected.

--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -99,18 +99,27 @@
 
 // publish writes a configuration whose orders go to a service.
 func (b *siteBed) publish(version int, orders string) {
-	b.publishIdle(version, orders, 5*time.Second)
+	b.publishWith(version, orders, 2, 5*time.Second)
 }
 
 // publishIdle writes a configuration with an idle timeout of callers' connections.
 func (b *siteBed) publishIdle(version int, orders string, idle time.Duration) {
+	b.publishWith(version, orders, 2, idle)
+}
+
+// publishAttempts sets the attempts of requests that may be repeated.
+func (b *siteBed) publishAttempts(version int, orders string, attempts int) {
+	b.publishWith(version, orders, attempts, 5*time.Second)
+}
+
+func (b *siteBed) publishWith(version int, orders string, attempts int, idle time.Duration) {
 	b.store.Publish(keyedlog.Config{
 		Version: version,
 		Host:    "a.example",
 		Routes: []keyedlog.Route{
 			{Name: "order", Kind: "unsafe", Service: orders, Attempts: 1},
-			{Name: "status", Kind: "safe", Service: "plain", Attempts: 2},
-			{Name: "chat", Kind: "stream", Service: "llm", Attempts: 2, Resumable: true},
+			{Name: "status", Kind: "safe", Service: "plain", Attempts: attempts},
+			{Name: "chat", Kind: "stream", Service: "llm", Attempts: attempts, Resumable: true},
 			{Name: "draft", Kind: "stream", Service: "llm", Attempts: 1},
 		},
 		Engines:   []string{"llm"},
--- a/internal/app/site_hedge_test.go
+++ b/internal/app/site_hedge_test.go
@@ -49,3 +49,28 @@
 		must.Eq(t, wholeStream(6), a.body)
 	})
 }
+
+// TestSilentHedgeGivesWayToAThirdTarget lets an engine fall silent for good in the middle
+// of a stream, and the next one before its first byte: a third one, which the attempts of
+// the route allow, takes the stream over.
+func TestSilentHedgeGivesWayToAThirdTarget(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		engines := []string{"e1", "e2", "e3"}
+		b.worker("e3", "llm", workerd.Options{})
+		for _, id := range engines {
+			b.restartWorker(id, "llm", workerd.Options{Slots: 64, Events: 6, Work: 20 * time.Millisecond, Silence: time.Minute})
+		}
+		b.publishAttempts(2, "plain", 3)
+		b.wait(4 * time.Second)
+		b.fault(workerd.FaultMute)
+		done := make(chan answer, 1)
+		go func() { done <- b.call("1", "chat") }()
+		b.wait(500 * time.Millisecond)
+		b.fault(workerd.FaultSilentHead)
+		b.wait(time.Second) // the hedge has been sent
+		b.fault(workerd.FaultNone)
+		a := <-done
+		must.NoError(t, a.err)
+		must.Eq(t, wholeStream(6), a.body)
+	})
+}
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -265,15 +265,17 @@
 	}).WithError(err).Info("Hedge ended without a usable response.")
 }
 
-// giveUp ends sends to silent targets, unless their response has begun.
-func (r *request) giveUp(sends ...*send) {
+// giveUp ends the sends of a request whose hedge is silent as well. Once a response has
+// begun, the silent send goes on, and the hedge gives way to another one if there may be
+// one.
+func (r *request) giveUp(silent, hedge *send) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.headSent {
-		return
-	}
-	for _, s := range sends {
-		s.cancel(errSilent)
+	if !r.headSent {
+		silent.cancel(errSilent)
+		hedge.cancel(errSilent)
+	} else if now := r.s.clock.Now(); r.machine.MayHedge(r.remaining()) && r.retryAllowed(now) {
+		hedge.cancel(errSilent)
 	}
 }
 
--- a/internal/service/forward/hedge_test.go
+++ b/internal/service/forward/hedge_test.go
@@ -110,7 +110,7 @@
 // being handled: no part of a response that has been ended is passed on.
 func TestGivenUpSendBringsNothing(t *testing.T) {
 	r := sentRequest(&routing.Route{Kind: routing.Stream, Resumable: true, Attempts: 2}, new(twoTargets))
-	r.giveUp(r.cur)
+	r.giveUp(r.cur, r.cur)
 	must.False(t, r.progress([]byte("id: 1\ndata: 1\n\n")))
 	must.False(t, r.headSent)
 }
