Do not give up a response whose head has arrived

Callers got 502 for a plain response that was arriving: a response below 256 KB is passed on only when it is complete, so that a request with half of it read still counted as one of which the caller has nothing, and was given up when its hedge was silent too.

Change: a request is given up only while no head has arrived from its target.

TestBegunResponseIsNotGivenUp failed before (502 instead of 200, 3 of 3 times) and passes now, 6 times with the race detector.

--- a/internal/app/site_hedge_test.go
+++ b/internal/app/site_hedge_test.go
@@ -74,3 +74,17 @@
 		must.Eq(t, wholeStream(6), a.body)
 	})
 }
+
+// TestBegunResponseIsNotGivenUp lets a plain response pause after its first bytes while
+// the hedge is silent: the caller gets the response.
+func TestBegunResponseIsNotGivenUp(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.replaceTargets(64)
+		holder, other := b.holder("status")
+		b.workers[holder].Set(workerd.FaultSilent)
+		b.workers[other].Set(workerd.FaultMute)
+		a := b.call("1", "status")
+		must.NoError(t, a.err)
+		must.Eq(t, 200, a.status)
+	})
+}
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -265,13 +265,13 @@
 	}).WithError(err).Info("Hedge ended without a usable response.")
 }
 
-// giveUp ends the sends of a request whose hedge is silent as well. Once a response has
-// begun, the silent send goes on, and the hedge gives way to another one if there may be
-// one.
+// giveUp ends the sends of a request whose hedge is silent as well. Once the caller or the
+// router has the head of a response, the silent send goes on, and the hedge gives way to
+// another one if there may be one.
 func (r *request) giveUp(silent, hedge *send) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.headSent {
+	if !r.headSent && silent.resp == nil {
 		silent.cancel(errSilent)
 		hedge.cancel(errSilent)
 	} else if now := r.s.clock.Now(); r.machine.MayHedge(r.remaining()) && r.retryAllowed(now) {
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -33,7 +33,7 @@
 	// ctx ends the send, also while its response is being read.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// resp is the response, nil until its head has been read.
+	// resp is the response, nil until its head has been read. It is set under request.mu.
 	resp *Response
 }
 
@@ -145,7 +145,9 @@
 	if err != nil {
 		return nil, err
 	}
+	r.mu.Lock()
 	s.resp = resp
+	r.mu.Unlock()
 	r.takeReport(s)
 	return resp, nil
 }
