Stop a replaced target while its hedge is being read ahead

Since a hedge is read ahead to its first event, the silent target could stay at work beside it for as long as that event took: two targets at work on one stream, which the platform bears for 400 ms.

Change: the silent send of a stream ends 250 ms after the head of the hedge's response has arrived, if the response has not taken over by then. Events of a send that was ended so are not passed on. A silent send is recorded with the load limit once, not each 1.2 s.

TestTwoTargetsDoNotWorkOnAStream failed before (1.52 s beside each other) and passes now; the tests of silence, hedges and resumed streams pass 3 times with the race detector.

--- a/internal/app/site_hedge_test.go
+++ b/internal/app/site_hedge_test.go
@@ -88,3 +88,21 @@
 		must.Eq(t, 200, a.status)
 	})
 }
+
+// TestTwoTargetsDoNotWorkOnAStream lets the hedge of a stream begin its run and fall
+// silent before its first event: the first target is stopped all the same.
+func TestTwoTargetsDoNotWorkOnAStream(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.replaceTargets(64)
+		first, second := b.holder("chat")
+		b.workers[first].Set(workerd.FaultMute)
+		b.workers[second].Set(workerd.FaultSilentEvent)
+		a := b.call("1", "chat")
+		must.NoError(t, a.err)
+		must.Eq(t, wholeStream(6), a.body)
+		b.wait(100 * time.Millisecond)
+		former, hedge := b.workers[first].Runs(), b.workers[second].Runs()
+		must.False(t, former[len(former)-1].Ended.IsZero())
+		must.Less(t, 400*time.Millisecond, former[len(former)-1].Ended.Sub(hedge[len(hedge)-1].At))
+	})
+}
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -32,6 +32,10 @@
 	// request whose hedge is silent as well is given up, unless its response has begun:
 	// a retry of the caller's may find a target that responds.
 	hedgeTimeoutFactor = 2
+	// maxHedgeOverlap is the time from the head of a hedge's response to the end of the
+	// silent send of a stream. The platform allows two targets at work on a stream for
+	// 400 ms.
+	maxHedgeOverlap = 250 * time.Millisecond
 )
 
 // silenceTimer starts a hedge when the target of a send has sent nothing for too
@@ -142,7 +146,7 @@
 		stop := r.s.clock.AfterFunc(hedgeTimeoutFactor*r.firstByteTimeout(), func() { r.giveUp(silent, s) })
 		responded := r.respondsUsably(s)
 		stop()
-		if responded && r.readAhead(s) {
+		if responded && r.secured(h, silent, s) {
 			return s
 		}
 		s.cancel(nil)
@@ -180,8 +184,7 @@
 }
 
 // respondsUsably sends the request and reports whether the head of its response can be
-// passed on.
-// If not, it records how the send ended.
+// passed on. If not, it records how the send ended.
 func (r *request) respondsUsably(s *send) bool {
 	resp, err := r.roundTrip(s)
 	result, outcome, observed := attempt.FailedResponse, outlier.Failed, true
@@ -208,6 +211,24 @@
 	return false
 }
 
+// secured reports whether the response of a hedge can replace the silent send.
+func (r *request) secured(h *hedge, silent, s *send) bool {
+	if r.route.Kind == routing.Stream {
+		stop := r.s.clock.AfterFunc(maxHedgeOverlap, func() { r.endOverlap(h, silent) })
+		defer stop()
+	}
+	return r.readAhead(s)
+}
+
+// endOverlap ends the silent send while the hedge is wanted.
+func (r *request) endOverlap(h *hedge, silent *send) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.hedge == h {
+		silent.cancel(errReplaced)
+	}
+}
+
 // readAhead reads a hedge's response up to its first event, or the buffered part of
 // one that is no stream, and reports whether it got that far: until then the response
 // may break off, and the silent send is still needed.
@@ -344,18 +365,15 @@
 }
 
 // progress records that the current send has brought events, which ends its hedge. It
-// returns false if the send was given up or the hedge has already taken over: its
-// response goes on after the events before these.
+// returns false if the send was given up or ended for its hedge, whose response goes on
+// after the events before these.
 func (r *request) progress(events []byte) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if errors.Is(context.Cause(r.cur.ctx), errSilent) {
+	if cause := context.Cause(r.cur.ctx); errors.Is(cause, errSilent) || errors.Is(cause, errReplaced) {
 		return false
 	}
 	if h := r.hedge; h != nil {
-		if h.won {
-			return false
-		}
 		r.hedge = nil
 		h.dropped = true
 		h.cancel()
--- a/internal/service/forward/limit.go
+++ b/internal/service/forward/limit.go
@@ -54,13 +54,14 @@
 	}
 }
 
-// observeSilence records that the engine of a send has not started its response in
+// observeSilence records once that the engine of a send has not started its response in
 // time.
 func (r *request) observeSilence(s *send) {
 	r.mu.Lock()
-	begun := r.headSent
+	known := r.headSent || s.late
+	s.late = true
 	r.mu.Unlock()
-	if !begun {
+	if !known {
 		r.observeLatency(s)
 	}
 }
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -35,6 +35,8 @@
 	cancel context.CancelCauseFunc
 	// resp is the response, nil until its head has been read. It is set under request.mu.
 	resp *Response
+	// late is true once the target was silent for too long. It is guarded by request.mu.
+	late bool
 }
 
 // target returns the ID of the target, empty if none was chosen.
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -58,6 +58,8 @@
 	FaultSilentHead Fault = "silent_head"
 	// FaultSilentLong falls silent in the middle of a long answer.
 	FaultSilentLong Fault = "silent_long"
+	// FaultSilentEvent sends the head of a stream and falls silent before its first event.
+	FaultSilentEvent Fault = "silent_event"
 	// FaultSilentCut falls silent in the middle of a stream and then breaks it off.
 	FaultSilentCut Fault = "silent_cut"
 )
@@ -409,6 +411,10 @@
 	first, _ := strconv.Atoi(run.LastEvent) // zero at the beginning
 	flush := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "text/event-stream")
+	if fault == FaultSilentEvent {
+		_ = flush.Flush()
+		wait(r, s.opt.Silence)
+	}
 	for i := first + 1; i <= s.opt.Events; i++ {
 		if i > first+1 && s.opt.Gap > 0 {
 			wait(r, s.opt.Gap)
