Count a connection as open before the drain looks for the rest

A draining server could find no connection left while its accept loop held one that it had just accepted: the caller got "EOF". The drain now waits for the end of the accept loop before it looks.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -108,6 +108,11 @@
 	if err := s.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("drain server on %s: %w", s.Addr(), err)
 	}
+	select {
+	case <-s.ended: // all accepted connections are tracked now
+	case <-ctx.Done():
+		return fmt.Errorf("drain server on %s: %w", s.Addr(), ctx.Err())
+	}
 	for !s.conns.closeRest() {
 		if err := s.clock.Sleep(ctx, drainCheckPeriod); err != nil {
 			return fmt.Errorf("drain server on %s: %w", s.Addr(), err)
