Take a stream without events and framing as broken off

A target that crashes just after the head of a stream without length and chunks closes its connection, and the router passed an empty stream on as complete: callers saw 200 with no event. The same happened to a stream that was resumed at such a target, which then ended before its last event.

Cause: streamEnded looks only for a part of an event. Where nothing but the close of the connection marks the end, no event at all is no sign of one.

Such a stream now counts as broken: it is sent elsewhere where its route allows it, otherwise its caller gets 502, or a response that looks incomplete. Only a caller that itself asked for the rest of a stream may get none, as before. A framed stream without events stays complete.

Ruled out: a stream cut inside an event and one that was reset, which were handled before.

--- a/internal/app/site_unframed_test.go
+++ b/internal/app/site_unframed_test.go
@@ -29,6 +29,8 @@
 		{"draft", workerd.FaultUnframedReset, 200, true, 1},
 		{"chat", workerd.FaultUnframedCut, 200, true, 2},
 		{"draft", workerd.FaultUnframedCut, 200, true, 1},
+		{"chat", workerd.FaultUnframedEmpty, 502, false, 2},
+		{"draft", workerd.FaultUnframedEmpty, 502, false, 1},
 	} {
 		t.Run(fmt.Sprint(c.route, " ", c.fault), func(t *testing.T) {
 			onSite(t, func(t *testing.T, b *siteBed) {
@@ -63,6 +65,7 @@
 		{"status", workerd.FaultUnframedReset},
 		{"chat", workerd.FaultUnframedReset},
 		{"chat", workerd.FaultUnframedCut},
+		{"chat", workerd.FaultUnframedEmpty},
 	} {
 		t.Run(fmt.Sprint(c.route, " ", c.fault), func(t *testing.T) {
 			onSite(t, func(t *testing.T, b *siteBed) {
@@ -84,8 +87,8 @@
 	}
 }
 
-// TestResumedUnframedStream covers streams that go on after an event that the caller
-// has, and of which nothing may be left.
+// TestResumedUnframedStream covers streams that go on after an event that the caller or
+// the router has, and of which nothing may be left.
 func TestResumedUnframedStream(t *testing.T) {
 	onSite(t, func(t *testing.T, b *siteBed) {
 		b.fault(workerd.FaultUnframed)
@@ -98,4 +101,12 @@
 		must.Eq(t, "", a.body)
 		must.Eq(t, 2, b.runs())
 	})
+	onSite(t, func(t *testing.T, b *siteBed) {
+		first, second := b.holder("chat")
+		b.workers[first].Set(workerd.FaultUnframedCut)
+		b.workers[second].Set(workerd.FaultUnframedEmpty)
+		a := b.call("1", "chat")
+		must.Error(t, a.err, must.Sprint("the engine that was to go on has sent nothing"))
+		must.StrHasPrefix(t, a.body, wholeStream(6))
+	})
 }
--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -84,6 +84,9 @@
 	Body   io.ReadCloser
 	// Length is the length of the body in bytes, negative if unknown.
 	Length int64
+	// Unframed is true when the body has neither a length nor chunks: it ends with its
+	// connection.
+	Unframed bool
 	// NotRun is true when the target states that it did not run the request.
 	NotRun bool
 	// Misdirected is true when the address belongs to another target now.
@@ -96,6 +99,8 @@
 	// this VM, zero for none. Both are set only if the response names the request.
 	Leaving    bool
 	RetryAfter time.Duration
+	// passedOn is true once events of the response were passed on.
+	passedOn bool
 }
 
 // TargetClient sends requests to targets.
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -214,6 +214,7 @@
 		r.firstByte = r.s.clock.Now().Sub(r.Received)
 		r.s.metrics.firstByteSent(r.firstByte)
 	}
+	s.resp.passedOn = true
 	r.noteWrite()
 	return r.reply.Write(events)
 }
@@ -233,6 +234,9 @@
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return r.responseBroken(s, io.ErrUnexpectedEOF, attempt.Broken)
 	}
+	if r.lacksEvents(s.resp) {
+		return r.responseBroken(s, errNoEvents, attempt.Broken)
+	}
 	if !r.headSent {
 		r.dropHedge()
 		r.reply.WriteHead(s.resp)
