Keep a router alive that gets SIGHUP while it drains

A router that was told to stop and got SIGHUP before it had ended died at once.

Cause: reload stopped its notification when the context ended, which is at SIGTERM. Without one, the default action of SIGHUP ends the process. The same held from the start of a process until its services were assembled.

SIGHUP is now handled from the start of Run until the process ends, and the settings are read again while it drains, too.

Ruled out: a second SIGTERM, whose notification stays.

--- a/cmd/zf-router/main.go
+++ b/cmd/zf-router/main.go
@@ -33,6 +33,8 @@
 // Run runs the router until a signal arrives, and then lets running requests
 // end.
 func (c *command) Run(ctx context.Context) error {
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP) // never stopped: the default action ends the process
 	sink := logsink.New(os.Stdout)
 	defer sink.Close()
 	r, err := c.assemble(ctx, sink)
@@ -47,7 +49,7 @@
 		fmt.Println("settings are valid")
 		return nil
 	}
-	go c.reload(ctx, r.logger)
+	go c.reload(hups, r.logger)
 	return r.run(ctx)
 }
 
@@ -113,16 +115,8 @@
 // reload reads the settings again at each SIGHUP and tells whether they are
 // valid. Addresses and names of a running process don't change; what may
 // change while it runs is configuration, which comes from the platform.
-func (c *command) reload(ctx context.Context, logger *logrus.Logger) {
-	hups := make(chan os.Signal, 1)
-	signal.Notify(hups, syscall.SIGHUP)
-	defer signal.Stop(hups)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hups:
-		}
+func (c *command) reload(hups <-chan os.Signal, logger *logrus.Logger) {
+	for range hups {
 		if _, err := settings.Load(c.Settings); err != nil {
 			logger.WithError(err).Warn("process: Changed settings can't be read; the old ones stay.")
 			continue
