Check in the soak that answers of sound workers aren't cut off

The soak played no silence, and looked for answers cut off beside planned stops only.

Workers now fall silent for 0.8 to 2 s, before their first byte or in the middle of an answer, and end answers with their connection: whole, inside an event, with a reset, or after the head. A call that got no answer, or a part of one, breaks a promise if a sound worker had run it. A router process that ends without being told to is a violation as well; it was started again without a word.

The proxies hand resets on as resets. They turned them into orderly ends, and the loss of a piece too, which a router can't tell from the end of an answer without a length.

--- a/internal/lab/soak/bed.go
+++ b/internal/lab/soak/bed.go
@@ -29,6 +29,11 @@
 	drainedDC = "dc1"
 	// pause is the time that workers ask for.
 	pause = 1500 * time.Millisecond
+	// silenceLeast is the shortest silence of a sound worker; the longest of the workers'
+	// is 2 s.
+	silenceLeast = 800 * time.Millisecond
+	silenceStep  = 300 * time.Millisecond
+	silenceSteps = 5
 )
 
 // bed is the store, the workers, the routers and the proxies of one run.
@@ -122,7 +127,10 @@
 
 func (b *bed) addWorker(i int, service string) error {
 	w := &worker{id: fmt.Sprintf("w%d", i), service: service, dc: fmt.Sprintf("dc%d", i%2+1)}
-	w.Server = workerd.New(workerd.Options{ID: w.id, Slots: slots, Events: events, Work: 15 * time.Millisecond, Pause: fmt.Sprint(pause.Seconds())})
+	w.Server = workerd.New(workerd.Options{
+		ID: w.id, Slots: slots, Events: events, Work: 15 * time.Millisecond, Pause: fmt.Sprint(pause.Seconds()),
+		Silence: silenceLeast + time.Duration(i%silenceSteps)*silenceStep,
+	})
 	own := fmt.Sprintf("%s.2:%d", b.net, 7000+i)
 	if err := b.serve(own, w.Handler()); err != nil {
 		return err
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -91,6 +91,52 @@
 	}
 }
 
+// TestCheckerFindsCutAnswers gives the checker calls whose answers were cut off, and
+// what excuses that.
+func TestCheckerFindsCutAnswers(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	at := begin.Add
+	cut := Call{ID: "a", Status: 200, Began: at(0), Ended: at(1500 * time.Millisecond)}
+	silent := workerd.Run{Request: "a", At: at(5 * time.Millisecond), Fault: workerd.FaultSilent}
+	broken := workerd.Run{Request: "a", At: at(5 * time.Millisecond), Fault: workerd.FaultCut}
+	during := func(from, to time.Duration) *spans { return &spans{list: []span{{from: at(from), to: at(to)}}} }
+	for name, c := range map[string]struct {
+		edit   func(*Call)
+		runs   []workerd.Run
+		router *spans
+		link   *spans
+		want   bool
+	}{
+		"cut":               {runs: []workerd.Run{silent}, want: true},
+		"no answer":         {edit: func(c *Call) { c.Status = 0 }, runs: []workerd.Run{silent}, want: true},
+		"broken, then cut":  {runs: []workerd.Run{broken, silent}, want: true},
+		"whole":             {edit: func(c *Call) { c.Whole = true }, runs: []workerd.Run{silent}},
+		"failure":           {edit: func(c *Call) { c.Status, c.Whole = 502, true }, runs: []workerd.Run{silent}},
+		"never run":         {edit: func(c *Call) { c.Status = 0 }},
+		"broken":            {runs: []workerd.Run{broken}},
+		"deadline":          {edit: func(c *Call) { c.Ended = at(clientDeadline) }, runs: []workerd.Run{silent}},
+		"router killed":     {runs: []workerd.Run{silent}, router: &spans{list: []span{{from: at(time.Second)}}}},
+		"killed after":      {runs: []workerd.Run{silent}, router: &spans{list: []span{{from: at(2 * time.Second)}}}, want: true},
+		"paused":            {runs: []workerd.Run{silent}, router: during(-time.Second, time.Millisecond)},
+		"paused before":     {runs: []workerd.Run{silent}, router: during(-time.Second, -time.Millisecond), want: true},
+		"link cut":          {runs: []workerd.Run{silent}, link: during(time.Second, 2*time.Second)},
+		"link cut long ago": {runs: []workerd.Run{silent}, link: during(-time.Second, 0), want: true},
+	} {
+		call, router, link := cut, c.router, c.link
+		if c.edit != nil {
+			c.edit(&call)
+		}
+		if router == nil {
+			router = new(spans)
+		}
+		if link == nil {
+			link = new(spans)
+		}
+		found := checkCuts([]Call{call}, map[int]*spans{0: router}, []workerHistory{{id: "w", runs: c.runs, link: link}})
+		must.Eq(t, c.want, len(found) == 1, must.Sprint(name, found))
+	}
+}
+
 func TestProxyModes(t *testing.T) {
 	must.Len(t, 5, linkModes)
 	total := 0
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -24,7 +24,8 @@
 // workerFaults are what workers do wrong.
 var workerFaults = []workerd.Fault{
 	workerd.FaultFail, workerd.FaultRefuse, workerd.FaultMute, workerd.FaultLose, workerd.FaultCut,
-	workerd.FaultCrossed, workerd.FaultExtra, workerd.FaultUnframed, workerd.FaultForged,
+	workerd.FaultCrossed, workerd.FaultExtra, workerd.FaultForged,
+	workerd.FaultUnframed, workerd.FaultUnframedCut, workerd.FaultUnframedReset, workerd.FaultUnframedEmpty,
 	workerd.FaultCutLong, workerd.FaultPause, workerd.FaultEndlessHead, workerd.FaultEndlessBody, workerd.FaultEndlessRefusal,
 }
 
@@ -50,6 +51,7 @@
 		{"history of the store", 1, forgetHistory},
 		{"return of the store from a copy", 2, restoreStore},
 		{"worker", 4, breakWorker},
+		{"worker falls silent", 4, silenceWorker},
 		{"worker says that it leaves", 2, leaveWorker},
 		{"worker leaves and comes back", 2, bounceWorker},
 		{"configuration", 2, changeConfig},
@@ -165,6 +167,13 @@
 	return fmt.Sprintf("%s: %s", w.id, f), func() { w.Set(workerd.FaultNone) }
 }
 
+// silenceWorker lets a sound worker fall silent in each answer, and go on.
+func silenceWorker(b *bed, random *rand.Rand) (string, func()) {
+	w, f := pick(random, b.workers), pick(random, []workerd.Fault{workerd.FaultSilent, workerd.FaultSilentHead})
+	w.Set(f)
+	return fmt.Sprintf("%s: %s", w.id, f), func() { w.Set(workerd.FaultNone) }
+}
+
 func bounceWorker(b *bed, random *rand.Rand) (string, func()) {
 	w := pick(random, b.workers)
 	b.setLeaving(w, true)
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -27,8 +27,12 @@
 	cmd   *exec.Cmd
 	ended chan struct{}
 	code  int
-	// ending is true once the process was told to end.
-	ending bool
+	// ending is true once the process was told to end, killed once it was killed.
+	ending, killed bool
+	// crashes counts the processes that ended without being told to.
+	crashes int
+	// disturbed holds the times in which the process was paused or killed.
+	disturbed spans
 	// starts are the times at which a process was started.
 	starts []time.Time
 	// restarting keeps two faults from starting a process each.
@@ -75,11 +79,15 @@
 		return fmt.Errorf("start router %d: %w", r.index, err)
 	}
 	ended := make(chan struct{})
-	r.cmd, r.ended, r.ending = cmd, ended, false
+	r.cmd, r.ended, r.ending, r.killed = cmd, ended, false, false
+	r.disturbed.end()
 	go func() {
 		_ = cmd.Wait() // the code tells how it ended
 		r.mu.Lock()
 		r.code = cmd.ProcessState.ExitCode()
+		if !r.ending {
+			r.crashes++
+		}
 		r.mu.Unlock()
 		close(ended)
 	}()
@@ -102,12 +110,24 @@
 		return
 	default:
 	}
+	if s == syscall.SIGSTOP || s == syscall.SIGKILL {
+		r.disturbed.begin()
+	}
 	_ = r.cmd.Process.Signal(s) // it may just have ended
-	if s == syscall.SIGTERM || s == syscall.SIGKILL {
-		r.ending = true
+	r.ending = r.ending || s == syscall.SIGTERM || s == syscall.SIGKILL
+	r.killed = r.killed || s == syscall.SIGKILL
+	if s == syscall.SIGCONT && !r.killed {
+		r.disturbed.end()
 	}
 }
 
+// crashed returns the number of processes that ended without being told to.
+func (r *router) crashed() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashes
+}
+
 // wait waits for the end of the process and returns its exit code, and false
 // when it still runs after the limit.
 func (r *router) wait(limit time.Duration) (int, bool) {
--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -41,6 +42,9 @@
 	mu    sync.Mutex
 	mode  Mode
 	conns map[net.Conn]struct{}
+	// disturbed holds the times in which bytes were lost, held up or refused, or
+	// connections reset.
+	disturbed spans
 }
 
 // newProxy listens on address and hands connections on to another one.
@@ -60,6 +64,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	if m == Pass {
+		p.disturbed.end()
+	} else {
+		p.disturbed.begin()
+	}
 }
 
 func (p *proxy) now() Mode {
@@ -72,14 +81,23 @@
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.mode == Pass {
+		p.disturbed.begin()
+		defer p.disturbed.end()
+	}
 	for c := range p.conns {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // makes the close a reset
-		}
+		resetOnClose(c)
 		_ = c.Close()
 	}
 }
 
+// resetOnClose makes the close of a connection a reset.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a connection that has gone needs none
+	}
+}
+
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.reset()
@@ -105,10 +123,13 @@
 		return
 	}
 	defer p.track(server)()
-	done := make(chan struct{}, 2)
+	done := make(chan bool, 2)
 	go p.pump(server, client, CutUp, done)
 	go p.pump(client, server, CutDown, done)
-	<-done
+	if inOrder := <-done; !inOrder {
+		resetOnClose(server)
+		resetOnClose(client)
+	}
 }
 
 // track notes a connection; the returned function closes and forgets it.
@@ -125,14 +146,17 @@
 }
 
 // pump hands bytes on in one direction, which is lost in mode cut. Once bytes
-// were lost, those that follow on the connection are lost too: TCP has no holes.
-func (p *proxy) pump(to io.Writer, from io.Reader, cut Mode, done chan<- struct{}) {
-	defer func() { done <- struct{}{} }()
+// were lost, those that follow on the connection are lost too: TCP has no holes. It
+// reports whether all bytes came and were handed on: the other side may take nothing
+// else for the end of an answer.
+func (p *proxy) pump(to io.Writer, from io.Reader, cut Mode, done chan<- bool) {
+	lost, ended := false, false
+	defer func() { done <- ended && !lost }()
 	buf := make([]byte, proxyBuffer)
-	lost := false
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
+			ended = errors.Is(err, io.EOF)
 			return
 		}
 		mode := p.now()
--- a/internal/lab/soak/proxy_test.go
+++ b/internal/lab/soak/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"syscall"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -14,7 +15,7 @@
 	p := &proxy{mode: Pass}
 	in, source := net.Pipe()
 	out, sink := net.Pipe()
-	done := make(chan struct{}, 1)
+	done := make(chan bool, 1)
 	go p.pump(sink, in, CutDown, done)
 
 	write := func(s string) {
@@ -38,7 +39,42 @@
 	}()
 	write("d")
 	must.NoError(t, source.Close())
-	<-done
+	must.False(t, <-done, must.Sprint("the end is not that of all bytes"))
 	must.NoError(t, sink.Close())
 	must.Eq(t, "", <-read)
 }
+
+// TestEndsAreHandedOn closes and resets connections behind the proxy: its client must
+// see the same end, since that of an answer without a length is told by it.
+func TestEndsAreHandedOn(t *testing.T) {
+	for name, reset := range map[string]bool{"close": false, "reset": true} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer ln.Close()
+			p, err := newProxy(t.Context(), "127.0.0.1:0", ln.Addr().String())
+			must.NoError(t, err)
+			defer p.close()
+			client, err := net.Dial("tcp", p.listener.Addr().String())
+			must.NoError(t, err)
+			defer client.Close()
+			server, err := ln.Accept()
+			must.NoError(t, err)
+			_, err = io.WriteString(server, "answer")
+			must.NoError(t, err)
+			got := make([]byte, len("answer"))
+			_, err = io.ReadFull(client, got)
+			must.NoError(t, err)
+			if reset {
+				resetOnClose(server)
+			}
+			must.NoError(t, server.Close())
+			_, err = client.Read(got)
+			if reset {
+				must.ErrorIs(t, err, syscall.ECONNRESET)
+			} else {
+				must.ErrorIs(t, err, io.EOF)
+			}
+		})
+	}
+}
--- a/internal/lab/soak/reports.go
+++ b/internal/lab/soak/reports.go
@@ -26,13 +26,15 @@
 	refused []workerd.Refusal
 	// starts are the times at which the worker started, the first one included.
 	starts []time.Time
+	// link holds the times in which the worker could not be reached.
+	link *spans
 }
 
 // history returns what the worker saw so far.
 func (w *worker) history() workerHistory {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return workerHistory{id: w.id, runs: w.Runs(), refused: w.Refused(), starts: slices.Clone(w.starts)}
+	return workerHistory{id: w.id, runs: w.Runs(), refused: w.Refused(), starts: slices.Clone(w.starts), link: &w.link.disturbed}
 }
 
 // arrival is one request at a worker with the router that sent it. Began is the time
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -242,9 +242,19 @@
 		}
 	}
 	r.report.Violations = append(r.report.Violations, check(calls, runs)...)
+	var workers []workerHistory
 	for _, w := range r.bed.workers {
+		workers = append(workers, w.history())
 		r.report.Violations = append(r.report.Violations, checkReports(calls, r.bed.routers, w.history())...)
 	}
+	routers := make(map[int]*spans)
+	for _, one := range r.bed.routers {
+		routers[one.index] = &one.disturbed
+		if n := one.crashed(); n > 0 {
+			r.violation("router %d ended %d times without being told to", one.index, n)
+		}
+	}
+	r.report.Violations = append(r.report.Violations, checkCuts(calls, routers, workers)...)
 	if r.report.Whole == 0 {
 		r.violation("nothing was served")
 	}
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -97,6 +97,8 @@
 	Ended time.Time `json:"ended"`
 	// Leaving is true if the answer said that the worker is leaving.
 	Leaving bool `json:"leaving,omitempty"`
+	// Fault is what went wrong with the run.
+	Fault Fault `json:"fault,omitempty"`
 }
 
 // Refusal is a request that was refused. Pause is true if the answer asked for a pause.
@@ -219,6 +221,7 @@
 		LeftMS:    left,
 		At:        time.Now(),
 		Leaving:   s.fault == FaultLeaving,
+		Fault:     s.fault,
 	}
 	s.runs = append(s.runs, run)
 	return run, s.fault, true
