Excuse in the soak a stream that its second worker broke off

The check now leaves out a stream that a later run had taken over and broke off after events, or whose later run had its link disturbed. A later run that sends no event, such as a refusal, a head without end or a close after the head, still excuses nothing.

A later run that is mute excuses nothing either; its call lasts until the deadline.

--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -107,20 +107,22 @@
 		link   *spans
 		want   bool
 	}{
-		"cut":               {runs: []workerd.Run{silent}, want: true},
-		"no answer":         {edit: func(c *Call) { c.Status = 0 }, runs: []workerd.Run{silent}, want: true},
-		"broken, then cut":  {runs: []workerd.Run{broken, silent}, want: true},
-		"whole":             {edit: func(c *Call) { c.Whole = true }, runs: []workerd.Run{silent}},
-		"failure":           {edit: func(c *Call) { c.Status, c.Whole = 502, true }, runs: []workerd.Run{silent}},
-		"never run":         {edit: func(c *Call) { c.Status = 0 }},
-		"broken":            {runs: []workerd.Run{broken}},
-		"deadline":          {edit: func(c *Call) { c.Ended = at(clientDeadline) }, runs: []workerd.Run{silent}},
-		"router killed":     {runs: []workerd.Run{silent}, router: &spans{list: []span{{from: at(time.Second)}}}},
-		"killed after":      {runs: []workerd.Run{silent}, router: &spans{list: []span{{from: at(2 * time.Second)}}}, want: true},
-		"paused":            {runs: []workerd.Run{silent}, router: during(-time.Second, time.Millisecond)},
-		"paused before":     {runs: []workerd.Run{silent}, router: during(-time.Second, -time.Millisecond), want: true},
-		"link cut":          {runs: []workerd.Run{silent}, link: during(time.Second, 2*time.Second)},
-		"link cut long ago": {runs: []workerd.Run{silent}, link: during(-time.Second, 0), want: true},
+		"cut":                {runs: []workerd.Run{silent}, want: true},
+		"no answer":          {edit: func(c *Call) { c.Status = 0 }, runs: []workerd.Run{silent}, want: true},
+		"broken, then cut":   {runs: []workerd.Run{broken, silent}, want: true},
+		"other sent nothing": {runs: []workerd.Run{silent, {Request: "a", At: at(time.Second), Fault: workerd.FaultEndlessHead}}, want: true},
+		"taken over":         {runs: []workerd.Run{silent, {Request: "a", At: at(time.Second), Fault: workerd.FaultCut}}},
+		"whole":              {edit: func(c *Call) { c.Whole = true }, runs: []workerd.Run{silent}},
+		"failure":            {edit: func(c *Call) { c.Status, c.Whole = 502, true }, runs: []workerd.Run{silent}},
+		"never run":          {edit: func(c *Call) { c.Status = 0 }},
+		"broken":             {runs: []workerd.Run{broken}},
+		"deadline":           {edit: func(c *Call) { c.Ended = at(clientDeadline) }, runs: []workerd.Run{silent}},
+		"router killed":      {runs: []workerd.Run{silent}, router: &spans{list: []span{{from: at(time.Second)}}}},
+		"killed after":       {runs: []workerd.Run{silent}, router: &spans{list: []span{{from: at(2 * time.Second)}}}, want: true},
+		"paused":             {runs: []workerd.Run{silent}, router: during(-time.Second, time.Millisecond)},
+		"paused before":      {runs: []workerd.Run{silent}, router: during(-time.Second, -time.Millisecond), want: true},
+		"link cut":           {runs: []workerd.Run{silent}, link: during(time.Second, 2*time.Second)},
+		"link cut long ago":  {runs: []workerd.Run{silent}, link: during(-time.Second, 0), want: true},
 	} {
 		call, router, link := cut, c.router, c.link
 		if c.edit != nil {
--- a/internal/lab/soak/cuts.go
+++ b/internal/lab/soak/cuts.go
@@ -52,6 +52,28 @@
 	workerd.FaultLeaving: true, workerd.FaultUnframed: true,
 }
 
+// breaksMidway are the faults that break a stream off after events of it. FaultMute isn't
+// one, since nothing but the deadline ends its answer.
+var breaksMidway = map[workerd.Fault]bool{
+	workerd.FaultCut: true, workerd.FaultLose: true, workerd.FaultUnframedCut: true, workerd.FaultUnframedReset: true,
+}
+
+// place is a run and the worker that ran it.
+type place struct {
+	worker *workerHistory
+	run    *workerd.Run
+}
+
+// reachable reports whether the worker could be reached from the start of its run.
+func (p place) reachable(until time.Time) bool { return !p.worker.link.meet(p.run.At, until) }
+
+// tookOver reports whether a later run of a stream may have taken over from p and broke
+// off by itself. No more than one worker may go on with a request, so the earlier one
+// had been stopped by then.
+func (p place) tookOver(later place, until time.Time) bool {
+	return later.run.At.After(p.run.At) && (breaksMidway[later.run.Fault] || !later.reachable(until))
+}
+
 // deadlineSlack is the time before a caller's deadline from which its answer may be cut.
 const deadlineSlack = 200 * time.Millisecond
 
@@ -63,18 +85,14 @@
 //   - the deadline had passed, and nobody waited any more;
 //   - the router was killed or paused meanwhile, so that it wasn't in touch;
 //   - the link to the worker was disturbed meanwhile, so that the worker couldn't be
-//     reached.
+//     reached;
+//   - another worker took a stream over and broke off itself.
 func checkCuts(calls []Call, routers map[int]*spans, workers []workerHistory) []string {
-	type place struct {
-		worker *workerHistory
-		run    *workerd.Run
-	}
-	sound := make(map[string][]place)
+	ran := make(map[string][]place)
 	for i := range workers {
 		for j := range workers[i].runs {
-			if run := &workers[i].runs[j]; soundFaults[run.Fault] {
-				sound[run.Request] = append(sound[run.Request], place{&workers[i], run})
-			}
+			run := &workers[i].runs[j]
+			ran[run.Request] = append(ran[run.Request], place{&workers[i], run})
 		}
 	}
 	var out []string
@@ -84,8 +102,9 @@
 		if answered || c.Ended.Sub(c.Began) > clientDeadline-deadlineSlack || routers[c.Router].meet(c.Began, c.Ended) {
 			continue
 		}
-		for _, p := range sound[c.ID] {
-			if p.worker.link.meet(p.run.At, c.Ended) {
+		for _, p := range ran[c.ID] {
+			broke := func(later place) bool { return p.tookOver(later, c.Ended) }
+			if !soundFaults[p.run.Fault] || !p.reachable(c.Ended) || slices.ContainsFunc(ran[c.ID], broke) {
 				continue
 			}
 			out = append(out, fmt.Sprintf("request %s (%s, router %d, status %d): cut off after %d ms, though sound worker %s (%q) had run it",
