Let signals, restarts and changes in the soak come in series

New rows of the table: SIGTERM, SIGHUP and SIGKILL in a row, two pauses in a row, and a restart between two changes of the configuration with SIGHUP before and while it drains. Every other client stays with one router, on its open connections, until its process has gone.

--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -45,16 +45,24 @@
 func (c *clients) run(ctx context.Context, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	routes := []string{"order", "status", "chat", "draft"}
+	stays := seed%2 == 1 // with one router until its process has gone
 	var addresses []string
 	var asked time.Time
 	for ctx.Err() == nil {
-		if time.Since(asked) > addressTTL || len(addresses) == 0 {
+		if !stays && time.Since(asked) > addressTTL || len(addresses) == 0 {
 			if fresh := c.resolve(random); len(fresh) > 0 {
 				addresses, asked = fresh, time.Now()
 			}
 		}
 		if len(addresses) > 0 {
-			c.call(pick(random, routes), pick(random, addresses))
+			address := pick(random, addresses)
+			last := c.call(pick(random, routes), address)
+			switch {
+			case stays && last.Status == 0:
+				addresses = nil
+			case stays:
+				addresses = []string{address}
+			}
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(2 * clientPause))))
 	}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -43,6 +43,9 @@
 		{"stop all routers in turn", 1, stopInTurn},
 		{"kill all routers", 1, killAll},
 		{"hang up on a router", 1, hangUp},
+		{"stop a router, then kill it", 2, stopThenKill},
+		{"pause a router twice", 2, pauseTwice},
+		{"restart a router beside a change of the configuration", 2, restartBesideChange},
 		{"link to the store", 3, storeLink},
 		{"link between routers", 3, peerLink},
 		{"link to a worker", 3, workerLink},
@@ -115,6 +118,58 @@
 	return fmt.Sprintf("router %d", r.index), func() {}
 }
 
+// seriesPause is the longest time between two signals of a series.
+const seriesPause = 800 * time.Millisecond
+
+// signalSeries sends signals to a router in the background, each a while after the one
+// before, so that other faults fall between. The returned function waits for the last.
+func signalSeries(r *router, random *rand.Rand, signals ...syscall.Signal) (wait func()) {
+	pauses := make([]time.Duration, len(signals))
+	for i := range pauses {
+		pauses[i] = time.Duration(random.Int64N(int64(seriesPause)))
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i, s := range signals {
+			r.signal(s)
+			time.Sleep(pauses[i])
+		}
+	}()
+	return func() { <-done }
+}
+
+func stopThenKill(b *bed, random *rand.Rand) (string, func()) {
+	r := pick(random, b.routers)
+	wait := signalSeries(r, random, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGKILL)
+	return fmt.Sprintf("router %d", r.index), func() {
+		wait()
+		b.restart(r)
+	}
+}
+
+func pauseTwice(b *bed, random *rand.Rand) (string, func()) {
+	r := pick(random, b.routers)
+	wait := signalSeries(r, random, syscall.SIGSTOP, syscall.SIGCONT, syscall.SIGSTOP)
+	return fmt.Sprintf("router %d", r.index), func() {
+		wait()
+		r.signal(syscall.SIGCONT)
+	}
+}
+
+// restartBesideChange stops a router, changes the configuration while it drains, and
+// again while it starts.
+func restartBesideChange(b *bed, random *rand.Rand) (string, func()) {
+	r := pick(random, b.routers)
+	wait := signalSeries(r, random, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP)
+	_, _ = changeConfig(b, random)
+	return fmt.Sprintf("router %d", r.index), func() {
+		wait()
+		b.restart(r)
+		_, _ = changeConfig(b, random)
+	}
+}
+
 func link(p *proxy, random *rand.Rand) (Mode, func()) {
 	mode := pick(random, linkModes)
 	p.set(mode)
