Give the soak addresses for 230 routers

Routers, what others know them by, and their proxies before the store had overlapping ranges of addresses: from 40 routers on, one's own address was another's advertised one. Each router now has one address, with a port for each purpose, and a number beyond 230 is refused.

More than 100 were not run.

--- a/cmd/zf-lab/soak.go
+++ b/cmd/zf-lab/soak.go
@@ -18,7 +18,7 @@
 	Seeds    uint64        `help:"Number of seeds." default:"1"`
 	Parallel int           `help:"Seeds that run at once." default:"1"`
 	Faults   time.Duration `help:"Time during which faults are injected." default:"12s"`
-	Routers  int           `help:"Routers of a site." default:"4"`
+	Routers  int           `help:"Router processes of a site, 230 at most." default:"4"`
 	Clients  int           `help:"Callers at a time." default:"8"`
 	Keep     string        `help:"Directory for settings and logs of one seed." type:"path"`
 }
--- a/internal/lab/soak/bed.go
+++ b/internal/lab/soak/bed.go
@@ -25,6 +25,12 @@
 	host    = "soak.example"
 	account = "acme"
 	key     = "key"
+	// firstRouterHost is the last part of the first router's address, and peerPort the
+	// port under which routers know each other.
+	firstRouterHost = 20
+	peerPort        = 7014
+	// maxRouters is the number of routers for which a loopback network has addresses.
+	maxRouters = 230
 	// drainedDC is the data centre that is drained.
 	drainedDC = "dc1"
 	// pause is the time that workers ask for.
@@ -90,6 +96,9 @@
 		net:   fmt.Sprintf("127.%d.%d", 70+opt.Seed%100, opt.Seed/100%250),
 		ctx:   ctx,
 	}
+	if opt.Routers < 1 || opt.Routers > maxRouters {
+		return b, fmt.Errorf("routers: want 1 to %d, have %d", maxRouters, opt.Routers)
+	}
 	storeAddress := b.net + ".1:7000"
 	if err := b.serve(storeAddress, b.store.Handler()); err != nil {
 		return b, err
@@ -183,18 +192,18 @@
 }
 
 func (b *bed) addRouter(dir string, i int, binary, storeAddress string) error {
-	at := func(net int) string { return fmt.Sprintf("%s.%d", b.net, net+i) }
-	r := &router{index: i, binary: binary, caller: at(20) + ":7001", ready: at(20) + ":7002", directory: at(20) + ":7003"}
-	own, advertised := at(20)+":7004", at(60)+":7004"
+	at := func(port int) string { return fmt.Sprintf("%s.%d:%d", b.net, firstRouterHost+i, port) }
+	r := &router{index: i, binary: binary, caller: at(7001), ready: at(7002), directory: at(7003)}
+	own, advertised, store := at(7004), at(peerPort), at(7016)
 	var err error
 	if r.peer, err = b.proxy(advertised, own); err != nil {
 		return err
 	}
-	if r.store, err = b.proxy(at(100)+":7000", storeAddress); err != nil {
+	if r.store, err = b.proxy(store, storeAddress); err != nil {
 		return err
 	}
-	text := fmt.Sprintf(settingsText, fmt.Sprintf("dc%d", i%2+1), advertised, r.caller, own, b.net+".60:7004",
-		at(100)+":7000", r.ready, r.directory, at(20)+":7005")
+	text := fmt.Sprintf(settingsText, fmt.Sprintf("dc%d", i%2+1), advertised, r.caller, own,
+		fmt.Sprintf("%s.%d:%d", b.net, firstRouterHost, peerPort), store, r.ready, r.directory, at(7005))
 	if err := r.write(dir, text); err != nil {
 		return err
 	}
