Keep prompt parts that crash engines from being sent on

Callers saw: one part of a prompt crashed each engine that began to write an answer on it, and all that these engines ran broke off.

Cause: the query of death. Failures were only held against targets. An engine that crashed was left out, and the next request with the same part went to the next engine, from any router; a request that may be resumed could carry the crash to a second engine by itself. No router saw enough of it, and nothing told what the crashes had in common.

Change: core/quarantine counts, over all routers, the engine processes that broke off a send before its first event, for each shared part of the prompt. From three on, without a response to a request with the part in between, requests with it are refused as not run. Parts that were served lately need one more, so that the parts which sound requests share stay in use. Of the parts of one request only one is quarantined. Digests carry crashes, quarantines and responses that clear a part in new fields; routers that join get the quarantines at once. A request with a part that has crashed two engines is not sent again. Connections that break together count once, and an engine that serves on has not crashed.

--- a/internal/app/site_quarantine_test.go
+++ b/internal/app/site_quarantine_test.go
@@ -126,3 +126,34 @@
 		must.Eq(t, 503, b.callOn("1", "chat", "aa", "dead", "cc").status, must.Sprint("whatever else the prompt holds"))
 	})
 }
+
+// TestRestartedRouterKnowsQuarantinedParts restarts a router after a part was quarantined.
+// It learns of the quarantine from the others, before it sends a request with the part.
+func TestRestartedRouterKnowsQuarantinedParts(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.crashingEngines("dead", false)
+		b.playCrashingPart(10 * time.Second)
+		before := b.crashes()
+		must.Between(t, 3, before, 8)
+		b.stop("2")
+		b.wait(4 * time.Second)
+		b.router("2")
+		b.wait(2 * time.Second)
+		must.Eq(t, 200, b.callOn("2", "chat", "aa", "bb").status)
+		must.Eq(t, 503, b.callOn("2", "chat", "aa", "dead", "bb").status)
+		must.Eq(t, before, b.crashes())
+	})
+}
+
+// TestRequestThatCrashedAnEngineIsNotSentAgain checks that a request is not resumed once
+// a part of its prompt has crashed engines before.
+func TestRequestThatCrashedAnEngineIsNotSentAgain(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.crashingEngines("dead", false)
+		must.Eq(t, 502, b.callOn("1", "chat", "aa", "dead").status)
+		must.Eq(t, 2, b.crashes(), must.Sprint("a single crash shows nothing"))
+		b.wait(time.Second)
+		must.Eq(t, 502, b.callOn("1", "chat", "bb", "dead").status)
+		must.Eq(t, 3, b.crashes())
+	})
+}
--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -88,11 +88,13 @@
 	NoBudget
 	// NoTarget: no target may get the request.
 	NoTarget
+	// Isolated: it may crash the targets that it is sent to.
+	Isolated
 )
 
 // String returns the name of the limit in logs, empty for NoLimit.
 func (l Limit) String() string {
-	return [...]string{"", "not_idempotent", "attempts", "time", "budget", "no_target"}[l]
+	return [...]string{"", "not_idempotent", "attempts", "time", "budget", "no_target", "isolated"}[l]
 }
 
 // maxUndelivered is the number of targets tried for a request of which no byte
@@ -114,6 +116,8 @@
 	mayHaveRun bool
 	// limit is what kept the request from being sent again after its last send.
 	limit Limit
+	// isolated is true once the request must not be sent again.
+	isolated bool
 }
 
 // New returns the state of a request that has not been sent yet.
@@ -129,6 +133,9 @@
 // Limit returns what kept the request from being sent again after its last send.
 func (m *Machine) Limit() Limit { return m.limit }
 
+// Isolate lets no further send of the request start, since it may crash its targets.
+func (m *Machine) Isolate() { m.isolated = true }
+
 // Budget limits retries.
 type Budget interface {
 	// Take reports whether one more retry is allowed, and counts it.
@@ -147,7 +154,8 @@
 //	              budget, else Cut: the response of another run can't go on
 //	              where another kind of response broke off
 //
-// Refuse becomes Fail if an earlier send of the request may have run.
+// Refuse becomes Fail if an earlier send of the request may have run. A request that is
+// isolated is neither retried nor resumed.
 func (m *Machine) SendEnded(now time.Time, s Outcome, left time.Duration, b Budget) Action {
 	m.limit = NoLimit
 	switch s {
@@ -202,6 +210,8 @@
 // its target.
 func (m *Machine) undeliveredLimit(left time.Duration) Limit {
 	switch {
+	case m.isolated:
+		return Isolated
 	case m.undelivered >= maxUndelivered:
 		return NoAttempts
 	case left <= minTimeLeft:
@@ -215,6 +225,8 @@
 // what does not. It takes the retry from the budget.
 func (m *Machine) mayRetry(now time.Time, left time.Duration, b Budget) bool {
 	switch {
+	case m.isolated:
+		m.limit = Isolated
 	case m.sends >= m.route.Attempts:
 		m.limit = NoAttempts
 	case left <= minTimeLeft:
--- a/internal/core/attempt/attempt_test.go
+++ b/internal/core/attempt/attempt_test.go
@@ -114,3 +114,25 @@
 	m = attempt.New(&routing.Route{Kind: routing.Safe, Attempts: 3})
 	must.Eq(t, attempt.Refuse, m.SendEnded(now, attempt.NotSent, time.Millisecond, &b))
 }
+
+// TestIsolatedRequestIsNotSentAgain checks for all kinds of routes and outcomes that a
+// request which may crash its targets ends, and is told as not run only if it is true.
+func TestIsolatedRequestIsNotSentAgain(t *testing.T) {
+	for _, route := range []routing.Route{
+		{Kind: routing.Unsafe, Attempts: 3},
+		{Kind: routing.Safe, Attempts: 3},
+		{Kind: routing.Stream, Attempts: 3, Resumable: true},
+	} {
+		for _, s := range allOutcomes {
+			b := budget(5)
+			m := attempt.New(&route)
+			m.Isolate()
+			action := m.SendEnded(now, s, time.Second, &b)
+			checkInvariants(t, &route, []attempt.Outcome{s}, action)
+			must.NotEq(t, attempt.Retry, action, must.Sprint(s))
+			must.NotEq(t, attempt.Resume, action, must.Sprint(s))
+			must.False(t, m.StartHedge(now, time.Second, &b))
+			must.Eq(t, 5, int(b))
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/quarantine/evidence.go
@@ -0,0 +1,197 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+// Served records the first event of a response, or a complete one, to a request with
+// these parts that was sent to an engine process at a given time. It clears the parts,
+// and shows that the process has not crashed before that time.
+func (t *Tracker) Served(now time.Time, parts []uint64, engine Engine, sentAt time.Time) []Change {
+	for part, r := range t.records {
+		if r.quarantined {
+			continue
+		}
+		r.crashes = slices.DeleteFunc(r.crashes, func(n noted) bool { return n.engine == engine && n.at.Before(sentAt) })
+		if len(r.crashes) == 0 {
+			t.remove(part)
+		}
+	}
+	var changes []Change
+	for _, part := range parts {
+		if t.records[part] != nil {
+			tell(&t.notices.Cleared, part)
+		}
+		changes = append(changes, t.clear(now, part)...)
+	}
+	return changes
+}
+
+// ServedElsewhere records that another router has served a part.
+func (t *Tracker) ServedElsewhere(now time.Time, part uint64) []Change { return t.clear(now, part) }
+
+// clear drops what counts against a part that was served.
+func (t *Tracker) clear(now time.Time, part uint64) []Change {
+	t.served.add(now, part)
+	r := t.records[part]
+	if r == nil {
+		return nil
+	}
+	t.remove(part)
+	if !r.quarantined && len(r.crashes) < isolateCrashes {
+		return nil
+	}
+	return []Change{{Part: part, State: Cleared, Crashes: len(r.crashes)}}
+}
+
+// FamiliarElsewhere records that another router has served a part before it was
+// suspected.
+func (t *Tracker) FamiliarElsewhere(part uint64) {
+	if r := t.records[part]; r != nil {
+		r.familiar = true
+	}
+}
+
+// QuarantinedElsewhere records that a part is in quarantine at another router. If it was
+// served shortly before, the other router is told so instead.
+func (t *Tracker) QuarantinedElsewhere(now time.Time, part uint64) []Change {
+	if t.served.within(now, part, recentService) {
+		tell(&t.notices.Cleared, part)
+		return nil
+	}
+	r := t.record(now, part)
+	if r.quarantined {
+		r.changedAt, r.announcedAt = now, now
+		return nil
+	}
+	t.quarantine(now, r)
+	return []Change{{Part: part, State: Quarantined, Crashes: len(r.crashes)}}
+}
+
+// Refuses reports whether a request with these parts must not be sent, and the part in
+// quarantine. A request may pass as a probe if mayProbe allows it for each such part;
+// only one router should probe a part.
+func (t *Tracker) Refuses(now time.Time, parts []uint64, mayProbe func(part uint64) bool) (uint64, bool) {
+	if t.quarantined == 0 {
+		return 0, false
+	}
+	var refused uint64
+	refuses := false
+	var probes []*record
+	for _, part := range parts {
+		r := t.records[part]
+		if r == nil || !r.quarantined {
+			continue
+		}
+		r.changedAt = now
+		if now.Sub(r.announcedAt) >= announcePeriod {
+			t.announce(now, part, r)
+		}
+		if now.Before(r.probeAt) || !mayProbe(part) {
+			refused, refuses = part, true
+			continue
+		}
+		probes = append(probes, r)
+	}
+	if refuses {
+		return refused, true
+	}
+	for _, r := range probes {
+		r.probeWait = min(2*r.probeWait, maxProbeWait)
+		r.probeAt = now.Add(r.probeWait)
+	}
+	return 0, false
+}
+
+// Isolates reports whether a request with these parts that has crashed an engine must
+// not be sent again. A familiar part does not isolate: it is shared by many requests
+// that are only near a crash.
+func (t *Tracker) Isolates(parts []uint64) bool {
+	return slices.ContainsFunc(parts, func(part uint64) bool {
+		r := t.records[part]
+		return r != nil && (r.quarantined || !r.familiar && len(r.crashes) >= isolateCrashes)
+	})
+}
+
+// Expire ends the quarantine of parts for which no request has come for long, and drops
+// suspicions without a new crash.
+func (t *Tracker) Expire(now time.Time) []Change {
+	if now.Sub(t.expiredAt) < expirePeriod {
+		return nil
+	}
+	t.expiredAt = now
+	t.served.expire(now)
+	var changes []Change
+	for part, r := range t.records {
+		ttl := suspectTTL
+		if r.quarantined {
+			ttl = quarantineTTL
+		}
+		if now.Sub(r.changedAt) < ttl {
+			continue
+		}
+		if r.quarantined {
+			changes = append(changes, Change{Part: part, State: Cleared, Crashes: len(r.crashes)})
+		}
+		t.remove(part)
+	}
+	return changes
+}
+
+const (
+	// memoryGeneration is the length of a generation of served parts. A part is
+	// remembered for one to two generations.
+	memoryGeneration = 5 * time.Minute
+	// maxGeneration is the number of parts in one generation, about 1 MB. A generation
+	// that is full is followed by the next one early.
+	maxGeneration = 32 << 10
+)
+
+// memory remembers when parts were last served, in two generations.
+type memory struct {
+	recent, old map[uint64]time.Time
+	startedAt   time.Time
+}
+
+func newMemory() memory { return memory{recent: make(map[uint64]time.Time)} }
+
+// add records that a part was served.
+func (m *memory) add(now time.Time, part uint64) {
+	if _, ok := m.recent[part]; !ok && len(m.recent) >= maxGeneration {
+		m.turn(now)
+	}
+	m.recent[part] = now
+}
+
+// expire starts a new generation when it is time.
+func (m *memory) expire(now time.Time) {
+	if now.Sub(m.startedAt) >= memoryGeneration {
+		m.turn(now)
+	}
+}
+
+func (m *memory) turn(now time.Time) {
+	m.old, m.recent, m.startedAt = m.recent, make(map[uint64]time.Time), now
+}
+
+// last returns when a part was last served.
+func (m *memory) last(part uint64) (time.Time, bool) {
+	if at, ok := m.recent[part]; ok {
+		return at, true
+	}
+	at, ok := m.old[part]
+	return at, ok
+}
+
+// has reports whether a part was served in the last generations.
+func (m *memory) has(part uint64) bool {
+	_, ok := m.last(part)
+	return ok
+}
+
+// within reports whether a part was served in the given time before now.
+func (m *memory) within(now time.Time, part uint64, d time.Duration) bool {
+	at, ok := m.last(part)
+	return ok && now.Sub(at) < d
+}
--- /dev/null
+++ b/internal/core/quarantine/quarantine.go
@@ -0,0 +1,395 @@
+// Package quarantine finds the parts of prompts that crash engines, and keeps requests
+// with such a part from being sent.
+//
+// It answers a load pattern that failing targets alone do not explain: the query of
+// death. One part of a prompt makes each engine crash that begins to write an answer on
+// it. Judged by its failures, the engine is at fault; it is left out, and the next
+// request with that part crashes the next one, together with all that the engine ran.
+// Each router sees few of these requests, no two are alike, and sound requests share
+// their account, route and other parts. What the crashes have in common is only the
+// part, and only over all routers.
+//
+// A part goes through these states:
+//
+//   - unknown: no crash counts against it. A part that was served in the last minutes
+//     is familiar.
+//   - suspected: sends with it were broken off by an engine before the first event of
+//     their response. A crash counts once for each engine process, and not if the part
+//     was served shortly before: connections also break for other reasons.
+//   - quarantined: minCrashes processes crashed, one more for a familiar part, and it
+//     was not served in between. Requests with it are refused. Of the parts of a request
+//     only one is quarantined, since the others may only have been near it.
+//   - A response to a request with the part clears it in any state. Single requests, as
+//     in the half-open state of a circuit breaker, probe a quarantined part now and
+//     then. The quarantine also ends when no request with the part has come for long.
+//
+// Routers exchange their evidence as Notices. They may be delayed, lost, repeated and
+// out of order: a lost crash only delays the quarantine, which is announced again while
+// requests with the part come.
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/fleet"
+)
+
+const (
+	// minCrashes is the number of engine processes from which a part is quarantined.
+	minCrashes = 3
+	// isolateCrashes is the number from which a request with the part is not repeated.
+	isolateCrashes = 2
+	// sameEvent is the time in which crashes of different engines count once:
+	// connections that break together point to the network or to a VM. It covers the
+	// time between two digests of load.
+	sameEvent = 250 * time.Millisecond
+	// recentService is the time after a response in which crashes do not count against
+	// the parts of its request.
+	recentService = 2 * time.Second
+	// suspectTTL is the time after the last crash for which a part is suspected, and
+	// quarantineTTL the time after the last request for which one is quarantined.
+	suspectTTL    = 10 * time.Minute
+	quarantineTTL = 10 * time.Minute
+	// minProbeWait is the time until the first probe of a part, and familiarProbeWait
+	// that of a familiar one, which many sound requests may share. It doubles with each
+	// probe, up to maxProbeWait.
+	minProbeWait      = 10 * time.Minute
+	familiarProbeWait = time.Minute
+	maxProbeWait      = 4 * time.Hour
+	// announcePeriod is the interval at which a quarantine is announced again while
+	// requests with the part come.
+	announcePeriod = 10 * time.Second
+	// expirePeriod is the interval of checks for what has expired.
+	expirePeriod = time.Second
+	// maxParts is the number of parts of one request that a crash counts against; the
+	// last ones are the most specific.
+	maxParts = 16
+	// maxRecords bounds the parts that are suspected or quarantined, maxEngines the
+	// engine processes that are kept for each, and maxNotices the notices of one kind
+	// between two digests.
+	maxRecords = 1024
+	maxEngines = 8
+	maxNotices = 64
+)
+
+// Engine identifies a process of an engine.
+type Engine struct {
+	Target fleet.Ref
+	// Born holds the low bits of the process's Born value.
+	Born uint32
+}
+
+// Crash is a send that its engine broke off before the first event of the response.
+type Crash struct {
+	Engine Engine
+	// Parts are the hashes of the shared parts of the prompt in their order.
+	Parts []uint64
+}
+
+// Notices are the evidence that routers exchange.
+type Notices struct {
+	Crashes []Crash
+	// Cleared are parts that were served since they were suspected or shortly before,
+	// and Familiar suspected ones that were served some time before.
+	Cleared  []uint64
+	Familiar []uint64
+	// Quarantined are parts in quarantine.
+	Quarantined []uint64
+}
+
+// Merge adds more notices.
+func (n *Notices) Merge(more Notices) {
+	n.Crashes = append(n.Crashes, more.Crashes...)
+	n.Cleared = union(n.Cleared, more.Cleared)
+	n.Familiar = union(n.Familiar, more.Familiar)
+	n.Quarantined = union(n.Quarantined, more.Quarantined)
+}
+
+// union adds the parts to a list that are not in it.
+func union(list, more []uint64) []uint64 {
+	for _, part := range more {
+		if !slices.Contains(list, part) {
+			list = append(list, part)
+		}
+	}
+	return list
+}
+
+// State is the state of a part.
+type State uint8
+
+// States of a part. A part in none of the others is Cleared.
+const (
+	Cleared State = iota
+	Suspected
+	Quarantined
+)
+
+// Change is a part that has reached a state. Suspected is reported from isolateCrashes
+// on, since most parts are near some crash at some time.
+type Change struct {
+	Part  uint64
+	State State
+	// Crashes is the number of engine processes that count against the part.
+	Crashes int
+}
+
+// Tracker keeps the evidence about parts. It is not safe for concurrent use.
+type Tracker struct {
+	records map[uint64]*record
+	served  memory
+	notices Notices
+	// quarantined is the number of records in quarantine.
+	quarantined int
+	expiredAt   time.Time
+}
+
+// record is what is known about a part that is suspected or quarantined.
+type record struct {
+	crashes []noted
+	// familiar is true if the part was served before its first crash, here or, as told
+	// by a notice, at another router. toldFamiliar is true once this router has told so.
+	familiar     bool
+	toldFamiliar bool
+	quarantined  bool
+	// changedAt is the time of the last crash, or in quarantine of the last request.
+	changedAt   time.Time
+	announcedAt time.Time
+	probeAt     time.Time
+	probeWait   time.Duration
+}
+
+// noted is a crash that counts against a part.
+type noted struct {
+	at     time.Time
+	engine Engine
+	// parts are all parts of the request.
+	parts []uint64
+}
+
+// New returns a tracker without evidence.
+func New() *Tracker { return &Tracker{records: make(map[uint64]*record), served: newMemory()} }
+
+// Count returns the number of parts in quarantine.
+func (t *Tracker) Count() int { return t.quarantined }
+
+// TakeNotices returns the notices for the other routers since the last call.
+func (t *Tracker) TakeNotices() Notices {
+	n := t.notices
+	t.notices = Notices{}
+	return n
+}
+
+// Snapshot returns the notices for a router that has just started. Suspicions are not
+// among them: the crashes that it sees are reported to the others, and count there.
+func (t *Tracker) Snapshot() Notices {
+	var n Notices
+	for part, r := range t.records {
+		if r.quarantined {
+			n.Quarantined = append(n.Quarantined, part)
+		}
+	}
+	return n
+}
+
+// Crashed records a crash that this router has seen.
+func (t *Tracker) Crashed(now time.Time, c Crash) []Change {
+	c.Parts = slices.DeleteFunc(lastParts(c.Parts), func(part uint64) bool { return t.served.within(now, part, recentService) })
+	if len(c.Parts) == 0 {
+		return nil
+	}
+	if slices.ContainsFunc(c.Parts, t.inQuarantine) {
+		return nil // explained by that part
+	}
+	if len(t.notices.Crashes) < maxNotices {
+		t.notices.Crashes = append(t.notices.Crashes, c)
+	}
+	return t.crashed(now, c)
+}
+
+// lastParts returns a copy of the last maxParts parts.
+func lastParts(parts []uint64) []uint64 {
+	return slices.Clone(parts[max(0, len(parts)-maxParts):])
+}
+
+// CrashedElsewhere records a crash that another router has seen. It reports whether the
+// crash is news, so that a hub passes it on. If the other router lacks what is known
+// here, a notice tells it.
+func (t *Tracker) CrashedElsewhere(now time.Time, c Crash) (changes []Change, news bool) {
+	var parts []uint64
+	for _, part := range lastParts(c.Parts) {
+		switch r := t.records[part]; {
+		case r != nil && r.quarantined:
+			r.changedAt = now
+			t.announce(now, part, r)
+			return nil, false
+		case t.served.within(now, part, recentService):
+			tell(&t.notices.Cleared, part)
+		default:
+			parts = append(parts, part)
+		}
+	}
+	c.Parts = parts
+	before := t.countCrashes(parts)
+	changes = t.crashed(now, c)
+	for _, part := range parts {
+		if r := t.records[part]; r != nil && r.familiar && !r.toldFamiliar && t.served.has(part) {
+			r.toldFamiliar = true
+			tell(&t.notices.Familiar, part)
+		}
+	}
+	return changes, len(changes) > 0 || t.countCrashes(parts) > before
+}
+
+// tell adds a part to a list of notices that is not full.
+func tell(list *[]uint64, part uint64) {
+	if len(*list) < maxNotices && !slices.Contains(*list, part) {
+		*list = append(*list, part)
+	}
+}
+
+// countCrashes returns the number of crashes that count against any of the parts.
+func (t *Tracker) countCrashes(parts []uint64) int {
+	n := 0
+	for _, part := range parts {
+		if r := t.records[part]; r != nil {
+			n += len(r.crashes)
+		}
+	}
+	return n
+}
+
+func (t *Tracker) inQuarantine(part uint64) bool {
+	r := t.records[part]
+	return r != nil && r.quarantined
+}
+
+// crashed notes a crash against the parts of its request, and quarantines the one to
+// blame.
+func (t *Tracker) crashed(now time.Time, c Crash) []Change {
+	var changes []Change
+	for _, part := range c.Parts {
+		if r := t.record(now, part); r.note(now, c) && len(r.crashes) == isolateCrashes {
+			changes = append(changes, Change{Part: part, State: Suspected, Crashes: len(r.crashes)})
+		}
+	}
+	part, ok := t.blame(c.Parts)
+	if !ok {
+		return changes
+	}
+	r := t.records[part]
+	t.quarantine(now, r)
+	t.announce(now, part, r)
+	changes = append(changes, Change{Part: part, State: Quarantined, Crashes: len(r.crashes)})
+	return append(changes, t.explain(part, r)...)
+}
+
+// record returns the record of a part, and creates it on first use. If there are too
+// many, the one that changed longest ago makes room, a quarantined one only if there is
+// no other.
+func (t *Tracker) record(now time.Time, part uint64) *record {
+	if r, ok := t.records[part]; ok {
+		return r
+	}
+	if len(t.records) >= maxRecords {
+		var oldest uint64
+		var found *record
+		for p, r := range t.records {
+			if found == nil || found.quarantined && !r.quarantined || found.quarantined == r.quarantined && r.changedAt.Before(found.changedAt) {
+				oldest, found = p, r
+			}
+		}
+		t.remove(oldest)
+	}
+	r := &record{familiar: t.served.has(part), changedAt: now}
+	t.records[part] = r
+	return r
+}
+
+// remove drops the record of a part.
+func (t *Tracker) remove(part uint64) {
+	if t.inQuarantine(part) {
+		t.quarantined--
+	}
+	delete(t.records, part)
+}
+
+// note adds a crash and reports whether it counts.
+func (r *record) note(now time.Time, c Crash) bool {
+	known := func(n noted) bool { return n.engine == c.Engine || now.Sub(n.at) < sameEvent }
+	if len(r.crashes) >= maxEngines || slices.ContainsFunc(r.crashes, known) {
+		return false
+	}
+	r.crashes = append(r.crashes, noted{at: now, engine: c.Engine, parts: c.Parts})
+	r.changedAt = now
+	return true
+}
+
+// blame returns the part that explains most crashes, if enough count against it. A part
+// that is not familiar comes first. If several explain the same, it is the last one in
+// the prompt: fewest sound requests have it. If that is wrong, crashes without it go on
+// and count against the others, whose records are kept.
+func (t *Tracker) blame(parts []uint64) (uint64, bool) {
+	var best uint64
+	var most *record
+	for _, part := range parts {
+		r := t.records[part]
+		if r == nil || len(r.crashes) < r.enough() {
+			continue
+		}
+		if most == nil || most.familiar && !r.familiar || most.familiar == r.familiar && len(r.crashes) >= len(most.crashes) {
+			best, most = part, r
+		}
+	}
+	return best, most != nil
+}
+
+// enough returns the number of engine processes from which the part is quarantined.
+func (r *record) enough() int {
+	if r.familiar {
+		return minCrashes + 1
+	}
+	return minCrashes
+}
+
+// quarantine moves a part into quarantine.
+func (t *Tracker) quarantine(now time.Time, r *record) {
+	r.quarantined = true
+	t.quarantined++
+	r.changedAt, r.announcedAt = now, now
+	r.probeWait = minProbeWait
+	if r.familiar {
+		r.probeWait = familiarProbeWait
+	}
+	r.probeAt = now.Add(r.probeWait)
+}
+
+// announce tells the other routers that a part is in quarantine.
+func (t *Tracker) announce(now time.Time, part uint64, r *record) {
+	r.announcedAt = now
+	tell(&t.notices.Quarantined, part)
+}
+
+// explain drops the crashes that a part newly in quarantine explains from the parts that
+// have fewer, and clears quarantined ones that it explains altogether.
+func (t *Tracker) explain(part uint64, by *record) []Change {
+	var changes []Change
+	for other, r := range t.records {
+		if len(r.crashes) == 0 || len(r.crashes) >= len(by.crashes) {
+			continue
+		}
+		left := slices.DeleteFunc(slices.Clone(r.crashes), func(n noted) bool { return slices.Contains(n.parts, part) })
+		switch {
+		case len(left) == 0:
+			if r.quarantined {
+				changes = append(changes, Change{Part: other, State: Cleared, Crashes: len(r.crashes)})
+				tell(&t.notices.Cleared, other)
+			}
+			t.remove(other)
+		case !r.quarantined:
+			r.crashes = left
+		}
+	}
+	return changes
+}
--- a/internal/service/forward/caches.go
+++ b/internal/service/forward/caches.go
@@ -239,14 +239,15 @@
 	return highestRanked(fleet.Target(vm), others) == s.self
 }
 
-// sendCaches sends all known placements to one router.
+// sendCaches sends all known placements, and the prompt parts in quarantine, to one
+// router.
 func (s *Service) sendCaches(to fleet.VM) {
 	s.mu.Lock()
 	now := s.clock.Now()
 	placements := s.balancer.Placements(now)
-	d := newDigest(s.newEncoder("caches"), s.balancer.LocalLoads(now), updates{prompts: placements})
+	d := newDigest(s.newEncoder("caches"), s.balancer.LocalLoads(now), updates{prompts: placements, parts: s.quarantine.Snapshot()})
 	s.mu.Unlock()
-	if len(placements) == 0 {
+	if len(placements)+len(d.Quarantined) == 0 {
 		return
 	}
 	s.sendDigest(d, []fleet.VM{to})
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/binary"
+	"math"
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/loadtable"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
+	"github.com/zinniafork/zinniafork/internal/core/quarantine"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
@@ -27,17 +29,33 @@
 	// Leaving holds pairs of target index and the low 32 bits of the Born value of the
 	// process that said that it is leaving.
 	Leaving []uint32 `msgpack:"l,omitempty"`
+	// Crashes holds the sends that an engine broke off: the index of the target in 2
+	// bytes, the low 32 bits of its Born value in 4, the number of prompt parts in 1
+	// and the hash of each part in 8, all little endian. Cleared, Familiar and
+	// Quarantined hold the hashes of prompt parts.
+	Crashes     []byte   `msgpack:"c,omitempty"`
+	Cleared     []uint64 `msgpack:"f,omitempty"`
+	Familiar    []uint64 `msgpack:"k,omitempty"`
+	Quarantined []uint64 `msgpack:"q,omitempty"`
 }
 
 // placementSize is the length in bytes of one entry of Prompts.
 const placementSize = 10
 
-// updates collects the placements, request outcomes and leaving targets for the next
-// digest.
+// crashHeadSize is the length in bytes of an entry of Crashes without its parts, and
+// partSize that of one part.
+const (
+	crashHeadSize = 7
+	partSize      = 8
+)
+
+// updates collects the placements, request outcomes, leaving targets and notices of
+// prompt parts for the next digest.
 type updates struct {
 	prompts  []balance.Placement
 	outcomes map[fleet.Ref]outlier.Counts
 	leaving  []leavingTarget
+	parts    quarantine.Notices
 }
 
 // leavingTarget is the process of a target that said that it is leaving, identified by
@@ -47,10 +65,11 @@
 	born   uint32
 }
 
-// merge appends placements and leaving targets and adds up outcomes.
+// merge appends placements, leaving targets and notices, and adds up outcomes.
 func (u *updates) merge(more updates) {
 	u.prompts = append(u.prompts, more.prompts...)
 	u.leaving = append(u.leaving, more.leaving...)
+	u.parts.Merge(more.parts)
 	if u.outcomes == nil {
 		u.outcomes = make(map[fleet.Ref]outlier.Counts)
 	}
@@ -88,6 +107,12 @@
 			d.Leaving = append(d.Leaving, uint32(index), l.born)
 		}
 	}
+	for _, c := range u.parts.Crashes {
+		if index, ok := enc.Index(c.Engine.Target); ok {
+			d.Crashes = appendCrash(d.Crashes, index, c)
+		}
+	}
+	d.Cleared, d.Familiar, d.Quarantined = u.parts.Cleared, u.parts.Familiar, u.parts.Quarantined
 	d.Loads = enc.Encode(loads)
 	return d
 }
@@ -128,3 +153,38 @@
 	}
 	return out
 }
+
+// appendCrash appends an entry of Crashes.
+func appendCrash(out []byte, index uint16, c quarantine.Crash) []byte {
+	parts := c.Parts[:min(len(c.Parts), math.MaxUint8)]
+	out = binary.LittleEndian.AppendUint16(out, index)
+	out = binary.LittleEndian.AppendUint32(out, c.Engine.Born)
+	out = append(out, uint8(len(parts)))
+	for _, part := range parts {
+		out = binary.LittleEndian.AppendUint64(out, part)
+	}
+	return out
+}
+
+// parts decodes the notices of prompt parts, given the targets of the table by index.
+// Crashes of unknown targets are ignored, as are those from an incomplete one on.
+func (d *digest) parts(refs []fleet.Ref) quarantine.Notices {
+	n := quarantine.Notices{Cleared: d.Cleared, Familiar: d.Familiar, Quarantined: d.Quarantined}
+	for rest := d.Crashes; len(rest) >= crashHeadSize; {
+		index, count := int(binary.LittleEndian.Uint16(rest)), int(rest[crashHeadSize-1])
+		c := quarantine.Crash{Engine: quarantine.Engine{Born: binary.LittleEndian.Uint32(rest[2:])}}
+		rest = rest[crashHeadSize:]
+		if len(rest) < count*partSize {
+			break
+		}
+		for ; count > 0; count-- {
+			c.Parts = append(c.Parts, binary.LittleEndian.Uint64(rest))
+			rest = rest[partSize:]
+		}
+		if index < len(refs) {
+			c.Engine.Target = refs[index]
+			n.Crashes = append(n.Crashes, c)
+		}
+	}
+	return n
+}
--- a/internal/service/forward/digest_exchange.go
+++ b/internal/service/forward/digest_exchange.go
@@ -103,11 +103,15 @@
 // data centre. It returns nil while no other router is known; pending updates are
 // kept until one is. The caller holds the lock.
 func (s *Service) localDigest(now time.Time, tree *hubs.Tree) *digest {
+	s.logParts(s.quarantine.Expire(now), s.self)
 	loads := s.balancer.LocalLoads(now)
 	if len(tree.ForwardTo("")) == 0 {
 		return nil
 	}
-	u := updates{prompts: s.balancer.TakePlacements(), outcomes: s.outliers.TakeLocalCounts(), leaving: s.leaving}
+	u := updates{
+		prompts: s.balancer.TakePlacements(), outcomes: s.outliers.TakeLocalCounts(), leaving: s.leaving,
+		parts: s.quarantine.TakeNotices(),
+	}
 	s.leaving = nil
 	if !tree.IsHub() {
 		return newDigest(s.encoders.own, loads, u)
@@ -157,9 +161,10 @@
 	} else {
 		s.balancer.SetPeerLoads(now, from, loads)
 	}
-	u := updates{prompts: d.prompts(refs), outcomes: d.outcomes(refs), leaving: d.leaving(refs)}
+	u := updates{prompts: d.prompts(refs), outcomes: d.outcomes(refs), leaving: d.leaving(refs), parts: d.parts(refs)}
 	s.balancer.AddPlacements(now, u.prompts)
 	s.applyLeaving(now, from, u.leaving)
+	u.parts = s.applyNotices(now, from, u.parts)
 	for id, counts := range u.outcomes {
 		if s.outliers.ObserveRemote(now, id, counts) {
 			s.logger.WithField("target", s.targetNames[id]).WithField("from", from).Info("Target ejected after failures.")
--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -99,8 +99,6 @@
 	// this VM, zero for none. Both are set only if the response names the request.
 	Leaving    bool
 	RetryAfter time.Duration
-	// passedOn is true once events of the response were passed on.
-	passedOn bool
 }
 
 // TargetClient sends requests to targets.
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -158,6 +158,9 @@
 // the request may not be sent again.
 func (r *request) chooseHedge(h *hedge) *send {
 	now := r.s.clock.Now()
+	if r.isolated() {
+		return nil
+	}
 	r.mu.Lock()
 	allowed := !h.dropped && r.machine.MayHedge(r.remaining())
 	r.mu.Unlock()
@@ -196,6 +199,7 @@
 			result = attempt.Unknown
 		}
 		observed = !canceled(s.ctx)
+		r.sendBroke(s, r.s.clock.Now(), err)
 	case resp.NotRun || resp.Misdirected:
 		r.discardRefusal(s)
 		result, outcome, observed = notRunOutcome(s)
--- a/internal/service/forward/metrics.go
+++ b/internal/service/forward/metrics.go
@@ -13,6 +13,12 @@
 	running   metrics.Counter
 	firstByte metrics.Histogram
 	total     metrics.Histogram
+	// quarantinedParts is the number of prompt parts in quarantine, quarantineRefused
+	// counts the requests refused for one, and engineCrashes the sends that an engine
+	// broke off before its response began.
+	quarantinedParts  metrics.Counter
+	quarantineRefused metrics.Counter
+	engineCrashes     metrics.Counter
 }
 
 // sampleSize and sampleAlpha weight the histograms towards the last few minutes.
@@ -28,6 +34,10 @@
 		running:   metrics.GetOrRegisterCounter("forward.running", r),
 		firstByte: metrics.GetOrRegisterHistogram("forward.first_byte", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 		total:     metrics.GetOrRegisterHistogram("forward.total", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+
+		quarantinedParts:  metrics.GetOrRegisterCounter("forward.quarantined_parts", r),
+		quarantineRefused: metrics.GetOrRegisterCounter("forward.quarantine_refused", r),
+		engineCrashes:     metrics.GetOrRegisterCounter("forward.engine_crashes", r),
 	}
 }
 
--- /dev/null
+++ b/internal/service/forward/quarantine_test.go
@@ -0,0 +1,102 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/zinniafork/zinniafork/internal/core/loadtable"
+	"github.com/zinniafork/zinniafork/internal/core/quarantine"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/wire"
+)
+
+func drawNotices(t *rapid.T) quarantine.Notices {
+	parts := rapid.SliceOfN(rapid.Uint64(), 1, 20)
+	n := quarantine.Notices{Cleared: parts.Draw(t, "cleared"), Familiar: parts.Draw(t, "familiar"), Quarantined: parts.Draw(t, "quarantined")}
+	for range rapid.IntRange(2, 20).Draw(t, "crashes") {
+		e := quarantine.Engine{Target: fleet.Ref(rapid.Uint32().Draw(t, "target")), Born: rapid.Uint32().Draw(t, "born")}
+		n.Crashes = append(n.Crashes, quarantine.Crash{Engine: e, Parts: parts.Draw(t, "parts")})
+	}
+	return n
+}
+
+// decodeDigest returns a digest that has arrived at another router, with its targets.
+func decodeDigest(t must.T, sent any) (*digest, []fleet.Ref) {
+	payload, err := wire.Marshal(sent)
+	must.NoError(t, err)
+	d := new(digest)
+	must.NoError(t, wire.Unmarshal(payload, d))
+	refs, ok := loadtable.NewDecoder().Targets(&d.Loads)
+	must.True(t, ok)
+	return d, refs
+}
+
+func TestDigestCarriesNoticesOfPromptParts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := drawNotices(t)
+		d, refs := decodeDigest(t, newDigest(loadtable.NewEncoder(1), nil, updates{parts: n}))
+		must.Eq(t, n, d.parts(refs))
+		must.SliceEmpty(t, d.parts(nil).Crashes, must.Sprint("crashes of unknown targets"))
+		d.Crashes = d.Crashes[:len(d.Crashes)-rapid.IntRange(1, partSize).Draw(t, "lost bytes")]
+		must.Eq(t, n.Crashes[:len(n.Crashes)-1], d.parts(refs).Crashes, must.Sprint("up to the incomplete one"))
+	})
+}
+
+// digestBefore is the digest of the last release.
+type digestBefore struct {
+	Total    bool              `msgpack:"s,omitempty"`
+	Loads    loadtable.Message `msgpack:"w"`
+	Prompts  []byte            `msgpack:"p,omitempty"`
+	Outcomes []uint32          `msgpack:"o,omitempty"`
+	Leaving  []uint32          `msgpack:"l,omitempty"`
+}
+
+// TestDigestsOfTheLastRelease checks that routers of this release and the last one read
+// each other's digests.
+func TestDigestsOfTheLastRelease(t *testing.T) {
+	n := quarantine.Notices{Cleared: []uint64{1}, Quarantined: []uint64{2}, Crashes: []quarantine.Crash{{Engine: quarantine.Engine{Target: 5}, Parts: []uint64{3}}}}
+	sent := newDigest(loadtable.NewEncoder(1), nil, updates{parts: n, leaving: []leavingTarget{{target: 5, born: 9}}})
+	payload, err := wire.Marshal(sent)
+	must.NoError(t, err)
+	var before digestBefore
+	must.NoError(t, wire.Unmarshal(payload, &before))
+	must.Eq(t, sent.Leaving, before.Leaving)
+	d, refs := decodeDigest(t, &before)
+	must.Eq(t, []leavingTarget{{target: 5, born: 9}}, d.leaving(refs))
+	must.Eq(t, quarantine.Notices{}, d.parts(refs))
+}
+
+// TestHubsMergeNotices checks that a hub passes on each notice, parts only once.
+func TestHubsMergeNotices(t *testing.T) {
+	var u updates
+	crash := quarantine.Crash{Engine: quarantine.Engine{Target: 5}, Parts: []uint64{3}}
+	u.merge(updates{parts: quarantine.Notices{Cleared: []uint64{1}, Crashes: []quarantine.Crash{crash}}})
+	u.merge(updates{parts: quarantine.Notices{Cleared: []uint64{1, 2}, Familiar: []uint64{4}, Quarantined: []uint64{6}, Crashes: []quarantine.Crash{crash}}})
+	must.Eq(t, quarantine.Notices{
+		Cleared: []uint64{1, 2}, Familiar: []uint64{4}, Quarantined: []uint64{6}, Crashes: []quarantine.Crash{crash, crash},
+	}, u.take().parts)
+}
+
+func TestOnlyConnectionsThatTheTargetClosesCountAsCrashes(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want bool
+	}{
+		{io.ErrUnexpectedEOF, true},
+		{&SendError{Sent: true, Err: fmt.Errorf("read response: %w", io.EOF)}, true},
+		{&SendError{Sent: true, Err: &net.OpError{Op: "read", Err: syscall.ECONNRESET}}, true},
+		{&SendError{Sent: false, Err: io.EOF}, false},
+		{&SendError{Unreachable: true, Err: syscall.ECONNREFUSED}, false},
+		{errTooLong, false},
+		{&SendError{Sent: true, Err: errors.New("malformed response")}, false},
+	} {
+		must.Eq(t, c.want, closedByTarget(c.err), must.Sprint(c.err))
+	}
+}
--- a/internal/service/forward/refuse.go
+++ b/internal/service/forward/refuse.go
@@ -42,6 +42,9 @@
 
 // refusalRetryAfter returns the Retry-After of a request that no target took.
 func (r *request) refusalRetryAfter() time.Duration {
+	if errors.As(r.lastErr, new(errQuarantined)) {
+		return quarantineRetryAfter
+	}
 	if r.cur.choice.Reason == balance.Overloaded {
 		return r.s.overloadRetryAfter(r.service.Name, r.remaining())
 	}
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -110,6 +110,7 @@
 	if !r.progress(nil) {
 		return r.responseBroken(s, context.Cause(s.ctx), attempt.Unknown)
 	}
+	r.partsServed(s)
 	r.reply.WriteHead(s.resp)
 	err := r.reply.Write(head)
 	buf := make([]byte, readBufferBytes)
@@ -134,6 +135,9 @@
 // responseComplete handles the end of a complete response.
 func (r *request) responseComplete(s *send, writeErr error) attempt.Action {
 	r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.OK, true)
+	if r.route.Kind != routing.Stream {
+		r.partsServed(s)
+	}
 	if writeErr != nil {
 		r.lastErr = writeErr
 		r.cut("caller_left")
@@ -162,6 +166,7 @@
 		r.s.sendEnded(now, s.target(), outlier.Failed, timedOut && !r.headSent)
 		return r.canceledAction(true)
 	}
+	r.sendBroke(s, now, err)
 	r.s.sendEnded(now, s.target(), outlier.Failed, true)
 	if !r.headSent {
 		outcome = attempt.Unknown // the caller can still get an error response
@@ -214,7 +219,7 @@
 		r.firstByte = r.s.clock.Now().Sub(r.Received)
 		r.s.metrics.firstByteSent(r.firstByte)
 	}
-	s.resp.passedOn = true
+	r.partsServed(s)
 	r.noteWrite()
 	return r.reply.Write(events)
 }
@@ -234,7 +239,7 @@
 	if len(bytes.TrimSpace(rest)) > 0 {
 		return r.responseBroken(s, io.ErrUnexpectedEOF, attempt.Broken)
 	}
-	if r.lacksEvents(s.resp) {
+	if r.lacksEvents(s) {
 		return r.responseBroken(s, errNoEvents, attempt.Broken)
 	}
 	if !r.headSent {
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -37,6 +37,8 @@
 	resp *Response
 	// late is true once the target was silent for too long. It is guarded by request.mu.
 	late bool
+	// responded is true once the send has brought an event or a complete response.
+	responded bool
 }
 
 // target returns the ID of the target, empty if none was chosen.
@@ -69,6 +71,10 @@
 func (r *request) sendOnce(ctx context.Context) attempt.Action {
 	r.s.site.AwaitCurrent(ctx)
 	now := r.s.clock.Now()
+	if r.checkQuarantine(now) {
+		r.cur = new(send)
+		return r.noTarget()
+	}
 	s, available := r.choose(now)
 	r.cur = s
 	if r.service.Engine && !r.isRetry() {
@@ -76,12 +82,7 @@
 	}
 	if s.target() == "" {
 		r.lastErr = errNoTarget{targets: available, overloaded: s.choice.Reason == balance.Overloaded}
-		if r.headSent {
-			return attempt.Cut
-		}
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		return r.machine.NoTarget()
+		return r.noTarget()
 	}
 	if !r.isRetry() {
 		r.s.countRequest(now, r.service.Name)
@@ -89,6 +90,16 @@
 	return r.exchange(ctx, s)
 }
 
+// noTarget returns the action for a request that is sent to no target.
+func (r *request) noTarget() attempt.Action {
+	if r.headSent {
+		return attempt.Cut
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.machine.NoTarget()
+}
+
 // isRetry reports whether an earlier send of the request reached a target.
 func (r *request) isRetry() bool {
 	r.mu.Lock()
@@ -241,6 +252,7 @@
 		r.s.sendEnded(now, s.target(), outlier.Failed, errors.Is(context.Cause(s.ctx), errDeadline))
 		return r.canceledAction(failure.Sent)
 	}
+	r.sendBroke(s, now, err)
 	r.s.sendEnded(now, s.target(), outcome, true)
 	result := attempt.NotSent
 	if failure.Sent {
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -15,6 +15,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/loadtable"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/overload"
+	"github.com/zinniafork/zinniafork/internal/core/quarantine"
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/selfreport"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
@@ -74,9 +75,13 @@
 	outliers *outlier.Detector
 	reports  *selfreport.Tracker
 	budgets  map[fleet.Service]*retry.WindowBudget
+	// quarantine keeps the prompt parts that crash engines.
+	quarantine *quarantine.Tracker
 	// limiters bound the load of the engines of each service.
 	limiters map[fleet.Service]*overload.Limiter
 	routers  int
+	// liveRouters are the routers that may send requests, this one included.
+	liveRouters []fleet.VM
 	// born holds the Born value of the last known process of each target, to detect
 	// restarts.
 	born map[fleet.Target]int64
@@ -141,6 +146,7 @@
 	s.cold = balance.NewColdLimit(id.Self().VM)
 	s.outliers = outlier.New()
 	s.reports = selfreport.New()
+	s.quarantine = quarantine.New()
 	s.budgets = make(map[fleet.Service]*retry.WindowBudget)
 	s.limiters = make(map[fleet.Service]*overload.Limiter)
 	s.born = make(map[fleet.Target]int64)
@@ -216,6 +222,7 @@
 	s.balancer.SetRelayed(!tree.IsMesh())
 	s.cold.SetRouters(vms)
 	s.routers = max(len(vms), 1)
+	s.liveRouters = vms
 	for _, b := range s.budgets {
 		b.SetRouters(s.routers)
 	}
