Keep quarantined prompt parts in the platform's log

Cause: routers know prompt parts in quarantine from each other.

Change: the router that ranks first for a part writes one record when it is quarantined, and drops it when it is cleared. After a start one router reads the records once and tells the others; the one that ranks first on the VM list, after 1.5 s the first of those alive. Nothing is polled: two calls for each part, one for a start of all routers. A call that fails is tried five times. Where engines start together with the routers nothing is read.

Result: TestQuarantineSurvivesALossOfAllRouters starts all routers while the log is away at first: requests with the part get 503 at each router, and no engine crashes.

--- a/internal/app/site_quarantine_test.go
+++ b/internal/app/site_quarantine_test.go
@@ -157,3 +157,28 @@
 		must.Eq(t, 3, b.crashes())
 	})
 }
+
+// TestQuarantineSurvivesALossOfAllRouters ends all routers at once after a part was
+// quarantined, and starts them again while the log is away at first.
+func TestQuarantineSurvivesALossOfAllRouters(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.crashingEngines("dead", false)
+		b.playCrashingPart(10 * time.Second)
+		before := b.crashes()
+		for _, name := range []string{"1", "2", "3"} {
+			b.stop(name)
+		}
+		b.store.Set(keyedlog.Faults{Status: 503})
+		for _, name := range []string{"1", "2", "3"} {
+			b.router(name)
+		}
+		b.wait(3 * time.Second)
+		b.store.Set(keyedlog.Faults{})
+		b.wait(3 * time.Second)
+		for _, name := range []string{"1", "2", "3"} {
+			must.Eq(t, 200, b.callOn(name, "chat", "aa", "bb").status)
+			must.Eq(t, 503, b.callOn(name, "chat", "aa", "dead", "bb").status)
+		}
+		must.Eq(t, before, b.crashes())
+	})
+}
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -42,7 +42,7 @@
 	if !r.quarantined && len(r.crashes) < isolateCrashes {
 		return nil
 	}
-	return []Change{{Part: part, State: Cleared, Crashes: len(r.crashes)}}
+	return []Change{{Part: part, State: Cleared, Released: r.quarantined, Crashes: len(r.crashes)}}
 }
 
 // FamiliarElsewhere records that another router has served a part before it was
@@ -69,6 +69,19 @@
 	return []Change{{Part: part, State: Quarantined, Crashes: len(r.crashes)}}
 }
 
+// Restore moves parts into quarantine that were in it before all routers were lost, and
+// announces them.
+func (t *Tracker) Restore(now time.Time, parts []uint64) []Change {
+	var changes []Change
+	for _, part := range parts {
+		changes = append(changes, t.QuarantinedElsewhere(now, part)...)
+		if r := t.records[part]; r != nil && r.quarantined {
+			t.announce(now, part, r)
+		}
+	}
+	return changes
+}
+
 // Refuses reports whether a request with these parts must not be sent, and the part in
 // quarantine. A request may pass as a probe if mayProbe allows it for each such part;
 // only one router should probe a part.
@@ -132,7 +145,7 @@
 			continue
 		}
 		if r.quarantined {
-			changes = append(changes, Change{Part: part, State: Cleared, Crashes: len(r.crashes)})
+			changes = append(changes, Change{Part: part, State: Cleared, Released: true, Crashes: len(r.crashes)})
 		}
 		t.remove(part)
 	}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -131,6 +131,8 @@
 type Change struct {
 	Part  uint64
 	State State
+	// Released is true for a part that was in quarantine before.
+	Released bool
 	// Crashes is the number of engine processes that count against the part.
 	Crashes int
 }
@@ -383,7 +385,7 @@
 		switch {
 		case len(left) == 0:
 			if r.quarantined {
-				changes = append(changes, Change{Part: other, State: Cleared, Crashes: len(r.crashes)})
+				changes = append(changes, Change{Part: other, State: Cleared, Released: true, Crashes: len(r.crashes)})
 				tell(&t.notices.Cleared, other)
 			}
 			t.remove(other)
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -198,4 +198,7 @@
 	must.Eq(t, quarantine.Notices{Familiar: []uint64{7}}, q.TakeNotices(), must.Sprint("a response some time before"))
 	_, news = q.CrashedElsewhere(at(21), crash)
 	must.False(t, news)
+	must.Eq(t, []quarantine.Change{{Part: 9, State: quarantine.Quarantined}}, q.Restore(at(30), []uint64{9, 9}))
+	must.Eq(t, quarantine.Notices{Quarantined: []uint64{9}}, q.TakeNotices(), must.Sprint("what the log keeps"))
+	must.Eq(t, []quarantine.Change{{Part: 9, Released: true}}, q.ServedElsewhere(at(31), 9))
 }
--- a/internal/service/forward/quarantine.go
+++ b/internal/service/forward/quarantine.go
@@ -132,9 +132,12 @@
 	return relayed
 }
 
-// logParts logs the changes of prompt parts and updates the number of those in
-// quarantine. From is the router that has seen the last evidence. The caller holds the
-// lock.
+// fromLog is logged in place of a router for parts that were read from the log.
+const fromLog fleet.VM = "log"
+
+// logParts logs the changes of prompt parts, has them written to the log, and updates
+// the number of those in quarantine. From is the router that has seen the last evidence.
+// The caller holds the lock.
 func (s *Service) logParts(changes []quarantine.Change, from fleet.VM) {
 	for _, c := range changes {
 		entry := s.logger.WithFields(logrus.Fields{"part": fmt.Sprintf("%x", c.Part), "crashes": c.Crashes, "from": from})
@@ -146,6 +149,9 @@
 		default:
 			entry.Info("Prompt part cleared.")
 		}
+		if from != fromLog {
+			s.writePart(c)
+		}
 	}
 	gauge := s.metrics.quarantinedParts
 	gauge.Inc(int64(s.quarantine.Count()) - gauge.Count())
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -50,14 +50,18 @@
 type Service struct {
 	settings Settings
 	site     site.View
-	targets  TargetClient
-	peers    peer.Peers
-	members  members.Membership
-	self     fleet.VM
-	clock    kernel.Clock
-	logger   *logrus.Entry
-	tracer   trace.Tracer
-	metrics  requestMetrics
+	// quarantineLog keeps the parts in quarantine, and partWrites the changes of it that
+	// are due.
+	quarantineLog QuarantineLog
+	partWrites    chan partWrite
+	targets       TargetClient
+	peers         peer.Peers
+	members       members.Membership
+	self          fleet.VM
+	clock         kernel.Clock
+	logger        *logrus.Entry
+	tracer        trace.Tracer
+	metrics       requestMetrics
 
 	// tree holds the paths along which routers spread updates and digests.
 	tree    atomic.Pointer[hubs.Tree]
@@ -129,6 +133,9 @@
 	if s.site, err = kernel.Lookup[site.View](c, site.Name); err != nil {
 		return err
 	}
+	if s.quarantineLog, err = kernel.Lookup[QuarantineLog](c, site.SourceName); err != nil {
+		return err
+	}
 	if s.targets, err = kernel.Lookup[TargetClient](c, TargetClientName); err != nil {
 		return err
 	}
@@ -155,6 +162,7 @@
 	s.tree.Store(tree)
 	s.digestTimer = hubs.NewDigestTimer(s.clock.Now(), tree)
 	s.digestWake = make(chan struct{}, 1)
+	s.partWrites = make(chan partWrite, maxPartWrites)
 	s.routers = 1
 	s.self, s.incarnation = id.Self().VM, id.Incarnation()
 	s.encoders, s.decoder = s.newEncoders(), loadtable.NewDecoder()
@@ -165,11 +173,14 @@
 	return nil
 }
 
-// Start sends digests and lists caches in the background.
+// Start sends digests, lists caches and keeps the log of quarantined parts in the
+// background.
 func (s *Service) Start(ctx context.Context) error {
 	go s.sendDigests(ctx)
+	go s.writeParts(ctx)
 	if !s.settings.ColdCaches {
 		go s.learnCaches(ctx)
+		go s.learnQuarantine(ctx)
 	}
 	return nil
 }
