Tell an outage from a prompt part that crashes engines

Cause: while all engines break off requests, or a router's path to them does, every part in use reaches the number of crashes at which it is quarantined, and sound requests stay refused after the outage: for a minute or, if the part had not been served lately, ten. No caller has seen it: TestOutageQuarantinesNothing shows it, and fails without each of the three conditions below.

Change: a router that has served nothing since the first crash of a part, and sees sends without the part break off as well, does not quarantine it, and reports nothing after 2 s of that. A part that was served lately is only quarantined by a router that serves requests without it. After such a time two more crashes are needed. Reports of crashes carry their age, so that connections which break within 100 ms count once wherever they were seen; before, it was 250 ms from the arrival of reports.

--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -9,10 +9,16 @@
 // these parts that was sent to an engine process at a given time. It clears the parts,
 // and shows that the process has not crashed before that time.
 func (t *Tracker) Served(now time.Time, parts []uint64, engine Engine, sentAt time.Time) []Change {
+	t.outage.servedAt = now
 	for part, r := range t.records {
 		if r.quarantined {
 			continue
 		}
+		if r.held {
+			// The outage has ended. More crashes show whether it was the part.
+			r.held = false
+			r.crashes = r.crashes[:r.enough()-crashesAfterOutage]
+		}
 		r.crashes = slices.DeleteFunc(r.crashes, func(n noted) bool { return n.engine == engine && n.at.Before(sentAt) })
 		if len(r.crashes) == 0 {
 			t.remove(part)
@@ -151,60 +157,3 @@
 	}
 	return changes
 }
-
-const (
-	// memoryGeneration is the length of a generation of served parts. A part is
-	// remembered for one to two generations.
-	memoryGeneration = 5 * time.Minute
-	// maxGeneration is the number of parts in one generation, about 1 MB. A generation
-	// that is full is followed by the next one early.
-	maxGeneration = 32 << 10
-)
-
-// memory remembers when parts were last served, in two generations.
-type memory struct {
-	recent, old map[uint64]time.Time
-	startedAt   time.Time
-}
-
-func newMemory() memory { return memory{recent: make(map[uint64]time.Time)} }
-
-// add records that a part was served.
-func (m *memory) add(now time.Time, part uint64) {
-	if _, ok := m.recent[part]; !ok && len(m.recent) >= maxGeneration {
-		m.turn(now)
-	}
-	m.recent[part] = now
-}
-
-// expire starts a new generation when it is time.
-func (m *memory) expire(now time.Time) {
-	if now.Sub(m.startedAt) >= memoryGeneration {
-		m.turn(now)
-	}
-}
-
-func (m *memory) turn(now time.Time) {
-	m.old, m.recent, m.startedAt = m.recent, make(map[uint64]time.Time), now
-}
-
-// last returns when a part was last served.
-func (m *memory) last(part uint64) (time.Time, bool) {
-	if at, ok := m.recent[part]; ok {
-		return at, true
-	}
-	at, ok := m.old[part]
-	return at, ok
-}
-
-// has reports whether a part was served in the last generations.
-func (m *memory) has(part uint64) bool {
-	_, ok := m.last(part)
-	return ok
-}
-
-// within reports whether a part was served in the given time before now.
-func (m *memory) within(now time.Time, part uint64, d time.Duration) bool {
-	at, ok := m.last(part)
-	return ok && now.Sub(at) < d
-}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -19,6 +19,9 @@
 //   - quarantined: minCrashes processes crashed, one more for a familiar part, and it
 //     was not served in between. Requests with it are refused. Of the parts of a request
 //     only one is quarantined, since the others may only have been near it.
+//   - While a router serves nothing and requests without the part break off as well, the
+//     engines or its path to them fail: nothing is quarantined, and nothing reported. A
+//     familiar part is only quarantined by a router that serves requests without it.
 //   - A response to a request with the part clears it in any state. Single requests, as
 //     in the half-open state of a circuit breaker, probe a quarantined part now and
 //     then. The quarantine also ends when no request with the part has come for long.
@@ -40,10 +43,14 @@
 	minCrashes = 3
 	// isolateCrashes is the number from which a request with the part is not repeated.
 	isolateCrashes = 2
+	// crashesAfterOutage is the number that is needed after an outage in which the part
+	// would have been quarantined.
+	crashesAfterOutage = 2
 	// sameEvent is the time in which crashes of different engines count once:
-	// connections that break together point to the network or to a VM. It covers the
-	// time between two digests of load.
-	sameEvent = 250 * time.Millisecond
+	// connections that break together point to the network or to a VM.
+	sameEvent = 100 * time.Millisecond
+	// maxCrashAge bounds the age of a crash that another router reports.
+	maxCrashAge = 5 * time.Second
 	// recentService is the time after a response in which crashes do not count against
 	// the parts of its request.
 	recentService = 2 * time.Second
@@ -82,6 +89,7 @@
 
 // Crash is a send that its engine broke off before the first event of the response.
 type Crash struct {
+	At     time.Time
 	Engine Engine
 	// Parts are the hashes of the shared parts of the prompt in their order.
 	Parts []uint64
@@ -141,6 +149,7 @@
 type Tracker struct {
 	records map[uint64]*record
 	served  memory
+	outage  outage
 	notices Notices
 	// quarantined is the number of records in quarantine.
 	quarantined int
@@ -154,7 +163,9 @@
 	// by a notice, at another router. toldFamiliar is true once this router has told so.
 	familiar     bool
 	toldFamiliar bool
-	quarantined  bool
+	// held is true if the part was not quarantined since nothing else was served either.
+	held        bool
+	quarantined bool
 	// changedAt is the time of the last crash, or in quarantine of the last request.
 	changedAt   time.Time
 	announcedAt time.Time
@@ -197,15 +208,16 @@
 
 // Crashed records a crash that this router has seen.
 func (t *Tracker) Crashed(now time.Time, c Crash) []Change {
+	c.At = now
+	t.outage.broke(now, c.Parts)
 	c.Parts = slices.DeleteFunc(lastParts(c.Parts), func(part uint64) bool { return t.served.within(now, part, recentService) })
-	if len(c.Parts) == 0 {
-		return nil
-	}
 	if slices.ContainsFunc(c.Parts, t.inQuarantine) {
 		return nil // explained by that part
 	}
-	if len(t.notices.Crashes) < maxNotices {
-		t.notices.Crashes = append(t.notices.Crashes, c)
+	reported := c
+	reported.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(part uint64) bool { return t.outage.lasts(now, part, t.served.has(part)) })
+	if len(reported.Parts) > 0 && len(t.notices.Crashes) < maxNotices {
+		t.notices.Crashes = append(t.notices.Crashes, reported)
 	}
 	return t.crashed(now, c)
 }
@@ -219,6 +231,9 @@
 // crash is news, so that a hub passes it on. If the other router lacks what is known
 // here, a notice tells it.
 func (t *Tracker) CrashedElsewhere(now time.Time, c Crash) (changes []Change, news bool) {
+	if age := now.Sub(c.At); age < 0 || age > maxCrashAge {
+		c.At = now
+	}
 	var parts []uint64
 	for _, part := range lastParts(c.Parts) {
 		switch r := t.records[part]; {
@@ -272,7 +287,7 @@
 func (t *Tracker) crashed(now time.Time, c Crash) []Change {
 	var changes []Change
 	for _, part := range c.Parts {
-		if r := t.record(now, part); r.note(now, c) && len(r.crashes) == isolateCrashes {
+		if r := t.record(now, part); r.note(c) && len(r.crashes) == isolateCrashes {
 			changes = append(changes, Change{Part: part, State: Suspected, Crashes: len(r.crashes)})
 		}
 	}
@@ -281,6 +296,10 @@
 		return changes
 	}
 	r := t.records[part]
+	if t.outage.explains(part, r.familiar, r.crashes[0].at) {
+		r.held = true
+		return changes
+	}
 	t.quarantine(now, r)
 	t.announce(now, part, r)
 	changes = append(changes, Change{Part: part, State: Quarantined, Crashes: len(r.crashes)})
@@ -318,16 +337,24 @@
 }
 
 // note adds a crash and reports whether it counts.
-func (r *record) note(now time.Time, c Crash) bool {
-	known := func(n noted) bool { return n.engine == c.Engine || now.Sub(n.at) < sameEvent }
+func (r *record) note(c Crash) bool {
+	known := func(n noted) bool { return n.engine == c.Engine || n.at.Sub(c.At).Abs() < sameEvent }
 	if len(r.crashes) >= maxEngines || slices.ContainsFunc(r.crashes, known) {
 		return false
 	}
-	r.crashes = append(r.crashes, noted{at: now, engine: c.Engine, parts: c.Parts})
-	r.changedAt = now
+	r.crashes = append(r.crashes, noted{at: c.At, engine: c.Engine, parts: c.Parts})
+	r.changedAt = later(r.changedAt, c.At)
 	return true
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // blame returns the part that explains most crashes, if enough count against it. A part
 // that is not familiar comes first. If several explain the same, it is the last one in
 // the prompt: fewest sound requests have it. If that is wrong, crashes without it go on
--- a/internal/service/forward/caches.go
+++ b/internal/service/forward/caches.go
@@ -245,7 +245,7 @@
 	s.mu.Lock()
 	now := s.clock.Now()
 	placements := s.balancer.Placements(now)
-	d := newDigest(s.newEncoder("caches"), s.balancer.LocalLoads(now), updates{prompts: placements, parts: s.quarantine.Snapshot()})
+	d := newDigest(now, s.newEncoder("caches"), s.balancer.LocalLoads(now), updates{prompts: placements, parts: s.quarantine.Snapshot()})
 	s.mu.Unlock()
 	if len(placements)+len(d.Quarantined) == 0 {
 		return
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math"
+	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/loadtable"
@@ -30,9 +31,9 @@
 	// process that said that it is leaving.
 	Leaving []uint32 `msgpack:"l,omitempty"`
 	// Crashes holds the sends that an engine broke off: the index of the target in 2
-	// bytes, the low 32 bits of its Born value in 4, the number of prompt parts in 1
-	// and the hash of each part in 8, all little endian. Cleared, Familiar and
-	// Quarantined hold the hashes of prompt parts.
+	// bytes, the low 32 bits of its Born value in 4, the time since then in milliseconds
+	// in 2, the number of prompt parts in 1 and the hash of each part in 8, all little
+	// endian. Cleared, Familiar and Quarantined hold the hashes of prompt parts.
 	Crashes     []byte   `msgpack:"c,omitempty"`
 	Cleared     []uint64 `msgpack:"f,omitempty"`
 	Familiar    []uint64 `msgpack:"k,omitempty"`
@@ -45,7 +46,7 @@
 // crashHeadSize is the length in bytes of an entry of Crashes without its parts, and
 // partSize that of one part.
 const (
-	crashHeadSize = 7
+	crashHeadSize = 9
 	partSize      = 8
 )
 
@@ -88,7 +89,7 @@
 
 // newDigest encodes loads and updates with the target table of an encoder. Updates
 // about targets that the table cannot hold are left out.
-func newDigest(enc *loadtable.Encoder, loads []balance.Load, u updates) *digest {
+func newDigest(now time.Time, enc *loadtable.Encoder, loads []balance.Load, u updates) *digest {
 	enc.Begin()
 	d := new(digest)
 	for _, p := range u.prompts {
@@ -109,7 +110,7 @@
 	}
 	for _, c := range u.parts.Crashes {
 		if index, ok := enc.Index(c.Engine.Target); ok {
-			d.Crashes = appendCrash(d.Crashes, index, c)
+			d.Crashes = appendCrash(d.Crashes, index, now.Sub(c.At), c)
 		}
 	}
 	d.Cleared, d.Familiar, d.Quarantined = u.parts.Cleared, u.parts.Familiar, u.parts.Quarantined
@@ -155,10 +156,11 @@
 }
 
 // appendCrash appends an entry of Crashes.
-func appendCrash(out []byte, index uint16, c quarantine.Crash) []byte {
+func appendCrash(out []byte, index uint16, age time.Duration, c quarantine.Crash) []byte {
 	parts := c.Parts[:min(len(c.Parts), math.MaxUint8)]
 	out = binary.LittleEndian.AppendUint16(out, index)
 	out = binary.LittleEndian.AppendUint32(out, c.Engine.Born)
+	out = binary.LittleEndian.AppendUint16(out, uint16(min(max(age.Milliseconds(), 0), math.MaxUint16)))
 	out = append(out, uint8(len(parts)))
 	for _, part := range parts {
 		out = binary.LittleEndian.AppendUint64(out, part)
@@ -168,11 +170,12 @@
 
 // parts decodes the notices of prompt parts, given the targets of the table by index.
 // Crashes of unknown targets are ignored, as are those from an incomplete one on.
-func (d *digest) parts(refs []fleet.Ref) quarantine.Notices {
+func (d *digest) parts(now time.Time, refs []fleet.Ref) quarantine.Notices {
 	n := quarantine.Notices{Cleared: d.Cleared, Familiar: d.Familiar, Quarantined: d.Quarantined}
 	for rest := d.Crashes; len(rest) >= crashHeadSize; {
 		index, count := int(binary.LittleEndian.Uint16(rest)), int(rest[crashHeadSize-1])
-		c := quarantine.Crash{Engine: quarantine.Engine{Born: binary.LittleEndian.Uint32(rest[2:])}}
+		age := time.Duration(binary.LittleEndian.Uint16(rest[6:])) * time.Millisecond
+		c := quarantine.Crash{At: now.Add(-age), Engine: quarantine.Engine{Born: binary.LittleEndian.Uint32(rest[2:])}}
 		rest = rest[crashHeadSize:]
 		if len(rest) < count*partSize {
 			break
--- a/internal/service/forward/digest_exchange.go
+++ b/internal/service/forward/digest_exchange.go
@@ -83,7 +83,7 @@
 		own = s.localDigest(now, tree)
 	}
 	if due.Sum {
-		total = newDigest(s.encoders.members, s.balancer.TotalLoads(append(tree.RemoteHubs(), tree.Members()...)), s.toMembers.take())
+		total = newDigest(now, s.encoders.members, s.balancer.TotalLoads(append(tree.RemoteHubs(), tree.Members()...)), s.toMembers.take())
 		total.Total = true
 	}
 	s.mu.Unlock()
@@ -114,11 +114,11 @@
 	}
 	s.leaving = nil
 	if !tree.IsHub() {
-		return newDigest(s.encoders.own, loads, u)
+		return newDigest(now, s.encoders.own, loads, u)
 	}
 	s.toMembers.merge(u)
 	s.toHubs.merge(u)
-	return newDigest(s.encoders.hubs, s.balancer.TotalLoads(tree.Members()), s.toHubs.take())
+	return newDigest(now, s.encoders.hubs, s.balancer.TotalLoads(tree.Members()), s.toHubs.take())
 }
 
 // sendDigest sends a digest to the given routers. Failures are only logged.
@@ -161,7 +161,7 @@
 	} else {
 		s.balancer.SetPeerLoads(now, from, loads)
 	}
-	u := updates{prompts: d.prompts(refs), outcomes: d.outcomes(refs), leaving: d.leaving(refs), parts: d.parts(refs)}
+	u := updates{prompts: d.prompts(refs), outcomes: d.outcomes(refs), leaving: d.leaving(refs), parts: d.parts(now, refs)}
 	s.balancer.AddPlacements(now, u.prompts)
 	s.applyLeaving(now, from, u.leaving)
 	u.parts = s.applyNotices(now, from, u.parts)
