Don't let a hedge without events take over a stream

A sound engine fell silent in the middle of a stream; its hedge sent the head of a response without length and chunks and closed the connection without an event. The router stopped the silent engine for it, and the caller's stream was cut.

Cause: the start of a hedge's response counts as read when its connection ends, as if the stream were complete. The rule for the current send, by which such a stream has been broken off, did not hold for hedges.

Ruled out: a hedge that closes inside its first event, which was a failed hedge before.

--- a/internal/app/site_silence_test.go
+++ b/internal/app/site_silence_test.go
@@ -43,6 +43,7 @@
 func TestSilentTargetIsNotCutOff(t *testing.T) {
 	for _, other := range []workerd.Fault{
 		workerd.FaultRefuse, workerd.FaultMute, workerd.FaultSilentHead, workerd.FaultEndlessRefusal, workerd.FaultEndlessHead,
+		workerd.FaultUnframedEmpty,
 	} {
 		t.Run(string(other), func(t *testing.T) {
 			onSite(t, func(t *testing.T, b *siteBed) {
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -238,7 +238,11 @@
 // may break off, and the silent send is still needed.
 func (r *request) readAhead(s *send) bool {
 	body := s.resp.Body
-	read, err := readStart(body, r.route.Kind == routing.Stream)
+	stream := r.route.Kind == routing.Stream
+	read, err := readStart(body, stream)
+	if err == nil && stream && len(bytes.TrimSpace(read)) == 0 && r.hedgeLacksEvents(s) {
+		err = errNoEvents
+	}
 	if err != nil {
 		_ = body.Close()
 		r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.Failed, !canceled(s.ctx))
--- a/internal/service/forward/stream_end.go
+++ b/internal/service/forward/stream_end.go
@@ -14,3 +14,10 @@
 func (r *request) lacksEvents(s *send) bool {
 	return s.resp.Unframed && !s.responded && (r.headSent || r.LastEventID == "")
 }
+
+// hedgeLacksEvents is lacksEvents for a hedge that ended without an event.
+func (r *request) hedgeLacksEvents(s *send) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lacksEvents(s)
+}
