--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -57,12 +57,12 @@
 		if len(addresses) > 0 {
 			address := pick(random, addresses)
 			last := c.call(pick(random, routes), address)
-			switch {
-			case stays && last.Status == 0:
-				addresses = nil
-			case stays:
+			if stays {
 				addresses = []string{address}
 			}
+			if stays && last.Status == 0 {
+				addresses = nil
+			}
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(2 * clientPause))))
 	}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -43,8 +43,8 @@
 		{"stop all routers in turn", 1, stopInTurn},
 		{"kill all routers", 1, killAll},
 		{"hang up on a router", 1, hangUp},
-		{"stop a router, then kill it", 2, stopThenKill},
-		{"pause a router twice", 2, pauseTwice},
+		{"stop a router, then kill it", 2, inARow(syscall.SIGTERM, syscall.SIGHUP, syscall.SIGKILL)},
+		{"pause a router twice", 2, inARow(syscall.SIGSTOP, syscall.SIGCONT, syscall.SIGSTOP)},
 		{"restart a router beside a change of the configuration", 2, restartBesideChange},
 		{"link to the store", 3, storeLink},
 		{"link between routers", 3, peerLink},
@@ -53,8 +53,8 @@
 		{"store", 3, breakStore},
 		{"history of the store", 1, forgetHistory},
 		{"return of the store from a copy", 2, restoreStore},
-		{"worker", 4, breakWorker},
-		{"worker falls silent", 4, silenceWorker},
+		{"worker", 4, breakWorker(workerFaults...)},
+		{"worker falls silent", 4, breakWorker(workerd.FaultSilent, workerd.FaultSilentHead)},
 		{"worker says that it leaves", 2, leaveWorker},
 		{"worker leaves and comes back", 2, bounceWorker},
 		{"configuration", 2, changeConfig},
@@ -139,21 +139,16 @@
 	return func() { <-done }
 }
 
-func stopThenKill(b *bed, random *rand.Rand) (string, func()) {
-	r := pick(random, b.routers)
-	wait := signalSeries(r, random, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGKILL)
-	return fmt.Sprintf("router %d", r.index), func() {
-		wait()
-		b.restart(r)
-	}
-}
-
-func pauseTwice(b *bed, random *rand.Rand) (string, func()) {
-	r := pick(random, b.routers)
-	wait := signalSeries(r, random, syscall.SIGSTOP, syscall.SIGCONT, syscall.SIGSTOP)
-	return fmt.Sprintf("router %d", r.index), func() {
-		wait()
-		r.signal(syscall.SIGCONT)
+// inARow is a fault of signals to one router, which then runs again.
+func inARow(signals ...syscall.Signal) func(b *bed, random *rand.Rand) (string, func()) {
+	return func(b *bed, random *rand.Rand) (string, func()) {
+		r := pick(random, b.routers)
+		wait := signalSeries(r, random, signals...)
+		return fmt.Sprintf("router %d", r.index), func() {
+			wait()
+			r.signal(syscall.SIGCONT)
+			b.restart(r)
+		}
 	}
 }
 
@@ -216,17 +211,12 @@
 	return "", func() {}
 }
 
-func breakWorker(b *bed, random *rand.Rand) (string, func()) {
-	w, f := pick(random, b.workers), pick(random, workerFaults)
-	w.Set(f)
-	return fmt.Sprintf("%s: %s", w.id, f), func() { w.Set(workerd.FaultNone) }
-}
-
-// silenceWorker lets a sound worker fall silent in each answer, and go on.
-func silenceWorker(b *bed, random *rand.Rand) (string, func()) {
-	w, f := pick(random, b.workers), pick(random, []workerd.Fault{workerd.FaultSilent, workerd.FaultSilentHead})
-	w.Set(f)
-	return fmt.Sprintf("%s: %s", w.id, f), func() { w.Set(workerd.FaultNone) }
+func breakWorker(faults ...workerd.Fault) func(b *bed, random *rand.Rand) (string, func()) {
+	return func(b *bed, random *rand.Rand) (string, func()) {
+		w, f := pick(random, b.workers), pick(random, faults)
+		w.Set(f)
+		return fmt.Sprintf("%s: %s", w.id, f), func() { w.Set(workerd.FaultNone) }
+	}
 }
 
 func bounceWorker(b *bed, random *rand.Rand) (string, func()) {
