Count an engine that crashes under a hedge against the prompt's parts

A hedge whose response broke off between its head and its first event was not taken as evidence, unlike one without a head. go test -race of internal/app, internal/service/forward, internal/core and platform passes; no test plays this case alone.

--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -244,8 +244,10 @@
 		err = errNoEvents
 	}
 	if err != nil {
+		now := r.s.clock.Now()
+		r.sendBroke(s, now, err)
 		_ = body.Close()
-		r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.Failed, !canceled(s.ctx))
+		r.s.sendEnded(now, s.target(), outlier.Failed, !canceled(s.ctx))
 		r.hedgeFailed(s, attempt.Unknown, err)
 		return false
 	}
