Play a prompt part that crashes engines in the soak

Each run now ends with requests on such a part at all routers, one of which is killed and restarted meanwhile: at most three may reach engines later than 3 s after the fifth crash, and drafts without the part are served afterwards. The site of the soak has six engines instead of three, since the part takes out all of three at once.

--- a/internal/lab/soak/bed.go
+++ b/internal/lab/soak/bed.go
@@ -104,7 +104,7 @@
 		return b, err
 	}
 	b.publish()
-	for i, service := range []string{"llm", "llm", "llm", "plain", "plain"} {
+	for i, service := range []string{"llm", "llm", "llm", "llm", "llm", "llm", "plain", "plain"} {
 		if err := b.addWorker(i, service); err != nil {
 			return b, err
 		}
@@ -136,10 +136,14 @@
 
 func (b *bed) addWorker(i int, service string) error {
 	w := &worker{id: fmt.Sprintf("w%d", i), service: service, dc: fmt.Sprintf("dc%d", i%2+1)}
-	w.Server = workerd.New(workerd.Options{
+	worker := workerd.Options{
 		ID: w.id, Slots: slots, Events: events, Work: 15 * time.Millisecond, Pause: fmt.Sprint(pause.Seconds()),
 		Silence: silenceLeast + time.Duration(i%silenceSteps)*silenceStep,
-	})
+	}
+	if service == "llm" {
+		b.crashOptions(w, &worker)
+	}
+	w.Server = workerd.New(worker)
 	own := fmt.Sprintf("%s.2:%d", b.net, 7000+i)
 	if err := b.serve(own, w.Handler()); err != nil {
 		return err
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,14 +92,18 @@
 }
 
 // call sends one request and notes it.
-func (c *clients) call(route, address string) Call {
+func (c *clients) call(route, address string) Call { return c.callOn(route, address) }
+
+// callOn sends one request with these parts in its prompt, besides the usual ones, and
+// notes it.
+func (c *clients) callOn(route, address string, parts ...string) Call {
 	id := fmt.Sprintf("r%d", c.serial.Add(1))
 	out := Call{ID: id, Route: route, Router: c.routerOf(address)}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
 	defer cancel()
 	out.Began = began
-	c.send(ctx, &out, address)
+	c.send(ctx, &out, address, parts)
 	out.Ended = time.Now()
 	since := c.calm.Load()
 	out.Calm = since != 0 && began.Sub(time.Unix(0, since)) > calmBefore
@@ -111,14 +116,14 @@
 // calmBefore is the time without a fault after which stops must cut nothing.
 const calmBefore = 3 * time.Second
 
-func (c *clients) send(ctx context.Context, out *Call, address string) {
+func (c *clients) send(ctx context.Context, out *Call, address string, parts []string) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:              func(httptrace.GotConnInfo) { out.Read = false },
 		GotFirstResponseByte: func() { out.Read = true },
 	})
 	request := &siteclient.Request{ID: out.ID, Host: host, Route: out.Route, Key: key, Deadline: clientDeadline, Body: "body"}
 	if out.Route == "chat" || out.Route == "draft" {
-		request.Prompt = []string{"aa", fmt.Sprintf("p%d", c.serial.Load()%prompts), out.ID}
+		request.Prompt = slices.Concat(parts, []string{"aa", fmt.Sprintf("p%d", c.serial.Load()%prompts), out.ID})
 	}
 	r, err := request.HTTP(ctx, address)
 	if err != nil {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -131,6 +131,9 @@
 	time.Sleep(calmBefore)
 	r.checkPlannedStop()
 	r.checkDrain()
+	r.bed.setDrained(false)
+	time.Sleep(settleTime)
+	r.checkCrashingPart()
 	stop()
 	running.Wait()
 	return nil
