End the load of a target before its response is passed on

A response of up to 256 KiB is read to its end before any of it is passed on, but its target counted as loaded until the caller had read it. A caller that sent its next request at once could find that load still counted, and so could the digests of other routers while a slow caller reads.

TestSilentResponseSurvivesReplacement showed it: it lets the worker that did not answer the first request refuse all, and expects the second one at the first worker, which is idle again. The trace of each of 8 failures:

04.00 router 1 chooses p1 (p1: 0, p2: 0) 04.03 the caller has the answer of p1 04.03 router 1 chooses p2 (p1: 1, p2: 0), which refuses: 503 04.03 router 1 notes the end at p1

go test -race -c ./internal/app taskset -c 6,7 ./app.test -test.cpu 8 -test.count 100 \ -test.run '^TestSilentResponseSurvivesReplacement$/^order'

fails in 6 of 200 subtests before and in none of 200 after. With -test.cpu 1, order_silent_head passed 400 of 400 before, so that is no way to see it.

A long response that is passed on while it is read still counts until its last piece was written.

--- a/internal/service/forward/hedge_test.go
+++ b/internal/service/forward/hedge_test.go
@@ -39,6 +39,8 @@
 
 func (*twoTargets) AwaitCurrent(context.Context) {}
 
+func (*twoTargets) Age() (time.Duration, bool) { return 0, true }
+
 func (*twoTargets) Lookup(fleet.Target) (sitestate.Target, bool) { return sitestate.Target{}, false }
 
 func (*twoTargets) Available(fleet.Service) []sitestate.AvailableTarget {
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -99,9 +99,12 @@
 		return r.forwardLong(s, body)
 	}
 	r.dropHedge()
+	// The target has ended the request, however slowly the caller reads.
+	r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.OK, true)
+	r.partsServed(s)
 	r.reply.WriteHead(s.resp)
 	err = r.reply.Write(body)
-	return r.responseComplete(s, err)
+	return r.passedOn(s, err)
 }
 
 // forwardLong passes on the first bytes of a long response, and the rest while it is
@@ -135,9 +138,11 @@
 // responseComplete handles the end of a complete response.
 func (r *request) responseComplete(s *send, writeErr error) attempt.Action {
 	r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.OK, true)
-	if r.route.Kind != routing.Stream {
-		r.partsServed(s)
-	}
+	return r.passedOn(s, writeErr)
+}
+
+// passedOn ends a request whose complete response was written to the caller.
+func (r *request) passedOn(s *send, writeErr error) attempt.Action {
 	if writeErr != nil {
 		r.lastErr = writeErr
 		r.cut("caller_left")
