Don't take a slow caller for a silent target

A caller that read nothing for 1.2 s in the middle of a stream held up the router's write, and the silence timer ran on: the request was sent to another target as well, which could replace the one that was not silent at all, at the expense of the retry budget. Before the hedges, the stream was broken off and resumed elsewhere.

Change: the timer rests while events are written to the caller, and ends when a response that is no stream has been read.

--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -82,6 +82,16 @@
 	t.stopTimer = t.clock.AfterFunc(d, t.onSilent)
 }
 
+// pause stops the timer until the next reset. A caller that reads slowly holds up the
+// router, and is no silence of the target.
+func (t *silenceTimer) pause() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopTimer != nil {
+		t.stopTimer()
+	}
+}
+
 // stop disables the timer for good.
 func (t *silenceTimer) stop() {
 	t.mu.Lock()
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -94,8 +94,8 @@
 	if err != nil {
 		return r.responseBroken(s, err, attempt.Unknown)
 	}
+	timer.stop()
 	if len(body) == maxBufferedBytes {
-		timer.stop()
 		return r.forwardLong(s, body)
 	}
 	r.dropHedge()
@@ -194,10 +194,11 @@
 				if !r.progress(pending[:complete]) {
 					return r.responseBroken(s, context.Cause(s.ctx), attempt.Broken)
 				}
-				timer.reset(streamIdleTimeout)
+				timer.pause()
 				if writeErr := r.forwardEvents(s, pending[:complete], first); writeErr != nil {
 					return r.callerLeft(s, writeErr)
 				}
+				timer.reset(streamIdleTimeout)
 				pending = append(pending[:0], pending[complete:]...)
 			}
 			if len(pending) > maxEventBytes {
