--- a/internal/service/peer/slowlink_test.go
+++ b/internal/service/peer/slowlink_test.go
@@ -121,7 +121,7 @@
 func TestStalledLinkDoesNotCutAnswer(t *testing.T) {
 	for stall := 300 * time.Millisecond; stall < 1400*time.Millisecond; stall += 10 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
-		t.Cleanup(func() { time.Sleep(time.Second) }) // pieces on the slow link notice the close
+			t.Cleanup(func() { time.Sleep(time.Second) })     // pieces on the slow link notice the close
 			t.Cleanup(func() { time.Sleep(2 * time.Second) }) // bytes under way arrive
 			network := &slowNetwork{Network: kerneltest.NewNetwork(), bytesPerSecond: 10 << 20}
 			a := startRouter(t, "a", network, "", nil)
