Log the limits that targets name

No line and no metric of a router told that a target names a limit for requests a second, so that the hypotheses of the incident could not be told apart. The log has a line for each change, and the limit that was known at the choice in the lines of requests. Nothing is decided by it yet.

--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -107,8 +107,12 @@
 	if isNew {
 		r.s.leaving = append(r.s.leaving, leavingTarget{target: t.ID.Ref(), born: uint32(t.Born)})
 	}
+	limitChanged := r.s.takeLimit(now, s)
 	r.s.mu.Unlock()
 	entry := r.s.logger.WithFields(logrus.Fields{"request": r.ID, "target": t.ID})
+	if limitChanged {
+		logLimit(entry, resp.Limited, resp.RateLimit)
+	}
 	if isNew {
 		entry.Info("Target says that it is leaving.")
 	}
--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -99,6 +99,12 @@
 	// this VM, zero for none. Both are set only if the response names the request.
 	Leaving    bool
 	RetryAfter time.Duration
+	// NamesRequest is true when the response names the request, so that what it says of
+	// the target counts. Limited is then true when the target names the rate that it
+	// takes from all VMs together, and RateLimit is that rate in requests a second.
+	NamesRequest bool
+	Limited      bool
+	RateLimit    float64
 }
 
 // TargetClient sends requests to targets.
--- a/internal/service/forward/hedge_test.go
+++ b/internal/service/forward/hedge_test.go
@@ -19,6 +19,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/overload"
+	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
 	"github.com/zinniafork/zinniafork/internal/core/selfreport"
@@ -79,6 +80,7 @@
 		cold:     balance.NewColdLimit("vm"),
 		outliers: outlier.New(),
 		reports:  selfreport.New(),
+		limits:   ratelimit.New(),
 		budgets:  make(map[fleet.Service]*retry.WindowBudget),
 		limiters: make(map[fleet.Service]*overload.Limiter),
 		routers:  1,
--- a/internal/service/forward/metrics.go
+++ b/internal/service/forward/metrics.go
@@ -19,6 +19,11 @@
 	quarantinedParts  metrics.Counter
 	quarantineRefused metrics.Counter
 	engineCrashes     metrics.Counter
+	// limitedTargets is the number of targets that name a limit. limitedFirst and
+	// limitedRepeats count the requests sent to them for the first time and again.
+	limitedTargets metrics.Counter
+	limitedFirst   metrics.Counter
+	limitedRepeats metrics.Counter
 }
 
 // sampleSize and sampleAlpha weight the histograms towards the last few minutes.
@@ -38,6 +43,10 @@
 		quarantinedParts:  metrics.GetOrRegisterCounter("forward.quarantined_parts", r),
 		quarantineRefused: metrics.GetOrRegisterCounter("forward.quarantine_refused", r),
 		engineCrashes:     metrics.GetOrRegisterCounter("forward.engine_crashes", r),
+
+		limitedTargets: metrics.GetOrRegisterCounter("forward.limited_targets", r),
+		limitedFirst:   metrics.GetOrRegisterCounter("forward.limited_sends.first", r),
+		limitedRepeats: metrics.GetOrRegisterCounter("forward.limited_sends.repeat", r),
 	}
 }
 
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -37,6 +37,10 @@
 	resp *Response
 	// late is true once the target was silent for too long. It is guarded by request.mu.
 	late bool
+	// limited is true if the target named a limit of limit requests a second when it was
+	// chosen.
+	limited bool
+	limit   float64
 	// responded is true once the send has brought an event or a complete response.
 	responded bool
 }
@@ -61,7 +65,9 @@
 	if choice.Target.ID != "" {
 		r.tried[choice.Target.ID] = true
 	}
-	return &send{choice: choice, startedAt: now}, available
+	s := &send{choice: choice, startedAt: now}
+	s.limit, s.limited = r.s.limitOf(&choice.Target)
+	return s, available
 }
 
 // open gives a send its context, which ends with ctx.
@@ -152,6 +158,7 @@
 func (r *request) roundTrip(s *send) (*Response, error) {
 	ctx, span := tracing.Start(s.ctx, "target")
 	defer span.End()
+	r.countLimitedSend(s)
 	req := r.targetRequest(s)
 	req.Trace = tracing.Parent(ctx)
 	resp, err := r.s.targets.Send(s.ctx, req)
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -207,6 +207,9 @@
 		fields["load"] = choice.Load
 		fields["mean"] = choice.Mean
 	}
+	if r.cur.limited {
+		fields["rate_limit"] = r.cur.limit
+	}
 	if len(r.Prefixes) > 0 {
 		fields["prompt"] = fmt.Sprintf("%x", r.Prefixes[len(r.Prefixes)-1])
 	}
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -16,6 +16,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/overload"
 	"github.com/zinniafork/zinniafork/internal/core/quarantine"
+	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/selfreport"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
@@ -78,6 +79,7 @@
 	cold     *balance.ColdLimit
 	outliers *outlier.Detector
 	reports  *selfreport.Tracker
+	limits   *ratelimit.Tracker
 	budgets  map[fleet.Service]*retry.WindowBudget
 	// quarantine keeps the prompt parts that crash engines.
 	quarantine *quarantine.Tracker
@@ -153,6 +155,7 @@
 	s.cold = balance.NewColdLimit(id.Self().VM)
 	s.outliers = outlier.New()
 	s.reports = selfreport.New()
+	s.limits = ratelimit.New()
 	s.quarantine = quarantine.New()
 	s.budgets = make(map[fleet.Service]*retry.WindowBudget)
 	s.limiters = make(map[fleet.Service]*overload.Limiter)
@@ -200,6 +203,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reports.Expire(s.clock.Now())
+	s.limits.Expire(s.clock.Now())
 	for _, r := range changes.Targets {
 		id := fleet.Target(r.Key)
 		if r.Gone {
@@ -208,6 +212,7 @@
 		if born, ok := s.born[id]; ok && born != r.Value.Born {
 			s.balancer.ForgetCache(id)
 			s.outliers.Reset(id.Ref())
+			s.limits.Forget(id.Ref())
 		}
 		s.targetNames[id.Ref()] = id
 		s.born[id] = r.Value.Born
