--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -111,6 +111,8 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// Fault is what went wrong with the run.
 	Fault Fault `json:"fault,omitempty"`
+	// Limit is the limit that the answer named in requests a second, zero for none.
+	Limit float64 `json:"limit,omitempty"`
 }
 
 // Refusal is a request that was refused. Pause is true if the answer asked for a pause.
@@ -126,6 +128,7 @@
 
 	mu      sync.Mutex
 	fault   Fault
+	limit   float64
 	running int
 	runs    []*Run
 	cached  []string
@@ -145,6 +148,14 @@
 	s.fault = f
 }
 
+// SetLimit lets the worker name a limit of requests a second in its answers, none for
+// zero. It takes more all the same.
+func (s *Server) SetLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = perSecond
+}
+
 // Cache sets the ids of the prompt parts that the worker has in cache.
 func (s *Server) Cache(ids ...string) {
 	s.mu.Lock()
@@ -236,6 +247,7 @@
 		At:        time.Now(),
 		Leaving:   s.fault == FaultLeaving,
 		Fault:     s.fault,
+		Limit:     s.limit,
 	}
 	s.runs = append(s.runs, run)
 	return run, s.fault, true
@@ -262,6 +274,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	s.nameLimit(h)
 	run, fault, ok := s.begin(r, string(body))
 	if !ok {
 		s.refuse(w, r, fault)
@@ -292,6 +305,15 @@
 	s.answer(w, r, fault)
 }
 
+// nameLimit names the limit of the worker, if it has one.
+func (s *Server) nameLimit(h http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limit > 0 {
+		h.Set("Server-Limit", strconv.FormatFloat(s.limit, 'g', -1, 64))
+	}
+}
+
 // refuse answers that the request was not run.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, fault Fault) {
 	w.Header().Set("X-Not-Run", "1")
