Grant the requests to a target with a limit by one router

A target that names a limit got up to twice as much: nothing read the limit, and no router alone exceeds it. Cause: routers judge the rate of a target by what they send themselves, if at all, and the sum of many slivers is seen by nobody.

For each target with a limit one router, the first in a ranking of those alive, now grants the requests of all one by one (core/ratelimit). A router asks it once it has chosen such a target, by a query of some 40 bytes; denied, it chooses another one and doesn't ask again until there may be room. No answer in 150 ms: the next in the ranking grants half of the limit until the first is known to be gone, which together stays within the one and a half times that are allowed. Limits and their ends travel with the digests. New prompts go to engines without a limit first, as a grant is worth most where the prompt is in cache, and the mean load leaves out the engines with one. A request that only such targets could take is refused at once.

Ruled out: shares of the limit for each router (2 a second among 95 is one request in 47 s), and sums by digest, which are half a second old.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -58,6 +58,9 @@
 	// MaxLoadPerSlot is the load per slot from which a target gets no request,
 	// zero for no limit.
 	MaxLoadPerSlot float64
+	// CachedOnly reports the engines that get only prompts that they have in cache, as
+	// long as another one may get the request; nil for none.
+	CachedOnly func(t *sitestate.AvailableTarget) bool
 }
 
 // prompt returns the identifier of the longest shared prefix, which stands for
@@ -129,7 +132,7 @@
 	if len(allowed) == 0 {
 		return Choice{Reason: None}
 	}
-	mean := b.meanLoad(targets)
+	mean := b.meanLoad(r, targets)
 	eligible := b.belowLimit(r, allowed)
 	if len(eligible) == 0 {
 		c := b.selectLeastLoaded(allowed, mean)
@@ -141,7 +144,7 @@
 	if c, ok := b.selectHolder(now, r, eligible, mean); ok {
 		return c
 	}
-	c := b.selectWithoutCache(now, r, eligible, mean)
+	c := b.selectWithoutCache(now, r, withoutCachedOnly(r, eligible), mean)
 	c.Sources = b.prompts.sources(now, r.Prefixes, c.Target.ID.Ref())
 	return c
 }
@@ -172,13 +175,35 @@
 	return out
 }
 
-// meanLoad returns the mean load of all targets of the service.
-func (b *Balancer) meanLoad(targets []sitestate.AvailableTarget) float64 {
-	total := 0.0
+// withoutCachedOnly returns the targets that get prompts which they don't have in cache,
+// all if there are none.
+func withoutCachedOnly(r *Request, eligible []*sitestate.AvailableTarget) []*sitestate.AvailableTarget {
+	if r.CachedOnly == nil {
+		return eligible
+	}
+	out := make([]*sitestate.AvailableTarget, 0, len(eligible))
+	for _, t := range eligible {
+		if !r.CachedOnly(t) {
+			out = append(out, t)
+		}
+	}
+	if len(out) == 0 {
+		return eligible
+	}
+	return out
+}
+
+// meanLoad returns the mean load of the targets of the service. Those that get only what
+// they have in cache don't count, as the others have to bear what they leave.
+func (b *Balancer) meanLoad(r *Request, targets []sitestate.AvailableTarget) float64 {
+	total, counted := 0.0, 0
 	for i := range targets {
-		total += b.loads.load(targets[i].ID.Ref())
+		if r.CachedOnly == nil || !r.CachedOnly(&targets[i]) {
+			total += b.loads.load(targets[i].ID.Ref())
+			counted++
+		}
 	}
-	return total / float64(max(len(targets), 1))
+	return total / float64(max(counted, 1))
 }
 
 // selectHolder returns the least loaded of the engines that have the prompt in
--- a/internal/core/ratelimit/tracker.go
+++ b/internal/core/ratelimit/tracker.go
@@ -76,6 +76,15 @@
 	return e.report.Rate, true
 }
 
+// Report returns what is known of the limit of a process, and false if nothing is.
+func (t *Tracker) Report(p Process) (Report, bool) {
+	e, ok := t.entries[p]
+	if !ok {
+		return Report{}, false
+	}
+	return e.report, true
+}
+
 // Named records a response that names a limit, and reports whether that changes the
 // limit.
 func (t *Tracker) Named(now time.Time, p Process, rate float64) bool {
--- a/internal/service/forward/caches.go
+++ b/internal/service/forward/caches.go
@@ -239,15 +239,15 @@
 	return highestRanked(fleet.Target(vm), others) == s.self
 }
 
-// sendCaches sends all known placements, and the prompt parts in quarantine, to one
-// router.
+// sendCaches sends all known placements, the prompt parts in quarantine and the limits of
+// targets to one router.
 func (s *Service) sendCaches(to fleet.VM) {
 	s.mu.Lock()
 	now := s.clock.Now()
 	placements := s.balancer.Placements(now)
-	d := newDigest(now, s.newEncoder("caches"), s.balancer.LocalLoads(now), updates{prompts: placements, parts: s.quarantine.Snapshot()})
+	d := newDigest(now, s.newEncoder("caches"), s.balancer.LocalLoads(now), updates{prompts: placements, parts: s.quarantine.Snapshot(), limits: s.limits.Reports()})
 	s.mu.Unlock()
-	if len(placements)+len(d.Quarantined) == 0 {
+	if len(placements)+len(d.Quarantined)+len(d.Limits) == 0 {
 		return
 	}
 	s.sendDigest(d, []fleet.VM{to})
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -19,10 +19,13 @@
 const minWarmRatio = 0.5
 
 // targetGate is the balance.Gate of one choice. It excludes ejected targets, and
-// limits the request rate of cold targets.
+// limits the request rate of cold targets and of those that name a limit.
 type targetGate struct {
 	s       *Service
 	service *routing.Service
+	rule    limitRule
+	// usedUp is set once a target is excluded for its limit.
+	usedUp bool
 	// skipCold excludes cold targets.
 	skipCold bool
 	// ignoreOutliers admits ejected targets, for when too many are ejected.
@@ -34,6 +37,10 @@
 	if g.s.reports.State(now, t.ID.Ref(), t.Born) != selfreport.Accepting {
 		return false
 	}
+	if !g.s.withinLimit(now, t, g.rule) {
+		g.usedUp = true
+		return false
+	}
 	if now.Before(t.ColdUntil) {
 		if g.skipCold || !g.s.cold.Allow(now, t.ID, g.service.ColdRate) {
 			return false
@@ -42,25 +49,34 @@
 	return g.ignoreOutliers || g.s.outliers.State(now, t.ID.Ref()) != outlier.Ejected
 }
 
-// chooseTarget chooses a target and records the start of a request to it. It also
-// returns the number of available targets of the service. Cold targets are
-// considered when too few are warm or no warm target may get the request.
-func (s *Service) chooseTarget(now time.Time, service *routing.Service, r *balance.Request) (balance.Choice, int) {
+// chooseTarget chooses a target and records the start of a request to it. If the target
+// names a limit and the rule has no grant for it, needsGrant is true and nothing is
+// recorded. It also returns the number of available targets of the service. Cold targets are considered when too few are warm or
+// no warm target may get the request.
+func (s *Service) chooseTarget(now time.Time, service *routing.Service, r *balance.Request, rule limitRule) (choice balance.Choice, available int, needsGrant bool) {
 	targets := s.site.Available(service.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	targets = s.withoutLeaving(now, targets)
-	g := &targetGate{s: s, service: service, skipCold: s.enoughWarm(now, targets)}
+	g := &targetGate{s: s, service: service, rule: rule, skipCold: s.enoughWarm(now, targets)}
+	// What a target takes within its limit is worth most to prompts in its cache.
+	r.CachedOnly = s.isLimited
 	g.ignoreOutliers = !outlier.MayEject(s.countNotInUse(now, targets), len(targets))
-	choice := s.balancer.Choose(now, r, targets, g)
+	choice = s.balancer.Choose(now, r, targets, g)
 	if choice.Target.ID == "" && g.skipCold {
 		g.skipCold = false
 		choice = s.balancer.Choose(now, r, targets, g)
 	}
 	if choice.Target.ID == "" {
-		return choice, len(targets)
+		if choice.Reason == balance.None && g.usedUp {
+			choice.Reason = limitUsedUp
+		}
+		return choice, len(targets), false
 	}
 	t := &choice.Target
+	if rule.granted == nil && s.isLimited(t) {
+		return choice, len(targets), true
+	}
 	if now.Before(t.ColdUntil) {
 		s.cold.Take(now, t.ID, service.ColdRate)
 	}
@@ -68,7 +84,7 @@
 		s.outliers.StartTrial(t.ID.Ref())
 	}
 	s.balancer.RequestStarted(now, t.ID, r.Prefixes)
-	return choice, len(targets)
+	return choice, len(targets), false
 }
 
 // withoutLeaving returns the targets that have not said that they are leaving.
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -9,6 +9,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/loadtable"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/quarantine"
+	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
@@ -38,16 +39,22 @@
 	Cleared     []uint64 `msgpack:"f,omitempty"`
 	Familiar    []uint64 `msgpack:"k,omitempty"`
 	Quarantined []uint64 `msgpack:"q,omitempty"`
+	// Limits holds what is known of the limits that targets name: the index of the target
+	// in 2 bytes, the low 32 bits of its Born value in 4, the age of the report in
+	// milliseconds in 2, and in 4 bytes the limit in thousandths of a request a second
+	// plus one, zero when there is none any more, all little endian.
+	Limits []byte `msgpack:"r,omitempty"`
 }
 
 // placementSize is the length in bytes of one entry of Prompts.
 const placementSize = 10
 
 // crashHeadSize is the length in bytes of an entry of Crashes without its parts, and
-// partSize that of one part.
+// partSize that of one part. limitSize is that of an entry of Limits.
 const (
 	crashHeadSize = 9
 	partSize      = 8
+	limitSize     = 12
 )
 
 // updates collects the placements, request outcomes, leaving targets and notices of
@@ -57,6 +64,7 @@
 	outcomes map[fleet.Ref]outlier.Counts
 	leaving  []leavingTarget
 	parts    quarantine.Notices
+	limits   []ratelimit.Report
 }
 
 // leavingTarget is the process of a target that said that it is leaving, identified by
@@ -71,6 +79,7 @@
 	u.prompts = append(u.prompts, more.prompts...)
 	u.leaving = append(u.leaving, more.leaving...)
 	u.parts.Merge(more.parts)
+	u.limits = append(u.limits, more.limits...)
 	if u.outcomes == nil {
 		u.outcomes = make(map[fleet.Ref]outlier.Counts)
 	}
@@ -113,6 +122,11 @@
 			d.Crashes = appendCrash(d.Crashes, index, now.Sub(c.At), c)
 		}
 	}
+	for _, r := range u.limits {
+		if index, ok := enc.Index(r.Process.Target); ok {
+			d.Limits = appendLimit(d.Limits, index, now.Sub(r.At), r)
+		}
+	}
 	d.Cleared, d.Familiar, d.Quarantined = u.parts.Cleared, u.parts.Familiar, u.parts.Quarantined
 	d.Loads = enc.Encode(loads)
 	return d
@@ -191,3 +205,37 @@
 	}
 	return n
 }
+
+// appendLimit appends an entry of Limits.
+func appendLimit(out []byte, index uint16, age time.Duration, r ratelimit.Report) []byte {
+	rate := uint32(0)
+	if r.Limited {
+		rate = uint32(min(math.Round(r.Rate*1000)+1, math.MaxUint32))
+	}
+	out = binary.LittleEndian.AppendUint16(out, index)
+	out = binary.LittleEndian.AppendUint32(out, r.Process.Born)
+	out = binary.LittleEndian.AppendUint16(out, uint16(min(max(age.Milliseconds(), 0), math.MaxUint16)))
+	return binary.LittleEndian.AppendUint32(out, rate)
+}
+
+// limits decodes the reports of limits, given the targets of the table by index. Reports
+// on unknown targets and an incomplete one at the end are ignored.
+func (d *digest) limits(now time.Time, refs []fleet.Ref) []ratelimit.Report {
+	var out []ratelimit.Report
+	for rest := d.Limits; len(rest) >= limitSize; rest = rest[limitSize:] {
+		index := int(binary.LittleEndian.Uint16(rest))
+		if index >= len(refs) {
+			continue
+		}
+		age := time.Duration(binary.LittleEndian.Uint16(rest[6:])) * time.Millisecond
+		r := ratelimit.Report{
+			Process: ratelimit.Process{Target: refs[index], Born: binary.LittleEndian.Uint32(rest[2:])},
+			At:      now.Add(-age),
+		}
+		if rate := binary.LittleEndian.Uint32(rest[8:]); rate > 0 {
+			r.Limited, r.Rate = true, float64(rate-1)/1000
+		}
+		out = append(out, r)
+	}
+	return out
+}
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -148,7 +148,7 @@
 	}()
 	for ctx.Err() == nil && silent.ctx.Err() == nil {
 		r.s.site.AwaitCurrent(ctx)
-		s := r.chooseHedge(h)
+		s := r.chooseHedge(ctx, h)
 		if s == nil {
 			return nil
 		}
@@ -166,7 +166,7 @@
 
 // chooseHedge starts the next send of a hedge. It returns nil if there is no target or
 // the request may not be sent again.
-func (r *request) chooseHedge(h *hedge) *send {
+func (r *request) chooseHedge(ctx context.Context, h *hedge) *send {
 	now := r.s.clock.Now()
 	if r.isolated() {
 		return nil
@@ -179,7 +179,7 @@
 	if !allowed || !r.retryAllowed(now) {
 		return nil
 	}
-	s, _ := r.choose(now)
+	s, _ := r.choose(ctx, now)
 	if s.target() == "" {
 		return nil
 	}
--- a/internal/service/forward/limit.go
+++ b/internal/service/forward/limit.go
@@ -39,7 +39,7 @@
 	return r.s.limiter(r.service.Name).LoadPerSlot(c)
 }
 
-// decided records whether an engine service admitted or refused a request.
+// decided records whether a service admitted or refused a request.
 func (s *Service) decided(now time.Time, name fleet.Service, refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/service/forward/metrics.go
+++ b/internal/service/forward/metrics.go
@@ -26,6 +26,11 @@
 	limitedRepeats metrics.Counter
 }
 
+// grantQueried counts a question for a request to a target that names a limit.
+func (m *requestMetrics) grantQueried(outcome string) {
+	metrics.GetOrRegisterCounter("forward.grant_queries."+outcome, m.registry).Inc(1)
+}
+
 // sampleSize and sampleAlpha weight the histograms towards the last few minutes.
 const (
 	sampleSize  = 1028
--- /dev/null
+++ b/internal/service/forward/ratelimit_test.go
@@ -0,0 +1,35 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/zinniafork/zinniafork/internal/core/loadtable"
+	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+)
+
+func TestDigestCarriesLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var u updates
+		for range rapid.IntRange(2, 20).Draw(t, "reports") {
+			r := ratelimit.Report{
+				Process: ratelimit.Process{Target: fleet.Ref(rapid.Uint32().Draw(t, "target")), Born: rapid.Uint32().Draw(t, "born")},
+				Limited: rapid.Bool().Draw(t, "limited"),
+				At:      start.Add(-time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond),
+			}
+			if r.Limited {
+				r.Rate = float64(rapid.IntRange(0, 4_000_000).Draw(t, "rate")) / 1000
+			}
+			u.limits = append(u.limits, r)
+		}
+		d, refs := decodeDigest(t, newDigest(start, loadtable.NewEncoder(1), nil, u))
+		must.Eq(t, u.limits, d.limits(start, refs))
+		must.SliceEmpty(t, d.limits(start, nil), must.Sprint("unknown targets"))
+		d.Limits = d.Limits[:len(d.Limits)-rapid.IntRange(1, limitSize).Draw(t, "lost bytes")]
+		must.Eq(t, u.limits[:len(u.limits)-1], d.limits(start, refs), must.Sprint("up to the incomplete one"))
+	})
+}
--- a/internal/service/forward/refuse.go
+++ b/internal/service/forward/refuse.go
@@ -45,7 +45,7 @@
 	if errors.As(r.lastErr, new(errQuarantined)) {
 		return quarantineRetryAfter
 	}
-	if r.cur.choice.Reason == balance.Overloaded {
+	if reason := r.cur.choice.Reason; reason == balance.Overloaded || reason == limitUsedUp {
 		return r.s.overloadRetryAfter(r.service.Name, r.remaining())
 	}
 	now := r.s.clock.Now()
@@ -67,18 +67,21 @@
 
 // errNoTarget is the error when no target may get the request.
 type errNoTarget struct {
-	targets    int
-	overloaded bool
+	targets int
+	reason  balance.Reason
 }
 
 // Error tells whether the service has no available target, all were excluded, or
-// the remaining ones are overloaded.
+// the remaining ones are overloaded or have used up the limits that they name.
 func (e errNoTarget) Error() string {
 	if e.targets == 0 {
 		return "choose target: none available"
 	}
-	if e.overloaded {
+	if e.reason == balance.Overloaded {
 		return "choose target: all are overloaded"
 	}
+	if e.reason == limitUsedUp {
+		return "choose target: the limits that targets name are used up"
+	}
 	return "choose target: all available targets are excluded"
 }
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -49,9 +49,33 @@
 func (s *send) target() fleet.Target { return s.choice.Target.ID }
 
 // choose chooses a target for the next send and records the start of a request to it.
-// The send has no target if none may get the request. It also returns the number of
-// available targets.
-func (r *request) choose(now time.Time) (*send, int) {
+// For a target that names a limit it asks the router that grants the requests to it, and
+// chooses again if there is no grant. The send has no target if none may get the request.
+// It also returns the number of available targets.
+func (r *request) choose(ctx context.Context, now time.Time) (*send, int) {
+	var rule limitRule
+	for asked := 0; ; asked++ {
+		rule.noneLimited = asked >= maxGrantQueries
+		s, available, needsGrant := r.tryChoose(now, rule)
+		if rule.granted != nil && s.target() == "" {
+			rule.granted = nil // the target may get no request any more
+			continue
+		}
+		if !needsGrant {
+			return s, available
+		}
+		if r.s.obtainGrant(ctx, &s.choice.Target) {
+			p := processOf(&s.choice.Target)
+			rule.granted = &p
+		}
+		r.s.site.AwaitCurrent(ctx)
+		now = r.s.clock.Now()
+	}
+}
+
+// tryChoose chooses a target under a rule for those that name a limit. It returns true if
+// the target needs a grant, which is not recorded as a start.
+func (r *request) tryChoose(now time.Time, rule limitRule) (s *send, available int, needsGrant bool) {
 	query := &balance.Request{Prefixes: r.Prefixes}
 	if !r.service.Engine {
 		query.Prefixes = nil
@@ -61,13 +85,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	query.Avoid = r.tried
-	choice, available := r.s.chooseTarget(now, r.service, query)
-	if choice.Target.ID != "" {
+	choice, available, needsGrant := r.s.chooseTarget(now, r.service, query, rule)
+	s = &send{choice: choice, startedAt: now}
+	s.limit, s.limited = r.s.limitOf(&choice.Target)
+	if choice.Target.ID != "" && !needsGrant {
 		r.tried[choice.Target.ID] = true
 	}
-	s := &send{choice: choice, startedAt: now}
-	s.limit, s.limited = r.s.limitOf(&choice.Target)
-	return s, available
+	return s, available, needsGrant
 }
 
 // open gives a send its context, which ends with ctx.
@@ -81,13 +105,14 @@
 		r.cur = new(send)
 		return r.noTarget()
 	}
-	s, available := r.choose(now)
+	s, available := r.choose(ctx, now)
+	now = r.s.clock.Now()
 	r.cur = s
-	if r.service.Engine && !r.isRetry() {
-		r.s.decided(now, r.service.Name, s.choice.Reason == balance.Overloaded)
+	if !r.isRetry() {
+		r.s.decided(now, r.service.Name, s.choice.Reason == balance.Overloaded || s.choice.Reason == limitUsedUp)
 	}
 	if s.target() == "" {
-		r.lastErr = errNoTarget{targets: available, overloaded: s.choice.Reason == balance.Overloaded}
+		r.lastErr = errNoTarget{targets: available, reason: s.choice.Reason}
 		return r.noTarget()
 	}
 	if !r.isRetry() {
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -80,14 +80,18 @@
 	outliers *outlier.Detector
 	reports  *selfreport.Tracker
 	limits   *ratelimit.Tracker
+	granter  *ratelimit.Granter
+	asker    *ratelimit.Asker
 	budgets  map[fleet.Service]*retry.WindowBudget
 	// quarantine keeps the prompt parts that crash engines.
 	quarantine *quarantine.Tracker
 	// limiters bound the load of the engines of each service.
 	limiters map[fleet.Service]*overload.Limiter
 	routers  int
-	// liveRouters are the routers that may send requests, this one included.
-	liveRouters []fleet.VM
+	// liveRouters are the routers that may send requests, this one included, and
+	// heardRouters those that are neither suspected nor leaving.
+	liveRouters  []fleet.VM
+	heardRouters []fleet.VM
 	// born holds the Born value of the last known process of each target, to detect
 	// restarts.
 	born map[fleet.Target]int64
@@ -155,7 +159,7 @@
 	s.cold = balance.NewColdLimit(id.Self().VM)
 	s.outliers = outlier.New()
 	s.reports = selfreport.New()
-	s.limits = ratelimit.New()
+	s.limits, s.granter, s.asker = ratelimit.New(), ratelimit.NewGranter(), ratelimit.NewAsker()
 	s.quarantine = quarantine.New()
 	s.budgets = make(map[fleet.Service]*retry.WindowBudget)
 	s.limiters = make(map[fleet.Service]*overload.Limiter)
@@ -173,6 +177,7 @@
 	s.site.Watch(s.siteChanged)
 	s.members.Watch(s.membersChanged)
 	s.peers.HandleControl(peer.KindLoad, s.handleDigest)
+	s.peers.HandleQuery(peer.KindGrant, s.handleGrant)
 	return nil
 }
 
@@ -204,6 +209,8 @@
 	defer s.mu.Unlock()
 	s.reports.Expire(s.clock.Now())
 	s.limits.Expire(s.clock.Now())
+	s.granter.Expire(s.clock.Now())
+	s.asker.Expire(s.clock.Now())
 	for _, r := range changes.Targets {
 		id := fleet.Target(r.Key)
 		if r.Gone {
@@ -223,8 +230,11 @@
 // routers that may send requests. Suspected and leaving routers count too, as they
 // may still send.
 func (s *Service) membersChanged(view *members.Snapshot) {
-	var vms []fleet.VM
+	var vms, heard []fleet.VM
 	for _, m := range view.Members {
+		if m.Status == members.StateAlive {
+			heard = append(heard, m.VM)
+		}
 		if m.Status == members.StateAlive || m.Status == members.StateSuspect || m.Status == members.StateLeaving {
 			vms = append(vms, m.VM)
 		}
@@ -238,7 +248,7 @@
 	s.balancer.SetRelayed(!tree.IsMesh())
 	s.cold.SetRouters(vms)
 	s.routers = max(len(vms), 1)
-	s.liveRouters = vms
+	s.liveRouters, s.heardRouters = vms, heard
 	for _, b := range s.budgets {
 		b.SetRouters(s.routers)
 	}
--- a/internal/service/peer/peer.go
+++ b/internal/service/peer/peer.go
@@ -22,6 +22,7 @@
 	KindFigures   Kind = "figures"
 	KindOrders    Kind = "orders"
 	KindLoad      Kind = "load"
+	KindGrant     Kind = "grant"
 )
 
 // KindTransport counts what the connections themselves need: hello, ping and
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -34,6 +34,7 @@
 	{name: "forward.engine_crashes", help: "Sends that an engine broke off before the first event of its response."},
 	{name: "forward.limited_targets", help: "Targets that name a limit for requests a second from all routers.", gauge: true},
 	{name: "forward.limited_sends", help: "Requests sent to targets that name a limit, by kind.", label: "kind"},
+	{name: "forward.grant_queries", help: "Questions for a request to a target that names a limit, by outcome.", label: "outcome"},
 	{name: "site.reads", help: "Reads of the site's state from the platform's log, with the VM list when due."},
 	{name: "site.log_restores", help: "Returns of the platform's log from a copy, with the loss of what was written since."},
 	{name: "site.read_failures", help: "Failed reads of the site's state from the platform."},
