Name limits of workers in the soak

Workers name a limit of 2 to 6 requests a second, or none any more, and the soak counts what they get from routers that had passed on such an answer: 1.5 x limit x 4 s + 5.

--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -139,6 +140,42 @@
 	}
 }
 
+// TestCheckerFindsIgnoredLimits gives the checker requests every 100 ms from two routers to
+// a worker that names a limit, and what excuses them.
+func TestCheckerFindsIgnoredLimits(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	for name, c := range map[string]struct {
+		limit   float64
+		starts  []time.Time
+		paused  bool
+		refused bool
+		want    bool
+	}{
+		"ignored":         {limit: 3, want: true},
+		"kept":            {limit: 6},
+		"no limit":        {},
+		"restarted often": {limit: 3, starts: []time.Time{begin.Add(2 * time.Second), begin.Add(5 * time.Second), begin.Add(8 * time.Second)}},
+		"routers paused":  {limit: 3, paused: true},
+		"never told":      {limit: 3, refused: true},
+	} {
+		var calls []Call
+		w := workerHistory{id: "w", starts: c.starts}
+		for i := range 100 {
+			at := begin.Add(time.Duration(i) * 100 * time.Millisecond)
+			call := Call{ID: fmt.Sprint(i), Router: i % 2, Status: 200, Whole: !c.refused, Began: at, Ended: at.Add(10 * time.Millisecond)}
+			calls = append(calls, call)
+			w.runs = append(w.runs, workerd.Run{Request: call.ID, At: at, Limit: c.limit})
+		}
+		disturbed := map[int]*spans{0: {}, 1: {}}
+		if c.paused {
+			disturbed[0].list = []span{{from: begin, to: begin.Add(time.Hour)}}
+			disturbed[1].list = disturbed[0].list
+		}
+		found := checkLimits(calls, disturbed, w)
+		must.Eq(t, c.want, len(found) == 1, must.Sprint(name, found))
+	}
+}
+
 func TestProxyModes(t *testing.T) {
 	must.Len(t, 5, linkModes)
 	total := 0
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -57,6 +57,7 @@
 		{"worker falls silent", 4, breakWorker(workerd.FaultSilent, workerd.FaultSilentHead)},
 		{"worker says that it leaves", 2, leaveWorker},
 		{"worker leaves and comes back", 2, bounceWorker},
+		{"worker names a limit, or none any more", 3, toggleLimit},
 		{"configuration", 2, changeConfig},
 		{"drain", 1, drain},
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -169,6 +169,9 @@
 		time.Sleep(time.Duration(r.random.Int64N(int64(pauseMost))))
 	}
 	healing.Wait()
+	for _, w := range r.bed.workers {
+		w.SetLimit(0)
+	}
 	for _, one := range r.bed.routers {
 		one.signal(syscall.SIGCONT)
 		if !one.running() {
@@ -257,6 +260,9 @@
 			r.violation("router %d ended %d times without being told to", one.index, n)
 		}
 	}
+	for _, w := range workers {
+		r.report.Violations = append(r.report.Violations, checkLimits(calls, routers, w)...)
+	}
 	r.report.Violations = append(r.report.Violations, checkCuts(calls, routers, workers)...)
 	if r.report.Whole == 0 {
 		r.violation("nothing was served")
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -156,6 +156,13 @@
 	s.limit = perSecond
 }
 
+// Limit returns the limit that the worker names, zero for none.
+func (s *Server) Limit() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit
+}
+
 // Cache sets the ids of the prompt parts that the worker has in cache.
 func (s *Server) Cache(ids ...string) {
 	s.mu.Lock()
