--- a/internal/lab/soak/limits.go
+++ b/internal/lab/soak/limits.go
@@ -35,47 +35,65 @@
 	return fmt.Sprintf("%s: %.1f a second", w.id, limit), func() {}
 }
 
+// limitChecker counts the requests to one worker while it names the same limit.
+type limitChecker struct {
+	calls     map[string]*Call
+	disturbed map[int]*spans
+	// told holds when each router passed on an answer with the limit, and first the time
+	// of the first one.
+	told  map[int]time.Time
+	first time.Time
+	// counted are the requests of the window.
+	counted []workerd.Run
+}
+
 // checkLimits returns where a worker got more requests than its limit allows from routers
 // that had passed on an answer with it. What a router sent around a kill or a pause of its
 // own doesn't count.
 func checkLimits(calls []Call, disturbed map[int]*spans, w workerHistory) []string {
-	byID := make(map[string]*Call, len(calls))
+	c := &limitChecker{calls: make(map[string]*Call, len(calls)), disturbed: disturbed}
 	for i := range calls {
-		byID[calls[i].ID] = &calls[i]
+		c.calls[calls[i].ID] = &calls[i]
 	}
-	told := make(map[int]time.Time)
-	var (
-		first   time.Time
-		counted []workerd.Run
-	)
-	for i, r := range w.runs {
-		call, ok := byID[r.Request]
-		restarted := !first.IsZero() && startedBetween(w.starts, first, r.At)
-		if r.Limit == 0 || i > 0 && w.runs[i-1].Limit != r.Limit || restarted {
-			clear(told)
-			first, counted = time.Time{}, nil
-		}
-		if r.Limit == 0 || !ok {
-			continue
-		}
-		if at, known := told[call.Router]; known && r.At.After(at.Add(limitTold)) && !disturbed[call.Router].meet(at, r.At) {
-			counted = append(counted, r)
-		}
-		if call.Whole && call.Status == http.StatusOK {
-			if _, known := told[call.Router]; !known || disturbed[call.Router].meet(told[call.Router], r.At) {
-				told[call.Router] = call.Ended
-			}
-			if first.IsZero() {
-				first = call.Ended
-			}
-		}
-		for len(counted) > 0 && r.At.Sub(counted[0].At) >= limitWindow {
-			counted = counted[1:]
+	limit := 0.0
+	for _, r := range w.runs {
+		if r.Limit != limit || !c.first.IsZero() && startedBetween(w.starts, c.first, r.At) {
+			c.told, c.first, c.counted = make(map[int]time.Time), time.Time{}, nil
+			limit = r.Limit
 		}
-		if allowed := 1.5*r.Limit*limitWindow.Seconds() + 5; float64(len(counted)) > allowed && r.At.After(first.Add(limitSettled)) {
+		if n, allowed := c.add(r), 1.5*limit*limitWindow.Seconds()+5; limit > 0 && float64(n) > allowed {
 			return []string{fmt.Sprintf("worker %s, which names %.1f requests a second, got %d in %s with %s, %.0f allowed",
-				w.id, r.Limit, len(counted), limitWindow, r.Request, allowed)}
+				w.id, limit, n, limitWindow, r.Request, allowed)}
 		}
 	}
 	return nil
 }
+
+// add takes the next request, and returns the number in the window, zero before the worker
+// is bound to its limit.
+func (c *limitChecker) add(r workerd.Run) int {
+	call, ok := c.calls[r.Request]
+	if r.Limit == 0 || !ok {
+		return 0
+	}
+	at, told := c.told[call.Router]
+	told = told && !c.disturbed[call.Router].meet(at, r.At)
+	if told && r.At.After(at.Add(limitTold)) {
+		c.counted = append(c.counted, r)
+	}
+	if call.Whole && call.Status == http.StatusOK {
+		if !told {
+			c.told[call.Router] = call.Ended
+		}
+		if c.first.IsZero() {
+			c.first = call.Ended
+		}
+	}
+	for len(c.counted) > 0 && r.At.Sub(c.counted[0].At) >= limitWindow {
+		c.counted = c.counted[1:]
+	}
+	if c.first.IsZero() || !r.At.After(c.first.Add(limitSettled)) {
+		return 0
+	}
+	return len(c.counted)
+}
