Don't blame a router for a caller that leaves during a grant query

A question for a grant ended with its caller's connection, and the router that was asked counted as silent: for 2 s its targets got half of their limit from the next one. The test failed before: the router was not usable after a caller had left. Routers that leave are no longer asked for grants either: those that still knew them as alive got half the limit from them. Found by reading the code.

--- a/internal/service/forward/ratelimit.go
+++ b/internal/service/forward/ratelimit.go
@@ -86,7 +86,7 @@
 		s.mu.Unlock()
 		return true // it has ended since
 	}
-	first := ratelimit.First(p.Target, s.liveRouters, s.asker.Usable(asked))
+	first := ratelimit.First(p.Target, s.grantRouters, s.asker.Usable(asked))
 	if first == s.self || first == "" {
 		reply := s.grant(asked, report)
 		s.mu.Unlock()
@@ -94,7 +94,10 @@
 	}
 	s.mu.Unlock()
 	reply, err := s.queryGrant(ctx, first, asked, report)
-	if err != nil {
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return false // the caller has left, or its deadline has passed
+	case err != nil:
 		s.grantFailed(first, p, err)
 		return false
 	}
@@ -198,8 +201,9 @@
 	if !ok {
 		r = asked
 	}
-	heard := func(fleet.VM) bool { return true }
-	deputy := ratelimit.First(r.Process.Target, s.heardRouters, heard) != s.self && len(s.heardRouters) > 0
+	all := func(fleet.VM) bool { return true }
+	first := ratelimit.First(r.Process.Target, s.heardRouters, all)
+	deputy := first != "" && first != s.self
 	granted, wait := s.granter.Grant(now, r.Process, r.Rate, deputy)
 	return grantReply{Granted: granted, WaitMS: milliseconds(wait)}
 }
--- a/internal/service/forward/ratelimit_test.go
+++ b/internal/service/forward/ratelimit_test.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -9,7 +11,9 @@
 
 	"github.com/zinniafork/zinniafork/internal/core/loadtable"
 	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
+	"github.com/zinniafork/zinniafork/internal/core/routing"
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/peer"
 )
 
 func TestDigestCarriesLimits(t *testing.T) {
@@ -33,3 +37,30 @@
 		must.Eq(t, u.limits[:len(u.limits)-1], d.limits(start, refs), must.Sprint("up to the incomplete one"))
 	})
 }
+
+// silentPeers are routers that do not answer queries.
+type silentPeers struct {
+	peer.Peers
+}
+
+func (silentPeers) Query(context.Context, fleet.VM, peer.Kind, []byte) ([]byte, error) {
+	return nil, errors.New("no answer")
+}
+
+// TestCallerThatLeavesBlamesNoRouter covers a question for a grant that ends because its
+// caller has left: the router that was asked is not at fault, unlike one that is silent.
+func TestCallerThatLeavesBlamesNoRouter(t *testing.T) {
+	for _, left := range []bool{true, false} {
+		s := sentRequest(&routing.Route{Kind: routing.Safe, Attempts: 2}, new(twoTargets)).s
+		s.peers, s.grantRouters = silentPeers{}, []fleet.VM{"other"}
+		target := s.site.Available("llm")[0]
+		s.limits.Named(time.Now(), processOf(&target), 2)
+		ctx, cancel := context.WithCancel(t.Context())
+		if left {
+			cancel()
+		}
+		must.False(t, s.obtainGrant(ctx, &target))
+		must.Eq(t, left, s.asker.Usable(time.Now())("other"))
+		cancel()
+	}
+}
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -88,9 +88,10 @@
 	// limiters bound the load of the engines of each service.
 	limiters map[fleet.Service]*overload.Limiter
 	routers  int
-	// liveRouters are the routers that may send requests, this one included, and
-	// heardRouters those that are neither suspected nor leaving.
+	// liveRouters are the routers that may send requests, this one included. Of these,
+	// grantRouters are not leaving, and heardRouters not suspected either.
 	liveRouters  []fleet.VM
+	grantRouters []fleet.VM
 	heardRouters []fleet.VM
 	// born holds the Born value of the last known process of each target, to detect
 	// restarts.
@@ -230,11 +231,14 @@
 // routers that may send requests. Suspected and leaving routers count too, as they
 // may still send.
 func (s *Service) membersChanged(view *members.Snapshot) {
-	var vms, heard []fleet.VM
+	var vms, grant, heard []fleet.VM
 	for _, m := range view.Members {
 		if m.Status == members.StateAlive {
 			heard = append(heard, m.VM)
 		}
+		if m.Status == members.StateAlive || m.Status == members.StateSuspect {
+			grant = append(grant, m.VM)
+		}
 		if m.Status == members.StateAlive || m.Status == members.StateSuspect || m.Status == members.StateLeaving {
 			vms = append(vms, m.VM)
 		}
@@ -248,7 +252,7 @@
 	s.balancer.SetRelayed(!tree.IsMesh())
 	s.cold.SetRouters(vms)
 	s.routers = max(len(vms), 1)
-	s.liveRouters, s.heardRouters = vms, heard
+	s.liveRouters, s.grantRouters, s.heardRouters = vms, grant, heard
 	for _, b := range s.budgets {
 		b.SetRouters(s.routers)
 	}
