Refuse a grant query without a limit

A question of another router with a rate that is no number reached the granter. By reading, its count of what is left would then be no number either, and grant nothing to any router. It is now refused as malformed. Found by reading the diff; the test is new, and was not run without the check.

--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -51,8 +51,8 @@
 
 // chooseTarget chooses a target and records the start of a request to it. If the target
 // names a limit and the rule has no grant for it, needsGrant is true and nothing is
-// recorded. It also returns the number of available targets of the service. Cold targets are considered when too few are warm or
-// no warm target may get the request.
+// recorded. It also returns the number of available targets of the service. Cold targets
+// are considered when too few are warm or no warm target may get the request.
 func (s *Service) chooseTarget(now time.Time, service *routing.Service, r *balance.Request, rule limitRule) (choice balance.Choice, available int, needsGrant bool) {
 	targets := s.site.Available(service.Name)
 	s.mu.Lock()
--- a/internal/service/forward/ratelimit.go
+++ b/internal/service/forward/ratelimit.go
@@ -174,7 +174,11 @@
 // handleGrant answers another router's question.
 func (s *Service) handleGrant(_ context.Context, from fleet.VM, payload []byte) ([]byte, error) {
 	var q grantQuery
-	if err := wire.Unmarshal(payload, &q); err != nil {
+	err := wire.Unmarshal(payload, &q)
+	if err == nil && !ratelimit.IsRate(q.Rate) {
+		err = fmt.Errorf("limit of %v requests a second", q.Rate)
+	}
+	if err != nil {
 		return nil, &call.Error{Code: call.CodeBadRequest, Step: Name, Peer: string(from), Run: call.RunNot, Message: "decode grant query: " + err.Error()}
 	}
 	s.mu.Lock()
@@ -183,9 +187,7 @@
 		Process: ratelimit.Process{Target: q.Target, Born: q.Born}, Limited: true, Rate: q.Rate,
 		At: now.Add(-time.Duration(q.AgeMS) * time.Millisecond),
 	}
-	if ratelimit.IsRate(q.Rate) {
-		s.applyLimits(now, from, []ratelimit.Report{r})
-	}
+	s.applyLimits(now, from, []ratelimit.Report{r})
 	reply := s.grant(now, r)
 	s.mu.Unlock()
 	return wire.Marshal(&reply)
--- a/internal/service/forward/ratelimit_test.go
+++ b/internal/service/forward/ratelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/routing"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
+	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 func TestDigestCarriesLimits(t *testing.T) {
@@ -64,3 +66,16 @@
 		cancel()
 	}
 }
+
+// TestGrantQueryWithoutARate covers a malformed question of another router: it gets an
+// error, and grants nothing.
+func TestGrantQueryWithoutARate(t *testing.T) {
+	s := sentRequest(&routing.Route{Kind: routing.Safe, Attempts: 2}, new(twoTargets)).s
+	for _, rate := range []float64{math.NaN(), math.Inf(1), -1} {
+		payload, err := wire.Marshal(&grantQuery{Target: 1, Rate: rate})
+		must.NoError(t, err)
+		_, err = s.handleGrant(t.Context(), "other", payload)
+		must.Error(t, err)
+	}
+	must.SliceEmpty(t, s.limits.Reports())
+}
