Log what identifies a request in all its tries

Lines of failed sends and of ended requests named account and route, which sound requests share. They now have a hash of method, host, URI, account and body, so that the hypotheses of docs/incidents/request-crashes-targets.md can be told apart.

--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -33,6 +33,8 @@
 	route   *routing.Route
 	account *routing.Account
 	service *routing.Service
+	// content identifies requests that are the same but for their ID.
+	content uint64
 	// deadline is the time by which the caller gets its final response.
 	deadline time.Time
 	// cur is the current send, and next the one whose response takes over from it.
@@ -114,6 +116,7 @@
 	if r.s.stopped.Load() {
 		return Refusal{Status: http.StatusServiceUnavailable, RetryAfter: drainingRetryAfter, Message: "router stops"}, false
 	}
+	r.content = r.hashContent()
 	r.service = table.Service(route.PickService(r.s.randomFloat()))
 	if r.service == nil {
 		return Refusal{Status: http.StatusServiceUnavailable, RetryAfter: noTargetRetryAfter, Message: "no service"}, false
@@ -201,6 +204,9 @@
 	if r.account != nil {
 		fields["account"] = r.account.Name
 	}
+	if r.content != 0 {
+		fields["content"] = fmt.Sprintf("%x", r.content)
+	}
 	if choice := &r.cur.choice; choice.Reason != "" {
 		fields["target"] = choice.Target.ID
 		fields["why"] = choice.Reason
