Reproduce a request that crashes each target that runs it

The stand-in worker crashes on requests with a given body, streams before the first event or after some. The test sends such a request to three routers twice a second, among sound ones with its path and caller: plain idempotent and unsafe requests, resumable streams and others.

Bodies of the test site's callers differ now, as those of callers do; no test depended on them.

--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -208,14 +208,27 @@
 // send sends a request with these parts in its prompt and a last one of its own. It has no
 // prompt without parts.
 func (b *siteBed) send(router, route, lastEvent string, parts ...string) answer {
+	request := b.request(route, parts...)
+	request.LastEvent = lastEvent
+	return b.do(router, request)
+}
+
+// request returns a request with these parts in its prompt and a last one of its own. It
+// has no prompt without parts.
+func (b *siteBed) request(route string, parts ...string) *siteclient.Request {
 	serial := b.serial.Add(1)
-	request := &siteclient.Request{
-		ID: fmt.Sprintf("r%d", serial), Host: "a.example", Route: route, Key: "key", Deadline: 3 * time.Second, Body: "body",
-		LastEvent: lastEvent,
+	out := &siteclient.Request{
+		ID: fmt.Sprintf("r%d", serial), Host: "a.example", Route: route, Key: "key", Deadline: 3 * time.Second,
+		Body: fmt.Sprintf("body %d", serial),
 	}
 	if len(parts) > 0 {
-		request.Prompt = append(slices.Clone(parts), fmt.Sprint(serial))
+		out.Prompt = append(slices.Clone(parts), fmt.Sprint(serial))
 	}
+	return out
+}
+
+// do sends a request to a router.
+func (b *siteBed) do(router string, request *siteclient.Request) answer {
 	r, err := request.HTTP(b.t.Context(), "10.0.0."+router+":80")
 	must.NoError(b.t, err)
 	resp, err := b.client.Do(r)
--- /dev/null
+++ b/internal/app/site_crash_request_test.go
@@ -0,0 +1,95 @@
+package app
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/zinniafork/zinniafork/internal/standin/workerd"
+)
+
+// deadlyBody is the body of a request that crashes each worker that runs it.
+const deadlyBody = "deadly"
+
+// callBody sends a request of a route with a given body, or one of its own.
+func (b *siteBed) callBody(router, route, body string) answer {
+	var parts []string
+	if route == "chat" || route == "draft" {
+		parts = []string{"aa", "bb"}
+	}
+	request := b.request(route, parts...)
+	if body != "" {
+		request.Body = body
+	}
+	return b.do(router, request)
+}
+
+// crashingSite replaces all workers by ones that deadlyBody crashes, streams after a number
+// of events. Their service has three plain workers or six engines.
+func (b *siteBed) crashingSite(after int) {
+	opt := workerd.Options{Slots: 64, Events: 6, Work: 20 * time.Millisecond, CrashBodies: []string{deadlyBody}, CrashAfter: after}
+	b.crashingWorkers("plain", []string{"p1", "p2", "p3"}, opt)
+	b.crashingWorkers("llm", []string{"e1", "e2", "e3", "e4", "e5", "e6"}, opt)
+}
+
+// sendsOf returns the times at which requests with a body reached workers.
+func (b *siteBed) sendsOf(body string) []time.Time {
+	var at []time.Time
+	for _, w := range b.workers {
+		for _, r := range w.Runs() {
+			if r.Body == body {
+				at = append(at, r.At)
+			}
+		}
+	}
+	return at
+}
+
+// TestRequestThatCrashesTargetsIsNotSentOn plays a request that crashes each target that
+// runs it and comes to all routers, twice a second, among sound ones with its path and
+// caller.
+func TestRequestThatCrashesTargetsIsNotSentOn(t *testing.T) {
+	for _, c := range []struct {
+		route string
+		after int
+	}{{"status", 0}, {"order", 0}, {"chat", 0}, {"chat", 2}, {"draft", 0}, {"draft", 2}} {
+		t.Run(fmt.Sprintf("%s after %d events", c.route, c.after), func(t *testing.T) { crashByRequest(t, c.route, c.after) })
+	}
+}
+
+func crashByRequest(t *testing.T, route string, after int) {
+	t.Helper()
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.crashingSite(after)
+		var third time.Time
+		served, sound := 0, 0
+		for i := range 60 {
+			go b.callBody(fmt.Sprint(i%3+1), route, deadlyBody)
+			for j := range 5 {
+				b.wait(100 * time.Millisecond)
+				if third.IsZero() && b.crashes() >= 3 {
+					third = time.Now()
+				}
+				a := b.callBody(fmt.Sprint((i+j)%3+1), route, "")
+				if third.IsZero() || time.Since(third) < 2*spreadWindow {
+					continue
+				}
+				sound++
+				if a.status == 200 && a.err == nil {
+					served++
+				}
+			}
+		}
+		late := 0
+		for _, at := range b.sendsOf(deadlyBody) {
+			if !third.IsZero() && at.Sub(third) > spreadWindow {
+				late++
+			}
+		}
+		must.LessEq(t, 3, late, must.Sprintf("%d crashes", b.crashes()))
+		must.Greater(t, 100, sound)
+		must.Greater(t, sound*9/10, served, must.Sprintf("of %d sound requests", sound))
+	})
+}
--- a/internal/app/site_quarantine_test.go
+++ b/internal/app/site_quarantine_test.go
@@ -18,25 +18,30 @@
 // They are back after four seconds, as new processes. With head set, they send the head
 // of a response first.
 func (b *siteBed) crashingEngines(part string, head bool) {
+	b.crashingWorkers("llm", []string{"e1", "e2", "e3", "e4", "e5", "e6"}, workerd.Options{
+		Slots: 64, Events: 6, Work: 20 * time.Millisecond, CrashParts: []string{part}, CrashHead: head,
+	})
+}
+
+// crashingWorkers starts workers of a service, or replaces those that are there. After a
+// crash each is back after four seconds, as a new process.
+func (b *siteBed) crashingWorkers(service string, ids []string, opt workerd.Options) {
 	started := int64(1_800_000_000_000)
-	for i := range 6 {
-		id := fmt.Sprintf("e%d", i+1)
+	opt.Restart = 4 * time.Second
+	for _, id := range ids {
 		var server atomic.Pointer[httpserve.Server]
-		opt := workerd.Options{
-			Slots: 64, Events: 6, Work: 20 * time.Millisecond, CrashParts: []string{part}, Restart: 4 * time.Second, CrashHead: head,
-			Crashed: func() { _ = server.Load().Close() },
-			Restarted: func() {
-				server.Store(b.serveWorker(id))
-				b.store.PutWorker(keyedlog.Worker{
-					ID: id, Service: "llm", Address: "10.1.0." + id + ":80", DataCentre: "dc1", Slots: 6,
-					Born: started + time.Now().UnixMilli(),
-				})
-			},
+		opt.Crashed = func() { _ = server.Load().Close() }
+		opt.Restarted = func() {
+			server.Store(b.serveWorker(id))
+			b.store.PutWorker(keyedlog.Worker{
+				ID: id, Service: service, Address: "10.1.0." + id + ":80", DataCentre: "dc1", Slots: 6,
+				Born: started + time.Now().UnixMilli(),
+			})
 		}
 		if _, ok := b.workers[id]; ok {
-			b.restartWorker(id, "llm", opt)
+			b.restartWorker(id, service, opt)
 		} else {
-			b.worker(id, "llm", opt)
+			b.worker(id, service, opt)
 		}
 		server.Store(b.servers[id])
 	}
--- a/internal/standin/workerd/crash.go
+++ b/internal/standin/workerd/crash.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// crashes is the state of a worker that certain prompt parts crash.
+// crashes is the state of a worker that certain requests crash.
 type crashes struct {
 	// down is true from a crash until the worker is back, and count is the number of
 	// crashes.
@@ -26,7 +26,7 @@
 	return crashes{process: ctx, end: cancel}
 }
 
-// Crashes returns how often a prompt part has crashed the worker.
+// Crashes returns how often a request has crashed the worker.
 func (s *Server) Crashes() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -46,14 +46,11 @@
 	return r.WithContext(ctx), func() { stop(); cancel() }
 }
 
-// crashOn crashes the worker if the prompt has one of Options.CrashParts, the last part
-// excepted. All its connections are closed, and it is back after Options.Restart.
-func (s *Server) crashOn(w http.ResponseWriter, r *http.Request) {
-	parts := strings.Split(r.Header.Get("X-Prompt-Prefix"), ",")
-	if !slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
-		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
-		return slices.Contains(s.opt.CrashParts, id)
-	}) {
+// crashOn crashes the worker before the next event of a response, or its body, if the
+// request is one that does. All its connections are closed, and it is back after
+// Options.Restart.
+func (s *Server) crashOn(w http.ResponseWriter, r *http.Request, run *Run, events int) {
+	if !s.crashesOnPart(run, events) && !s.crashesOnBody(run, events) {
 		return
 	}
 	if s.opt.CrashHead {
@@ -66,6 +63,22 @@
 	panic(http.ErrAbortHandler)
 }
 
+// crashesOnPart reports whether the prompt has one of Options.CrashParts, the last part
+// excepted, and no event was sent yet.
+func (s *Server) crashesOnPart(run *Run, events int) bool {
+	parts := strings.Split(run.Prompt, ",")
+	return events == 0 && slices.ContainsFunc(parts[:len(parts)-1], func(part string) bool {
+		id, _, _ := strings.Cut(strings.TrimSpace(part), ":")
+		return slices.Contains(s.opt.CrashParts, id)
+	})
+}
+
+// crashesOnBody reports whether the body is one of Options.CrashBodies, and as many events
+// were sent as such a request gets, or all of a plain response.
+func (s *Server) crashesOnBody(run *Run, events int) bool {
+	return (events == s.opt.CrashAfter || run.Prompt == "") && slices.Contains(s.opt.CrashBodies, run.Body)
+}
+
 // crash ends the process of the worker, and starts another one after Options.Restart.
 func (s *Server) crash() {
 	s.mu.Lock()
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -62,35 +62,6 @@
 	FaultSilentCut Fault = "silent_cut"
 )
 
-// Options shape a worker.
-type Options struct {
-	ID string
-	// Slots is the number of requests that run at once; more are refused.
-	Slots int
-	// Work is the time of a plain request, and that before each event of a
-	// stream.
-	Work time.Duration
-	// Events is the number of events of a stream.
-	Events int
-	// Gap is the time before each event of a stream after the first, zero for Work.
-	Gap time.Duration
-	// Pause is the value of Retry-After with FaultPause.
-	Pause string
-	// Silence is the length of a silence with FaultSilent, FaultSilentHead and
-	// FaultSilentLong.
-	Silence time.Duration
-	// CrashParts are the ids of prompt parts that crash the worker when it begins to
-	// write an answer on them, and Restart is the time until it is back. Crashed and
-	// Restarted are called at these times, if they are set.
-	CrashParts []string
-	Restart    time.Duration
-	Crashed    func()
-	Restarted  func()
-	// CrashHead lets the worker send the head of an answer that ends with its
-	// connection before it crashes.
-	CrashHead bool
-}
-
 // Run is one entry of the record.
 type Run struct {
 	Request   string `json:"request"`
@@ -309,7 +280,7 @@
 		s.stream(w, r, fault, run)
 		return
 	}
-	s.answer(w, r, fault)
+	s.answer(w, r, fault, run)
 }
 
 // nameLimit names the limit of the worker, if it has one.
@@ -388,8 +359,9 @@
 	return fmt.Sprintf("answer of %s to %s", s.opt.ID, r.Header.Get("X-Request-Id"))
 }
 
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, fault Fault) {
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, fault Fault, run *Run) {
 	s.work(r)
+	s.crashOn(w, r, run, 0)
 	content := s.content(r)
 	switch fault {
 	case FaultFail:
@@ -475,9 +447,7 @@
 		} else {
 			s.work(r)
 		}
-		if i == first+1 {
-			s.crashOn(w, r)
-		}
+		s.crashOn(w, r, run, i-first-1)
 		if i == first+1+s.opt.Events/2 {
 			s.breakOff(w, r, fault, i)
 		}
