Quarantine requests that crash each target that runs them

What callers saw: on Gent one request ended 14 targets of order-desk, all three of them again as soon as they were back; 479 of 605 requests to the service were refused or failed in the 16 s that the logs cover.

Cause: a failed send was held against the target, and of the request only the parts of a prompt for an engine were held. A request to a plain service, or one whose prompt parts are sound, was sent to the next target by each router, as a retry and each time it came again.

Change: core/quarantine takes the hash of method, host, URI, account and body as content, on every kind of route. Three processes that broke it off, and no complete response, put it into quarantine at all routers, as for a prompt part; two keep it from being sent again. Two guards for parts that many requests share don't hold for content that was never served: crashes within 100 ms count each, and other sends that broke off are no outage of it. An outage is told by service now, since plain responses count.

Ruled out: clearing other requests at the processes that a quarantined one ended. If two come side by side, the one that is found first would clear the other.

--- a/internal/app/site_crash_request_test.go
+++ b/internal/app/site_crash_request_test.go
@@ -93,3 +93,29 @@
 		must.Greater(t, sound*9/10, served, must.Sprintf("of %d sound requests", sound))
 	})
 }
+
+// TestQuarantinedRequestOutlastsAllRouters ends all routers at once after a request was
+// quarantined.
+func TestQuarantinedRequestOutlastsAllRouters(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.crashingSite(0)
+		for i := range 20 {
+			go b.callBody(fmt.Sprint(i%3+1), "order", deadlyBody)
+			b.wait(500 * time.Millisecond)
+		}
+		before := b.crashes()
+		must.Between(t, 3, before, 6)
+		for _, name := range []string{"1", "2", "3"} {
+			b.stop(name)
+		}
+		for _, name := range []string{"1", "2", "3"} {
+			b.router(name)
+		}
+		b.wait(4 * time.Second)
+		for _, name := range []string{"1", "2", "3"} {
+			must.Eq(t, 503, b.callBody(name, "order", deadlyBody).status)
+			must.Eq(t, 200, b.callBody(name, "order", "").status)
+		}
+		must.Eq(t, before, b.crashes())
+	})
+}
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -5,21 +5,22 @@
 	"time"
 )
 
-// Served records the first event of a response, or a complete one, to a request with
-// these parts that was sent to an engine process at a given time. It clears the parts,
-// and shows that the process has not crashed before that time.
+// Served records a response to a request with these parts that was sent to an engine
+// process at a given time. Its first event clears the parts of the prompt, its end the
+// content. It shows that the process has not crashed before that time.
 func (t *Tracker) Served(now time.Time, parts []uint64, engine Engine, sentAt time.Time) []Change {
-	t.outage.servedAt = now
+	outage := t.outage(engine.Service)
+	outage.servedAt = now
 	for part, r := range t.records {
 		if r.quarantined {
 			continue
 		}
-		if r.held {
+		if r.held == outage {
 			// The outage has ended. More crashes show whether it was the part.
-			r.held = false
+			r.held = nil
 			r.crashes = r.crashes[:r.enough()-crashesAfterOutage]
 		}
-		r.crashes = slices.DeleteFunc(r.crashes, func(n noted) bool { return n.engine == engine && n.at.Before(sentAt) })
+		r.crashes = slices.DeleteFunc(r.crashes, func(n noted) bool { return n.engine.is(engine) && n.at.Before(sentAt) })
 		if len(r.crashes) == 0 {
 			t.remove(part)
 		}
--- a/internal/core/quarantine/memory.go
+++ b/internal/core/quarantine/memory.go
@@ -88,14 +88,18 @@
 
 // explains reports whether an outage explains the crashes of a part since a given time:
 // nothing was served since, and the part is familiar or sends without it broke off too.
-func (o *outage) explains(part uint64, familiar bool, since time.Time) bool {
-	return !o.servedAt.After(since) && (familiar || slices.ContainsFunc(o.breaks, func(b brokenSend) bool {
+// Content that is not familiar is no part of what else broke off.
+func (o *outage) explains(part uint64, familiar, content bool, since time.Time) bool {
+	if o.servedAt.After(since) {
+		return false
+	}
+	return familiar || !content && slices.ContainsFunc(o.breaks, func(b brokenSend) bool {
 		return !b.at.Before(since) && !slices.Contains(b.parts, part)
-	}))
+	})
 }
 
 // lasts reports whether an outage has lasted for recentService, and explains the crashes
 // of a part.
-func (o *outage) lasts(now time.Time, part uint64, familiar bool) bool {
-	return now.Sub(o.servedAt) > recentService && o.explains(part, familiar, o.servedAt)
+func (o *outage) lasts(now time.Time, part uint64, familiar, content bool) bool {
+	return now.Sub(o.servedAt) > recentService && o.explains(part, familiar, content, o.servedAt)
 }
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -1,27 +1,34 @@
-// Package quarantine finds the parts of prompts that crash engines, and keeps requests
-// with such a part from being sent.
+// Package quarantine finds the requests that crash targets, and keeps them from being
+// sent.
 //
 // It answers a load pattern that failing targets alone do not explain: the query of
-// death. One part of a prompt makes each engine crash that begins to write an answer on
-// it. Judged by its failures, the engine is at fault; it is left out, and the next
-// request with that part crashes the next one, together with all that the engine ran.
-// Each router sees few of these requests, no two are alike, and sound requests share
-// their account, route and other parts. What the crashes have in common is only the
-// part, and only over all routers.
+// death. A request makes each target crash that runs it, and comes again; or one part of
+// a prompt makes each engine crash that begins to write an answer on it, whatever else
+// the request holds. Judged by its failures, the target is at fault; it is left out, and
+// the next such request crashes the next one, together with all that the target ran.
+// Each router sees few of these requests, and sound requests share their account, route
+// and other parts. What the crashes have in common is only the request or the part, and
+// only over all routers.
+//
+// What is said of parts below holds for the content of a request too, which is all that
+// it holds but its ID. Content is more specific: a request is known by it wherever it
+// comes again, and requests that differ say nothing of it.
 //
 // A part goes through these states:
 //
 //   - unknown: no crash counts against it. A part that was served in the last minutes
 //     is familiar.
-//   - suspected: sends with it were broken off by an engine before the first event of
-//     their response. A crash counts once for each engine process, and not if the part
-//     was served shortly before: connections also break for other reasons.
+//   - suspected: sends with it were broken off by a target. For a part of a prompt only
+//     those before the first event of their response count. A crash counts once for each
+//     process, and not if the part was served shortly before: connections also break for
+//     other reasons.
 //   - quarantined: minCrashes processes crashed, one more for a familiar part, and it
 //     was not served in between. Requests with it are refused. Of the parts of a request
 //     only one is quarantined, since the others may only have been near it.
-//   - While a router serves nothing and requests without the part break off as well, the
-//     engines or its path to them fail: nothing is quarantined, and nothing reported. A
-//     familiar part is only quarantined by a router that serves requests without it.
+//   - While a router serves nothing of a service and requests without the part break off
+//     as well, the targets or its path to them fail: nothing is quarantined, and nothing
+//     reported. A familiar part is only quarantined by a router that serves requests
+//     without it.
 //   - A response to a request with the part clears it in any state. Single requests, as
 //     in the half-open state of a circuit breaker, probe a quarantined part now and
 //     then. The quarantine also ends when no request with the part has come for long.
@@ -46,8 +53,8 @@
 	// crashesAfterOutage is the number that is needed after an outage in which the part
 	// would have been quarantined.
 	crashesAfterOutage = 2
-	// sameEvent is the time in which crashes of different engines count once:
-	// connections that break together point to the network or to a VM.
+	// sameEvent is the time in which crashes of different engines count once against a
+	// part of a prompt: connections that break together point to the network or to a VM.
 	sameEvent = 100 * time.Millisecond
 	// maxCrashAge bounds the age of a crash that another router reports.
 	maxCrashAge = 5 * time.Second
@@ -85,14 +92,46 @@
 	Target fleet.Ref
 	// Born holds the low bits of the process's Born value.
 	Born uint32
+	// Service is the service of the process, empty if it is not known. It does not
+	// identify the process: outages are told apart by it.
+	Service fleet.Service
 }
 
-// Crash is a send that its engine broke off before the first event of the response.
+// is reports whether two values name the same process.
+func (e Engine) is(other Engine) bool { return e.Target == other.Target && e.Born == other.Born }
+
+// Crash is a send that its target broke off.
 type Crash struct {
 	At     time.Time
 	Engine Engine
-	// Parts are the hashes of the shared parts of the prompt in their order.
+	// Parts are the hashes of the shared parts of the prompt in their order. There are none
+	// once the response had begun, or for a service without prompts.
 	Parts []uint64
+	// Content is the hash of all that the request holds, zero if it is not known.
+	Content uint64
+}
+
+// hashes returns the parts and the content that the crash counts against.
+func (c *Crash) hashes() []uint64 {
+	out := lastParts(c.Parts)
+	if c.Content != 0 {
+		out = append(out, c.Content)
+	}
+	return out
+}
+
+// without returns the crash with the parts and the content that do not match.
+func (c Crash) without(match func(hash uint64) bool) Crash {
+	c.Parts = slices.DeleteFunc(lastParts(c.Parts), match)
+	if match(c.Content) {
+		c.Content = 0
+	}
+	return c
+}
+
+// lastParts returns a copy of the last maxParts parts.
+func lastParts(parts []uint64) []uint64 {
+	return slices.Clone(parts[max(0, len(parts)-maxParts):])
 }
 
 // Notices are the evidence that routers exchange.
@@ -149,7 +188,7 @@
 type Tracker struct {
 	records map[uint64]*record
 	served  memory
-	outage  outage
+	outages map[fleet.Service]*outage
 	notices Notices
 	// quarantined is the number of records in quarantine.
 	quarantined int
@@ -163,8 +202,10 @@
 	// by a notice, at another router. toldFamiliar is true once this router has told so.
 	familiar     bool
 	toldFamiliar bool
-	// held is true if the part was not quarantined since nothing else was served either.
-	held        bool
+	// content is true if the record is of the content of requests.
+	content bool
+	// held is the outage for which the part was not quarantined, nil if there is none.
+	held        *outage
 	quarantined bool
 	// changedAt is the time of the last crash, or in quarantine of the last request.
 	changedAt   time.Time
@@ -182,7 +223,19 @@
 }
 
 // New returns a tracker without evidence.
-func New() *Tracker { return &Tracker{records: make(map[uint64]*record), served: newMemory()} }
+func New() *Tracker {
+	return &Tracker{records: make(map[uint64]*record), served: newMemory(), outages: make(map[fleet.Service]*outage)}
+}
+
+// outage returns what tells an outage of a service from a part that crashes its targets.
+func (t *Tracker) outage(service fleet.Service) *outage {
+	o, ok := t.outages[service]
+	if !ok {
+		o = new(outage)
+		t.outages[service] = o
+	}
+	return o
+}
 
 // Count returns the number of parts in quarantine.
 func (t *Tracker) Count() int { return t.quarantined }
@@ -209,24 +262,21 @@
 // Crashed records a crash that this router has seen.
 func (t *Tracker) Crashed(now time.Time, c Crash) []Change {
 	c.At = now
-	t.outage.broke(now, c.Parts)
-	c.Parts = slices.DeleteFunc(lastParts(c.Parts), func(part uint64) bool { return t.served.within(now, part, recentService) })
-	if slices.ContainsFunc(c.Parts, t.inQuarantine) {
+	outage := t.outage(c.Engine.Service)
+	outage.broke(now, c.hashes())
+	c = c.without(func(hash uint64) bool { return t.served.within(now, hash, recentService) })
+	if slices.ContainsFunc(c.hashes(), t.inQuarantine) {
 		return nil // explained by that part
 	}
-	reported := c
-	reported.Parts = slices.DeleteFunc(slices.Clone(c.Parts), func(part uint64) bool { return t.outage.lasts(now, part, t.served.has(part)) })
-	if len(reported.Parts) > 0 && len(t.notices.Crashes) < maxNotices {
+	reported := c.without(func(hash uint64) bool {
+		return outage.lasts(now, hash, t.served.has(hash), hash == c.Content)
+	})
+	if len(reported.hashes()) > 0 && len(t.notices.Crashes) < maxNotices {
 		t.notices.Crashes = append(t.notices.Crashes, reported)
 	}
 	return t.crashed(now, c)
 }
 
-// lastParts returns a copy of the last maxParts parts.
-func lastParts(parts []uint64) []uint64 {
-	return slices.Clone(parts[max(0, len(parts)-maxParts):])
-}
-
 // CrashedElsewhere records a crash that another router has seen. It reports whether the
 // crash is news, so that a hub passes it on. If the other router lacks what is known
 // here, a notice tells it.
@@ -234,29 +284,30 @@
 	if age := now.Sub(c.At); age < 0 || age > maxCrashAge {
 		c.At = now
 	}
-	var parts []uint64
-	for _, part := range lastParts(c.Parts) {
-		switch r := t.records[part]; {
-		case r != nil && r.quarantined:
+	for _, hash := range c.hashes() {
+		if r := t.records[hash]; r != nil && r.quarantined {
 			r.changedAt = now
-			t.announce(now, part, r)
+			t.announce(now, hash, r)
 			return nil, false
-		case t.served.within(now, part, recentService):
-			tell(&t.notices.Cleared, part)
-		default:
-			parts = append(parts, part)
 		}
 	}
-	c.Parts = parts
-	before := t.countCrashes(parts)
+	c = c.without(func(hash uint64) bool {
+		served := t.served.within(now, hash, recentService)
+		if served {
+			tell(&t.notices.Cleared, hash)
+		}
+		return served
+	})
+	hashes := c.hashes()
+	before := t.countCrashes(hashes)
 	changes = t.crashed(now, c)
-	for _, part := range parts {
-		if r := t.records[part]; r != nil && r.familiar && !r.toldFamiliar && t.served.has(part) {
+	for _, hash := range hashes {
+		if r := t.records[hash]; r != nil && r.familiar && !r.toldFamiliar && t.served.has(hash) {
 			r.toldFamiliar = true
-			tell(&t.notices.Familiar, part)
+			tell(&t.notices.Familiar, hash)
 		}
 	}
-	return changes, len(changes) > 0 || t.countCrashes(parts) > before
+	return changes, len(changes) > 0 || t.countCrashes(hashes) > before
 }
 
 // tell adds a part to a list of notices that is not full.
@@ -282,22 +333,25 @@
 	return r != nil && r.quarantined
 }
 
-// crashed notes a crash against the parts of its request, and quarantines the one to
-// blame.
+// crashed notes a crash against the parts and the content of its request, and quarantines
+// the one to blame.
 func (t *Tracker) crashed(now time.Time, c Crash) []Change {
 	var changes []Change
-	for _, part := range c.Parts {
-		if r := t.record(now, part); r.note(c) && len(r.crashes) == isolateCrashes {
-			changes = append(changes, Change{Part: part, State: Suspected, Crashes: len(r.crashes)})
+	hashes := c.hashes()
+	for _, hash := range hashes {
+		r := t.record(now, hash)
+		r.content = r.content || hash == c.Content
+		if r.note(&c, hashes) && len(r.crashes) == isolateCrashes {
+			changes = append(changes, Change{Part: hash, State: Suspected, Crashes: len(r.crashes)})
 		}
 	}
-	part, ok := t.blame(c.Parts)
+	part, ok := t.blame(hashes)
 	if !ok {
 		return changes
 	}
 	r := t.records[part]
-	if t.outage.explains(part, r.familiar, r.crashes[0].at) {
-		r.held = true
+	if outage := t.outage(c.Engine.Service); outage.explains(part, r.familiar, r.content, r.crashes[0].at) {
+		r.held = outage
 		return changes
 	}
 	t.quarantine(now, r)
@@ -336,13 +390,16 @@
 	delete(t.records, part)
 }
 
-// note adds a crash and reports whether it counts.
-func (r *record) note(c Crash) bool {
-	known := func(n noted) bool { return n.engine == c.Engine || n.at.Sub(c.At).Abs() < sameEvent }
+// note adds a crash of a request with these parts, and reports whether it counts. Requests
+// with the same content that break off together still have only that in common.
+func (r *record) note(c *Crash, parts []uint64) bool {
+	known := func(n noted) bool {
+		return n.engine.is(c.Engine) || !r.content && n.at.Sub(c.At).Abs() < sameEvent
+	}
 	if len(r.crashes) >= maxEngines || slices.ContainsFunc(r.crashes, known) {
 		return false
 	}
-	r.crashes = append(r.crashes, noted{at: c.At, engine: c.Engine, parts: c.Parts})
+	r.crashes = append(r.crashes, noted{at: c.At, engine: c.Engine, parts: parts})
 	r.changedAt = later(r.changedAt, c.At)
 	return true
 }
@@ -356,8 +413,8 @@
 }
 
 // blame returns the part that explains most crashes, if enough count against it. A part
-// that is not familiar comes first. If several explain the same, it is the last one in
-// the prompt: fewest sound requests have it. If that is wrong, crashes without it go on
+// that is not familiar comes first. If several explain the same, it is the content, then
+// the last part in the prompt: fewest sound requests have it. If that is wrong, crashes without it go on
 // and count against the others, whose records are kept.
 func (t *Tracker) blame(parts []uint64) (uint64, bool) {
 	var best uint64
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -78,6 +78,59 @@
 	})
 }
 
+// playRequest plays one request that crashes three targets of a plain service again and
+// again, among sound ones that all differ. Requests are sent to two targets at most.
+func playRequest(seed uint64, routers, targets, badEvery int) *fleetSim {
+	f := newFleet(seed, routers, targets)
+	f.attempts, f.crashesAllowed, f.contents = 2, 3, true
+	for n := range int(60 * time.Second / simTick) {
+		f.tick(n)
+		f.send(uint64(10_000 + n))
+		if n%badEvery == 0 && n > 200 {
+			f.send(badPart)
+		}
+	}
+	return f
+}
+
+// TestRequestIsQuarantinedBesideFewTargets plays a request that ends all targets of its
+// service each time they are back, which looks much like an outage.
+func TestRequestIsQuarantinedBesideFewTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		routers, targets := rapid.IntRange(1, 12).Draw(t, "routers"), rapid.IntRange(2, 6).Draw(t, "targets")
+		f := playRequest(rapid.Uint64().Draw(t, "seed"), routers, targets, rapid.IntRange(4, 40).Draw(t, "ticks between bad requests"))
+		must.LessEq(t, 3, f.lateSends(), must.Sprintf("%d crashes", len(f.crashes)))
+		must.LessEq(t, f.soundServed/50, len(f.soundRefused), must.Sprintf("%d served", f.soundServed))
+	})
+}
+
+// TestContentCountsByItself checks what differs for the content of requests: crashes at
+// the same moment count each, and what else breaks off is no outage of it.
+func TestContentCountsByItself(t *testing.T) {
+	crash := func(q *quarantine.Tracker, seconds float64, engine int, content uint64) {
+		q.Crashed(at(seconds), quarantine.Crash{Engine: quarantine.Engine{Target: fleet.Ref(engine)}, Content: content})
+	}
+	q := quarantine.New()
+	for i := range 3 {
+		crash(q, 1+float64(i)/100, i, 8)
+		crash(q, 1+float64(i)/100, i, 7)
+	}
+	must.True(t, refuses(q, 2, 7))
+	must.False(t, refuses(q, 2, 9), must.Sprint("another request"))
+	crash(q, 3, 3, 9)
+	crash(q, 3, 4, 9)
+	must.True(t, q.Isolates([]uint64{9}))
+	q.Served(at(4), []uint64{9}, quarantine.Engine{Target: 5}, at(3.5))
+	must.False(t, q.Isolates([]uint64{9}))
+
+	q = quarantine.New()
+	q.Served(at(0), []uint64{7}, quarantine.Engine{Target: 9}, at(0))
+	for i := range 8 {
+		crash(q, 10+float64(i), i, 7)
+	}
+	must.False(t, refuses(q, 20, 7), must.Sprint("familiar, while nothing is served"))
+}
+
 var start = time.Unix(1_700_000_000, 0)
 
 // at returns a time so many seconds after the start.
--- a/internal/core/quarantine/sim_test.go
+++ b/internal/core/quarantine/sim_test.go
@@ -29,6 +29,12 @@
 	disabled bool
 	loss     float64
 	maxDelay time.Duration
+	// attempts is the number of engines that a request is sent to, crashesAllowed that of
+	// crashes after which no more requests with the bad part may be sent.
+	attempts       int
+	crashesAllowed int
+	// contents makes the last part of each request its content.
+	contents bool
 
 	crashes []time.Time
 	badAt   []time.Time
@@ -44,6 +50,7 @@
 
 type simRequest struct {
 	router, engine int
+	sends          int
 	parts          []uint64
 	process        quarantine.Engine
 	sentAt, begins time.Time
@@ -63,6 +70,7 @@
 
 func newFleet(seed uint64, routers, engines int) *fleetSim {
 	f := &fleetSim{rng: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_700_000_000, 0), maxDelay: 100 * time.Millisecond}
+	f.attempts, f.crashesAllowed = 1, 5
 	for range routers {
 		f.routers = append(f.routers, quarantine.New())
 	}
@@ -73,8 +81,11 @@
 }
 
 // send lets a request with these parts come to a random router.
-func (f *fleetSim) send(parts ...uint64) {
-	router, engine := f.rng.IntN(len(f.routers)), f.rng.IntN(len(f.engines))
+func (f *fleetSim) send(parts ...uint64) { f.sendFrom(f.rng.IntN(len(f.routers)), 1, parts) }
+
+// sendFrom sends a request to an engine, for the sends-th time.
+func (f *fleetSim) sendFrom(router, sends int, parts []uint64) {
+	engine := f.rng.IntN(len(f.engines))
 	if _, refused := f.routers[router].Refuses(f.now, parts, func(uint64) bool { return false }); refused && !f.disabled {
 		if !slices.Contains(parts, badPart) {
 			f.soundRefused = append(f.soundRefused, f.now)
@@ -89,21 +100,32 @@
 		f.badAt = append(f.badAt, f.now)
 	}
 	begins := f.now.Add(time.Duration(50+f.rng.IntN(400)) * time.Millisecond)
-	f.running = append(f.running, simRequest{router: router, engine: engine, parts: parts, process: e.process, sentAt: f.now, begins: begins})
+	f.running = append(f.running, simRequest{router: router, engine: engine, sends: sends, parts: parts, process: e.process, sentAt: f.now, begins: begins})
 }
 
 // crash ends an engine and all that it runs.
 func (f *fleetSim) crash(engine int) {
 	e := &f.engines[engine]
+	var broken []simRequest
 	f.running = slices.DeleteFunc(f.running, func(r simRequest) bool {
-		if r.engine != engine {
-			return false
+		if r.engine == engine {
+			broken = append(broken, r)
 		}
-		f.routers[r.router].Crashed(f.now, quarantine.Crash{Engine: r.process, Parts: r.parts})
-		return true
+		return r.engine == engine
 	})
 	e.process.Born++
 	e.backAt = f.now.Add(engineRestart)
+	for _, r := range broken {
+		t := f.routers[r.router]
+		crash := quarantine.Crash{Engine: r.process, Parts: r.parts}
+		if last := len(r.parts) - 1; f.contents {
+			crash.Parts, crash.Content = r.parts[:last], r.parts[last]
+		}
+		t.Crashed(f.now, crash)
+		if r.sends < f.attempts && !t.Isolates(r.parts) {
+			f.sendFrom(r.router, r.sends+1, r.parts)
+		}
+	}
 }
 
 // tick lets simTick pass.
@@ -167,14 +189,14 @@
 }
 
 // lateSends returns how many requests with the bad part were sent later than
-// spreadWindow after the fifth crash.
+// spreadWindow after the last crash that is allowed.
 func (f *fleetSim) lateSends() int {
-	if len(f.crashes) < 5 {
+	if len(f.crashes) < f.crashesAllowed {
 		return 0
 	}
 	late := 0
 	for _, at := range f.badAt {
-		if at.Sub(f.crashes[4]) > spreadWindow {
+		if at.Sub(f.crashes[f.crashesAllowed-1]) > spreadWindow {
 			late++
 		}
 	}
--- a/internal/lab/soak/bed.go
+++ b/internal/lab/soak/bed.go
@@ -140,9 +140,7 @@
 		ID: w.id, Slots: slots, Events: events, Work: 15 * time.Millisecond, Pause: fmt.Sprint(pause.Seconds()),
 		Silence: silenceLeast + time.Duration(i%silenceSteps)*silenceStep,
 	}
-	if service == "llm" {
-		b.crashOptions(w, &worker)
-	}
+	b.crashOptions(w, &worker)
 	w.Server = workerd.New(worker)
 	own := fmt.Sprintf("%s.2:%d", b.net, 7000+i)
 	if err := b.serve(own, w.Handler()); err != nil {
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,19 +90,33 @@
 	return -1
 }
 
-// call sends one request and notes it.
-func (c *clients) call(route, address string) Call { return c.callOn(route, address) }
+// call sends one request and notes it. Requests to status are polls that are all alike.
+func (c *clients) call(route, address string) Call {
+	r := c.request(route)
+	if route == "status" {
+		r.Body = "poll"
+	}
+	return c.do(r, address)
+}
 
-// callOn sends one request with these parts in its prompt, besides the usual ones, and
-// notes it.
-func (c *clients) callOn(route, address string, parts ...string) Call {
+// request returns a request with a body of its own.
+func (c *clients) request(route string) *siteclient.Request {
 	id := fmt.Sprintf("r%d", c.serial.Add(1))
-	out := Call{ID: id, Route: route, Router: c.routerOf(address)}
+	r := &siteclient.Request{ID: id, Host: host, Route: route, Key: key, Deadline: clientDeadline, Body: "body " + id}
+	if route == "chat" || route == "draft" {
+		r.Prompt = []string{"aa", fmt.Sprintf("p%d", c.serial.Load()%prompts), id}
+	}
+	return r
+}
+
+// do sends one request and notes it.
+func (c *clients) do(request *siteclient.Request, address string) Call {
+	out := Call{ID: request.ID, Route: request.Route, Router: c.routerOf(address)}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
 	defer cancel()
 	out.Began = began
-	c.send(ctx, &out, address, parts)
+	c.send(ctx, &out, address, request)
 	out.Ended = time.Now()
 	since := c.calm.Load()
 	out.Calm = since != 0 && began.Sub(time.Unix(0, since)) > calmBefore
@@ -116,15 +129,11 @@
 // calmBefore is the time without a fault after which stops must cut nothing.
 const calmBefore = 3 * time.Second
 
-func (c *clients) send(ctx context.Context, out *Call, address string, parts []string) {
+func (c *clients) send(ctx context.Context, out *Call, address string, request *siteclient.Request) {
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:              func(httptrace.GotConnInfo) { out.Read = false },
 		GotFirstResponseByte: func() { out.Read = true },
 	})
-	request := &siteclient.Request{ID: out.ID, Host: host, Route: out.Route, Key: key, Deadline: clientDeadline, Body: "body"}
-	if out.Route == "chat" || out.Route == "draft" {
-		request.Prompt = slices.Concat(parts, []string{"aa", fmt.Sprintf("p%d", c.serial.Load()%prompts), out.ID})
-	}
 	r, err := request.HTTP(ctx, address)
 	if err != nil {
 		return
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -133,7 +133,8 @@
 	r.checkDrain()
 	r.bed.setDrained(false)
 	time.Sleep(settleTime)
-	r.checkCrashingPart()
+	r.checkCrashes(crashesByPart())
+	r.checkCrashes(crashesByRequest(pick(r.random, []string{"order", "status", "chat", "draft"})))
 	stop()
 	running.Wait()
 	return nil
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -31,11 +31,14 @@
 	// Leaving holds pairs of target index and the low 32 bits of the Born value of the
 	// process that said that it is leaving.
 	Leaving []uint32 `msgpack:"l,omitempty"`
-	// Crashes holds the sends that an engine broke off: the index of the target in 2
+	// Crashes holds the sends that a target broke off: the index of the target in 2
 	// bytes, the low 32 bits of its Born value in 4, the time since then in milliseconds
-	// in 2, the number of prompt parts in 1 and the hash of each part in 8, all little
-	// endian. Cleared, Familiar and Quarantined hold the hashes of prompt parts.
-	Crashes     []byte   `msgpack:"c,omitempty"`
+	// in 2, the number of parts in 1 and the hash of each part in 8, all little endian.
+	// Cleared, Familiar and Quarantined hold the hashes of parts.
+	Crashes []byte `msgpack:"c,omitempty"`
+	// Contents holds the hash of the content of the request of each crash. Routers of
+	// earlier releases neither send nor read it.
+	Contents    []uint64 `msgpack:"t,omitempty"`
 	Cleared     []uint64 `msgpack:"f,omitempty"`
 	Familiar    []uint64 `msgpack:"k,omitempty"`
 	Quarantined []uint64 `msgpack:"q,omitempty"`
@@ -120,6 +123,7 @@
 	for _, c := range u.parts.Crashes {
 		if index, ok := enc.Index(c.Engine.Target); ok {
 			d.Crashes = appendCrash(d.Crashes, index, now.Sub(c.At), c)
+			d.Contents = append(d.Contents, c.Content)
 		}
 	}
 	for _, r := range u.limits {
@@ -182,14 +186,18 @@
 	return out
 }
 
-// parts decodes the notices of prompt parts, given the targets of the table by index.
+// parts decodes the notices of parts, given the targets of the table by index.
 // Crashes of unknown targets are ignored, as are those from an incomplete one on.
 func (d *digest) parts(now time.Time, refs []fleet.Ref) quarantine.Notices {
 	n := quarantine.Notices{Cleared: d.Cleared, Familiar: d.Familiar, Quarantined: d.Quarantined}
-	for rest := d.Crashes; len(rest) >= crashHeadSize; {
+	number := 0
+	for rest := d.Crashes; len(rest) >= crashHeadSize; number++ {
 		index, count := int(binary.LittleEndian.Uint16(rest)), int(rest[crashHeadSize-1])
 		age := time.Duration(binary.LittleEndian.Uint16(rest[6:])) * time.Millisecond
 		c := quarantine.Crash{At: now.Add(-age), Engine: quarantine.Engine{Born: binary.LittleEndian.Uint32(rest[2:])}}
+		if number < len(d.Contents) {
+			c.Content = d.Contents[number]
+		}
 		rest = rest[crashHeadSize:]
 		if len(rest) < count*partSize {
 			break
--- a/internal/service/forward/hedge_test.go
+++ b/internal/service/forward/hedge_test.go
@@ -19,6 +19,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/overload"
+	"github.com/zinniafork/zinniafork/internal/core/quarantine"
 	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
@@ -86,6 +87,8 @@
 		budgets:  make(map[fleet.Service]*retry.WindowBudget),
 		limiters: make(map[fleet.Service]*overload.Limiter),
 		routers:  1,
+
+		quarantine: quarantine.New(),
 	}
 	r := &request{
 		Call: &Call{ID: "r", Received: time.Now()}, s: s, route: route, machine: attempt.New(route),
--- a/internal/service/forward/metrics.go
+++ b/internal/service/forward/metrics.go
@@ -13,9 +13,9 @@
 	running   metrics.Counter
 	firstByte metrics.Histogram
 	total     metrics.Histogram
-	// quarantinedParts is the number of prompt parts in quarantine, quarantineRefused
-	// counts the requests refused for one, and engineCrashes the sends that an engine
-	// broke off before its response began.
+	// quarantinedParts is the number of requests and prompt parts in quarantine,
+	// quarantineRefused counts the requests refused for one, and engineCrashes the sends
+	// that a target broke off.
 	quarantinedParts  metrics.Counter
 	quarantineRefused metrics.Counter
 	engineCrashes     metrics.Counter
--- a/internal/service/forward/quarantine.go
+++ b/internal/service/forward/quarantine.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"syscall"
 	"time"
 
@@ -13,32 +14,41 @@
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
-// quarantineRetryAfter is the Retry-After of a request with a prompt part in quarantine:
-// it is of no use to come back soon.
+// quarantineRetryAfter is the Retry-After of a request that crashes targets: it is of no
+// use to come back soon.
 const quarantineRetryAfter = 30 * time.Second
 
-// errQuarantined is the error of a request with a prompt part that crashes engines.
+// errQuarantined is the error of a request whose content, or a part of whose prompt,
+// crashes targets.
 type errQuarantined struct{ part uint64 }
 
 // Error names the part.
-func (e errQuarantined) Error() string { return fmt.Sprintf("prompt part %x crashes engines", e.part) }
+func (e errQuarantined) Error() string {
+	return fmt.Sprintf("content or prompt part %x crashes targets", e.part)
+}
+
+// promptParts returns the hashes of the shared parts of a prompt for an engine.
+func (r *request) promptParts() []uint64 {
+	if !r.service.Engine {
+		return nil
+	}
+	return r.Prefixes
+}
 
-// hasParts reports whether the prompt has parts that may crash engines.
-func (r *request) hasParts() bool { return r.service.Engine && len(r.Prefixes) > 0 }
+// parts returns the hashes of what may crash targets: prompt parts and the content.
+func (r *request) parts() []uint64 { return append(slices.Clip(r.promptParts()), r.content) }
 
-// engineProcess returns the engine process that a send went to.
-func (s *send) engineProcess() quarantine.Engine {
-	return quarantine.Engine{Target: s.target().Ref(), Born: uint32(s.choice.Target.Born)}
+// targetProcess returns the process that a send went to.
+func (s *send) targetProcess() quarantine.Engine {
+	t := &s.choice.Target
+	return quarantine.Engine{Target: t.ID.Ref(), Born: uint32(t.Born), Service: t.Service}
 }
 
-// checkQuarantine reports whether the prompt has a part in quarantine, so that the
-// request must not be sent.
+// checkQuarantine reports whether a part of the request is in quarantine, so that it must
+// not be sent.
 func (r *request) checkQuarantine(now time.Time) bool {
-	if !r.hasParts() {
-		return false
-	}
 	r.s.mu.Lock()
-	part, refused := r.s.quarantine.Refuses(now, r.Prefixes, r.s.probesPart)
+	part, refused := r.s.quarantine.Refuses(now, r.parts(), r.s.probesPart)
 	r.s.mu.Unlock()
 	if refused {
 		r.s.metrics.quarantineRefused.Inc(1)
@@ -53,12 +63,12 @@
 	return highestRanked(fleet.Target(fmt.Sprintf("%x", part)), s.liveRouters) == s.self
 }
 
-// isolated reports whether the prompt has a part that has crashed engines, so that the
-// request must not be sent to more than one.
+// isolated reports whether a part of the request has crashed targets, so that it must not
+// be sent to more than one.
 func (r *request) isolated() bool {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
-	return r.hasParts() && r.s.quarantine.Isolates(r.Prefixes)
+	return r.s.quarantine.Isolates(r.parts())
 }
 
 // partsServed clears the parts of the prompt once a send has brought an event, or a
@@ -68,23 +78,35 @@
 		return
 	}
 	s.responded = true
-	if !r.hasParts() {
-		return
+	if parts := r.promptParts(); len(parts) > 0 {
+		r.served(s, parts)
 	}
+}
+
+// contentServed clears the content of the request once its response is complete.
+func (r *request) contentServed(s *send) { r.served(s, []uint64{r.content}) }
+
+// served records that a target has not crashed on these parts.
+func (r *request) served(s *send, parts []uint64) {
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
-	r.s.logParts(r.s.quarantine.Served(r.s.clock.Now(), r.Prefixes, s.engineProcess(), s.startedAt), r.s.self)
+	r.s.logParts(r.s.quarantine.Served(r.s.clock.Now(), parts, s.targetProcess(), s.startedAt), r.s.self)
 }
 
-// sendBroke records a send that ended with an error as a crash of its engine if it has
-// brought nothing, and neither this router nor the caller ended it.
+// sendBroke records a send that ended with an error as a crash of its target, if neither
+// this router nor the caller ended it. Once it has brought something, only the content
+// may have crashed the target.
 func (r *request) sendBroke(s *send, now time.Time, err error) {
-	if s.responded || s.ctx.Err() != nil || !r.hasParts() || !closedByTarget(err) {
+	if s.ctx.Err() != nil || !closedByTarget(err) {
 		return
 	}
+	crash := quarantine.Crash{Engine: s.targetProcess(), Content: r.content}
+	if !s.responded {
+		crash.Parts = r.promptParts()
+	}
 	r.s.metrics.engineCrashes.Inc(1)
 	r.s.mu.Lock()
-	r.s.logParts(r.s.quarantine.Crashed(now, quarantine.Crash{Engine: s.engineProcess(), Parts: r.Prefixes}), r.s.self)
+	r.s.logParts(r.s.quarantine.Crashed(now, crash), r.s.self)
 	r.s.mu.Unlock()
 	if r.isolated() {
 		r.mu.Lock()
@@ -114,6 +136,7 @@
 	relayed := n
 	relayed.Crashes = nil
 	for _, c := range n.Crashes {
+		c.Engine.Service = s.targetServices[c.Engine.Target]
 		changes, news := s.quarantine.CrashedElsewhere(now, c)
 		s.logParts(changes, from)
 		if news {
@@ -135,7 +158,7 @@
 // fromLog is logged in place of a router for parts that were read from the log.
 const fromLog fleet.VM = "log"
 
-// logParts logs the changes of prompt parts, has them written to the log, and updates
+// logParts logs the changes of parts, has them written to the log, and updates
 // the number of those in quarantine. From is the router that has seen the last evidence.
 // The caller holds the lock.
 func (s *Service) logParts(changes []quarantine.Change, from fleet.VM) {
@@ -143,11 +166,11 @@
 		entry := s.logger.WithFields(logrus.Fields{"part": fmt.Sprintf("%x", c.Part), "crashes": c.Crashes, "from": from})
 		switch c.State {
 		case quarantine.Suspected:
-			entry.Info("Prompt part suspected of crashing engines.")
+			entry.Info("Request content or prompt part suspected of crashing targets.")
 		case quarantine.Quarantined:
-			entry.Warn("Prompt part quarantined: it crashes engines.")
+			entry.Warn("Request content or prompt part quarantined: it crashes targets.")
 		default:
-			entry.Info("Prompt part cleared.")
+			entry.Info("Request content or prompt part cleared.")
 		}
 		if from != fromLog {
 			s.writePart(c)
--- a/internal/service/forward/quarantine_log.go
+++ b/internal/service/forward/quarantine_log.go
@@ -11,8 +11,8 @@
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
-// QuarantineLog keeps the prompt parts in quarantine in the platform's log, so that they
-// outlive all routers. The site's source implements it.
+// QuarantineLog keeps the hashes of requests and prompt parts in quarantine in the
+// platform's log, so that they outlive all routers. The site's source implements it.
 type QuarantineLog interface {
 	// QuarantinedParts lists the parts in quarantine.
 	QuarantinedParts(ctx context.Context) ([]uint64, error)
@@ -76,7 +76,7 @@
 		if err == nil || ctx.Err() != nil {
 			return
 		}
-		s.logger.WithError(err).WithField("step", step).Warn("Cannot use the log of quarantined prompt parts.")
+		s.logger.WithError(err).WithField("step", step).Warn("Cannot use the log of quarantined requests and prompt parts.")
 		if s.clock.Sleep(ctx, quarantineLogWait) != nil {
 			return
 		}
@@ -106,9 +106,9 @@
 func (s *Service) readQuarantine(ctx context.Context) error {
 	parts, err := s.quarantineLog.QuarantinedParts(ctx)
 	if err != nil {
-		return fmt.Errorf("read quarantined prompt parts: %w", err)
+		return fmt.Errorf("read quarantined parts: %w", err)
 	}
-	s.logger.WithFields(logrus.Fields{"parts": len(parts)}).Info("Quarantined prompt parts read.")
+	s.logger.WithFields(logrus.Fields{"parts": len(parts)}).Info("Quarantined requests and prompt parts read.")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.logParts(s.quarantine.Restore(s.clock.Now(), parts), fromLog)
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -102,6 +102,7 @@
 	// The target has ended the request, however slowly the caller reads.
 	r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.OK, true)
 	r.partsServed(s)
+	r.contentServed(s)
 	r.reply.WriteHead(s.resp)
 	err = r.reply.Write(body)
 	return r.passedOn(s, err)
@@ -138,6 +139,7 @@
 // responseComplete handles the end of a complete response.
 func (r *request) responseComplete(s *send, writeErr error) attempt.Action {
 	r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.OK, true)
+	r.contentServed(s)
 	return r.passedOn(s, writeErr)
 }
 
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -83,7 +83,7 @@
 	granter  *ratelimit.Granter
 	asker    *ratelimit.Asker
 	budgets  map[fleet.Service]*retry.WindowBudget
-	// quarantine keeps the prompt parts that crash engines.
+	// quarantine keeps the requests and prompt parts that crash targets.
 	quarantine *quarantine.Tracker
 	// limiters bound the load of the engines of each service.
 	limiters map[fleet.Service]*overload.Limiter
@@ -96,8 +96,10 @@
 	// born holds the Born value of the last known process of each target, to detect
 	// restarts.
 	born map[fleet.Target]int64
-	// targetNames maps the refs of targets to their names.
-	targetNames map[fleet.Ref]fleet.Target
+	// targetNames maps the refs of targets to their names, targetServices to their
+	// services.
+	targetNames    map[fleet.Ref]fleet.Target
+	targetServices map[fleet.Ref]fleet.Service
 	// encoders and decoder encode and decode digests. encoderCount is the number of
 	// encoders created, and incarnation distinguishes this process from earlier
 	// ones.
@@ -166,6 +168,7 @@
 	s.limiters = make(map[fleet.Service]*overload.Limiter)
 	s.born = make(map[fleet.Target]int64)
 	s.targetNames = make(map[fleet.Ref]fleet.Target)
+	s.targetServices = make(map[fleet.Ref]fleet.Service)
 	tree := hubs.New(id.Self().VM, nil)
 	s.tree.Store(tree)
 	s.digestTimer = hubs.NewDigestTimer(s.clock.Now(), tree)
@@ -223,6 +226,7 @@
 			s.limits.Forget(id.Ref())
 		}
 		s.targetNames[id.Ref()] = id
+		s.targetServices[id.Ref()] = r.Value.Service
 		s.born[id] = r.Value.Born
 	}
 }
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -29,7 +29,7 @@
 	{name: "forward.ended", help: "Completed forwarded requests by outcome.", label: "outcome"},
 	{name: "forward.first_byte", help: "Time from the arrival of a streaming request to the first event of its response.", unit: nanoseconds},
 	{name: "forward.total", help: "Time from the arrival of a forwarded request to its end.", unit: nanoseconds},
-	{name: "forward.quarantined_parts", help: "Prompt parts in quarantine, since they crash engines.", gauge: true},
+	{name: "forward.quarantined_parts", help: "Requests and prompt parts in quarantine, since they crash targets.", gauge: true},
 	{name: "forward.quarantine_refused", help: "Requests not sent on since a part of their prompt is in quarantine."},
 	{name: "forward.engine_crashes", help: "Sends that an engine broke off before the first event of its response."},
 	{name: "forward.limited_targets", help: "Targets that name a limit for requests a second from all routers.", gauge: true},
