--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -31,7 +31,7 @@
 	{name: "forward.total", help: "Time from the arrival of a forwarded request to its end.", unit: nanoseconds},
 	{name: "forward.quarantined_parts", help: "Requests and prompt parts in quarantine, since they crash targets.", gauge: true},
 	{name: "forward.quarantine_refused", help: "Requests not sent on since a part of their prompt is in quarantine."},
-	{name: "forward.engine_crashes", help: "Sends that an engine broke off before the first event of its response."},
+	{name: "forward.engine_crashes", help: "Sends that a target broke off."},
 	{name: "forward.limited_targets", help: "Targets that name a limit for requests a second from all routers.", gauge: true},
 	{name: "forward.limited_sends", help: "Requests sent to targets that name a limit, by kind.", label: "kind"},
 	{name: "forward.grant_queries", help: "Questions for a request to a target that names a limit, by outcome.", label: "outcome"},
