Log the software version of targets and what a caller takes up

The lines of a request have the version of its target, the event that it goes on after and the attempt that began it, so that the hypotheses of docs/incidents/stream-of-two-versions.md can be told apart. The version travels with the entries of targets between routers; routers of earlier releases neither send nor read it. No decision depends on it.

--- a/internal/core/sitestate/values.go
+++ b/internal/core/sitestate/values.go
@@ -22,6 +22,9 @@
 	Cold time.Duration
 	// Born distinguishes successive processes with the same name.
 	Born int64
+	// Version is the version of the target's software, not of its weights. It is empty if
+	// the entry has none, or was told by a router of an earlier release.
+	Version string
 	// Usable is false for an entry that could not be parsed.
 	Usable bool
 }
--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -51,6 +51,9 @@
 	// LastEventID is the ID of the last stream event that the caller has received,
 	// empty if there is none.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream
+	// that goes on, empty if the caller did not name it.
+	Resumes string
 }
 
 // TargetRequest holds one request to a target.
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -210,6 +210,9 @@
 	if choice := &r.cur.choice; choice.Reason != "" {
 		fields["target"] = choice.Target.ID
 		fields["why"] = choice.Reason
+		if version := choice.Target.Version; version != "" {
+			fields["version"] = version
+		}
 		fields["load"] = choice.Load
 		fields["mean"] = choice.Mean
 	}
@@ -222,6 +225,9 @@
 	if r.cur.cacheSource != "" {
 		fields["cache_from"] = r.cur.cacheSource
 	}
+	if r.LastEventID != "" {
+		fields["after_event"], fields["resumes"] = r.LastEventID, r.Resumes
+	}
 	if r.firstByte > 0 {
 		fields["first_ms"] = r.firstByte.Milliseconds()
 		fields["pause_ms"] = r.longestPause.Milliseconds()
