Let a stream go on only at the software version that began it

Cause: the version in a target's entry was not read. A stream that broke off went on at any target: resumed by its router, or taken up by its caller at a router that knew nothing of it.

Change: a stream is pinned to the version whose first event is passed on. core/origin decides what is known of a stream that a caller takes up; service/origins lets all routers know. Streams that can't be told, or whose version has no target, are refused at once.

Ruled out: origins written without waiting. A stream with targets of its version goes on at one that was ejected after failures, if there is no other.

--- a/internal/app/site_version_test.go
+++ b/internal/app/site_version_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -164,6 +165,7 @@
 			if a := <-done; a.body == wholeStream(6) {
 				resumed++
 			}
+			b.wait(time.Second) // for the retry budget
 		}
 		must.SliceEmpty(t, b.joined())
 		must.Greater(t, 25, resumed)
@@ -209,7 +211,7 @@
 		b.release("v1", "e1", "e2", "e3")
 		former := b.beginMany(6)
 		b.release("v2", "e4", "e5", "e6")
-		streams := append(former, b.beginMany(30)...)
+		streams := slices.Concat(former, b.beginMany(30))
 		b.stopAll()
 		b.retire("e1", "e2", "e3")
 		b.store.ForgetAll()
@@ -260,3 +262,36 @@
 		must.Eq(t, 12, b.takeUp(streams, "1", "2", "3"))
 	})
 }
+
+// TestStreamGoesOnAtAnEjectedTarget takes up a stream whose version only a target has that
+// was ejected after failures.
+func TestStreamGoesOnAtAnEjectedTarget(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.release("v1", "e1")
+		one := b.begin("1")
+		b.release("v2", "e2", "e3", "e4")
+		b.fault(workerd.FaultFail)
+		for i := range 9 {
+			b.callOn(fmt.Sprint(i%3+1), "draft", "aa", fmt.Sprint("c", i))
+		}
+		b.fault(workerd.FaultNone)
+		must.Eq(t, 1, b.takeUp([]openStream{one}, "2"))
+		must.SliceEmpty(t, b.joined())
+	})
+}
+
+// TestStreamOfAVersionThatLeftMeanwhileIsRefused lets all targets be replaced while no
+// router runs. One version served before, and nothing was recorded of its streams.
+func TestStreamOfAVersionThatLeftMeanwhileIsRefused(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.release("v1", "e1", "e2", "e3")
+		streams := b.beginMany(6)
+		b.stopAll()
+		b.release("v2", "e4", "e5", "e6")
+		b.retire("e1", "e2", "e3")
+		b.store.ForgetAll()
+		b.startAll()
+		must.Eq(t, 0, b.takeUp(streams, "1", "2", "3"))
+		must.Eq(t, 200, b.callOn("1", "chat", "aa", "bb").status)
+	})
+}
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -23,7 +23,7 @@
 type targetGate struct {
 	s       *Service
 	service *routing.Service
-	rule    limitRule
+	rule    targetRule
 	// usedUp is set once a target is excluded for its limit.
 	usedUp bool
 	// skipCold excludes cold targets.
@@ -32,12 +32,22 @@
 	ignoreOutliers bool
 }
 
+// targetRule says which targets a choice may take.
+type targetRule struct {
+	limitRule
+	// version is the version at which a stream must go on, empty for any.
+	version string
+}
+
 // Allow reports whether a target may get a request now.
 func (g *targetGate) Allow(now time.Time, t *sitestate.AvailableTarget) bool {
+	if !mayGoOnAt(g.rule.version, t) {
+		return false
+	}
 	if g.s.reports.State(now, t.ID.Ref(), t.Born) != selfreport.Accepting {
 		return false
 	}
-	if !g.s.withinLimit(now, t, g.rule) {
+	if !g.s.withinLimit(now, t, g.rule.limitRule) {
 		g.usedUp = true
 		return false
 	}
@@ -53,7 +63,7 @@
 // names a limit and the rule has no grant for it, needsGrant is true and nothing is
 // recorded. It also returns the number of available targets of the service. Cold targets
 // are considered when too few are warm or no warm target may get the request.
-func (s *Service) chooseTarget(now time.Time, service *routing.Service, r *balance.Request, rule limitRule) (choice balance.Choice, available int, needsGrant bool) {
+func (s *Service) chooseTarget(now time.Time, service *routing.Service, r *balance.Request, rule targetRule) (choice balance.Choice, available int, needsGrant bool) {
 	targets := s.site.Available(service.Name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,6 +77,11 @@
 		g.skipCold = false
 		choice = s.balancer.Choose(now, r, targets, g)
 	}
+	if choice.Target.ID == "" && rule.version != "" && !g.ignoreOutliers {
+		// A stream has no other targets to go on at.
+		g.ignoreOutliers = true
+		choice = s.balancer.Choose(now, r, targets, g)
+	}
 	if choice.Target.ID == "" {
 		if choice.Reason == balance.None && g.usedUp {
 			choice.Reason = limitUsedUp
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -398,6 +398,7 @@
 		h.dropped = true
 		h.cancel()
 	}
+	r.pinVersion(&r.cur.choice.Target)
 	r.headSent = true
 	if id, ok := lastEventID(events); ok {
 		r.lastSentID = id
--- a/internal/service/forward/refuse.go
+++ b/internal/service/forward/refuse.go
@@ -45,6 +45,9 @@
 	if errors.As(r.lastErr, new(errQuarantined)) {
 		return quarantineRetryAfter
 	}
+	if r.versionGone() {
+		return originLostRetryAfter
+	}
 	if reason := r.cur.choice.Reason; reason == balance.Overloaded || reason == limitUsedUp {
 		return r.s.overloadRetryAfter(r.service.Name, r.remaining())
 	}
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -222,6 +222,7 @@
 // forwardEvents passes on complete events, the first ones after the head.
 func (r *request) forwardEvents(s *send, events []byte, first bool) error {
 	if first {
+		r.recordOrigin(s)
 		r.reply.WriteHead(s.resp)
 		r.observeFirstByte(s)
 		r.firstByte = r.s.clock.Now().Sub(r.Received)
--- a/internal/service/forward/response_test.go
+++ b/internal/service/forward/response_test.go
@@ -34,7 +34,7 @@
 	must.NoError(t, err)
 	r.cur.resp = resp
 	var next balance.Choice
-	r.reply = &reader{reads: func() { next, _, _ = r.s.chooseTarget(time.Now(), r.service, &balance.Request{}, limitRule{}) }}
+	r.reply = &reader{reads: func() { next, _, _ = r.s.chooseTarget(time.Now(), r.service, &balance.Request{}, targetRule{}) }}
 	timer := r.startSilenceTimer(t.Context(), r.cur)
 	defer timer.stop()
 	must.Eq(t, responseDone, r.forwardResponse(r.cur, timer))
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -85,7 +85,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	query.Avoid = r.tried
-	choice, available, needsGrant := r.s.chooseTarget(now, r.service, query, rule)
+	choice, available, needsGrant := r.s.chooseTarget(now, r.service, query, targetRule{limitRule: rule, version: r.pinned})
 	s = &send{choice: choice, startedAt: now}
 	s.limit, s.limited = r.s.limitOf(&choice.Target)
 	if choice.Target.ID != "" && !needsGrant {
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -33,6 +33,8 @@
 	route   *routing.Route
 	account *routing.Account
 	service *routing.Service
+	// verdict tells how the origin of a stream that the caller takes up is known.
+	verdict string
 	// content identifies requests that are the same but for their ID.
 	content uint64
 	// deadline is the time by which the caller gets its final response.
@@ -53,6 +55,9 @@
 	machine *attempt.Machine
 	// tried holds the targets that the request was sent to.
 	tried map[fleet.Target]bool
+	// pinned is the version of the target that began the stream, empty until there is one
+	// or if it has none.
+	pinned string
 	// headSent is true once the head of a response was passed on.
 	headSent bool
 	// lastSentID is the ID of the last event that the caller has received.
@@ -86,6 +91,10 @@
 	stop := s.clock.AfterFunc(r.remaining(), func() { cancel(errDeadline) })
 	defer stop()
 	defer r.dropHedge()
+	if refusal, ok := r.pinOrigin(ctx); !ok {
+		r.refuse(refusal)
+		return
+	}
 	r.run(ctx)
 }
 
@@ -226,7 +235,7 @@
 		fields["cache_from"] = r.cur.cacheSource
 	}
 	if r.LastEventID != "" {
-		fields["after_event"], fields["resumes"] = r.LastEventID, r.Resumes
+		fields["after_event"], fields["resumes"], fields["origin"] = r.LastEventID, r.Resumes, r.verdict
 	}
 	if r.firstByte > 0 {
 		fields["first_ms"] = r.firstByte.Milliseconds()
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -24,6 +24,7 @@
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
 	"github.com/zinniafork/zinniafork/internal/service/members"
+	"github.com/zinniafork/zinniafork/internal/service/origins"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/service/site"
 )
@@ -56,6 +57,7 @@
 	quarantineLog QuarantineLog
 	partWrites    chan partWrite
 	targets       TargetClient
+	origins       origins.Origins
 	peers         peer.Peers
 	members       members.Membership
 	self          fleet.VM
@@ -148,6 +150,9 @@
 	if s.targets, err = kernel.Lookup[TargetClient](c, TargetClientName); err != nil {
 		return err
 	}
+	if s.origins, err = kernel.Lookup[origins.Origins](c, origins.Name); err != nil {
+		return err
+	}
 	if s.peers, err = kernel.Lookup[peer.Peers](c, peer.Name); err != nil {
 		return err
 	}
@@ -169,14 +174,9 @@
 	s.born = make(map[fleet.Target]int64)
 	s.targetNames = make(map[fleet.Ref]fleet.Target)
 	s.targetServices = make(map[fleet.Ref]fleet.Service)
-	tree := hubs.New(id.Self().VM, nil)
-	s.tree.Store(tree)
-	s.digestTimer = hubs.NewDigestTimer(s.clock.Now(), tree)
-	s.digestWake = make(chan struct{}, 1)
+	s.provisionDigests(id)
 	s.partWrites = make(chan partWrite, maxPartWrites)
 	s.routers = 1
-	s.self, s.incarnation = id.Self().VM, id.Incarnation()
-	s.encoders, s.decoder = s.newEncoders(), loadtable.NewDecoder()
 	s.handledJoins = make(map[fleet.VM]fleet.Incarnation)
 	s.site.Watch(s.siteChanged)
 	s.members.Watch(s.membersChanged)
@@ -185,6 +185,16 @@
 	return nil
 }
 
+// provisionDigests sets up the exchange of digests.
+func (s *Service) provisionDigests(id identity.Identity) {
+	tree := hubs.New(id.Self().VM, nil)
+	s.tree.Store(tree)
+	s.digestTimer = hubs.NewDigestTimer(s.clock.Now(), tree)
+	s.digestWake = make(chan struct{}, 1)
+	s.self, s.incarnation = id.Self().VM, id.Incarnation()
+	s.encoders, s.decoder = s.newEncoders(), loadtable.NewDecoder()
+}
+
 // Start sends digests, lists caches and keeps the log of quarantined parts in the
 // background.
 func (s *Service) Start(ctx context.Context) error {
--- /dev/null
+++ b/internal/service/origins/codec.go
@@ -0,0 +1,85 @@
+package origins
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/zinniafork/zinniafork/internal/core/origin"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+)
+
+// group holds streams of one origin on the wire and in the log.
+type group struct {
+	Service fleet.Service `msgpack:"s"`
+	Version string        `msgpack:"v"`
+	// Streams holds 8 bytes for each stream, little endian.
+	Streams []byte `msgpack:"i"`
+}
+
+// streamSize is the length in bytes of one stream in a group.
+const streamSize = 8
+
+// batch is a record of the log.
+type batch struct {
+	// AtMS is the Unix time in milliseconds at which it was written.
+	AtMS   int64   `msgpack:"a"`
+	Groups []group `msgpack:"g,omitempty"`
+	// Versions lists the versions of all services, in the slot of that name only.
+	Versions []origin.Origin `msgpack:"v,omitempty"`
+}
+
+// query tells origins to a recorder, or asks it for one.
+type query struct {
+	Groups []group `msgpack:"g,omitempty"`
+	// Asks is true for a question. Stream and Service are those of core/origin's Decide.
+	Asks    bool          `msgpack:"q,omitempty"`
+	Stream  uint64        `msgpack:"i,omitempty"`
+	Service fleet.Service `msgpack:"s,omitempty"`
+}
+
+// reply answers a query that asks.
+type reply struct {
+	Verdict uint8         `msgpack:"d,omitempty"`
+	Service fleet.Service `msgpack:"s,omitempty"`
+	Version string        `msgpack:"v,omitempty"`
+}
+
+// verdict decodes the verdict of a reply.
+func (r *reply) verdict() (origin.Verdict, error) {
+	if v := origin.Verdict(r.Verdict); v <= origin.Known {
+		return v, nil
+	}
+	return origin.Unaware, fmt.Errorf("verdict %d", r.Verdict)
+}
+
+// encodeGroups groups records by origin.
+func encodeGroups(records []origin.Record) []group {
+	index := make(map[origin.Origin]int)
+	var out []group
+	for _, r := range records {
+		i, ok := index[r.Origin]
+		if !ok {
+			i = len(out)
+			index[r.Origin] = i
+			out = append(out, group{Service: r.Origin.Service, Version: r.Origin.Version})
+		}
+		out[i].Streams = binary.LittleEndian.AppendUint64(out[i].Streams, uint64(r.Stream))
+	}
+	return out
+}
+
+// decodeGroups returns the records of groups.
+func decodeGroups(groups []group) ([]origin.Record, error) {
+	var out []origin.Record
+	for _, g := range groups {
+		if len(g.Streams)%streamSize != 0 {
+			return nil, fmt.Errorf("streams of %s %s: %w", g.Service, g.Version, io.ErrUnexpectedEOF)
+		}
+		o := origin.Origin{Service: g.Service, Version: g.Version}
+		for rest := g.Streams; len(rest) > 0; rest = rest[streamSize:] {
+			out = append(out, origin.Record{Stream: origin.Stream(binary.LittleEndian.Uint64(rest)), Origin: o})
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/service/origins/find.go
@@ -0,0 +1,170 @@
+package origins
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/core/origin"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/wire"
+)
+
+const (
+	// readTimeout limits a read of the log, and readRetry is the time after a failed one in
+	// which there is no other.
+	readTimeout = 500 * time.Millisecond
+	readRetry   = time.Second
+	// askTimeout limits the answer of a recorder, which may read the log.
+	askTimeout = 600 * time.Millisecond
+	// maxAsked is the number of recorders that are asked for one stream.
+	maxAsked = 2
+	// lookupTimeout limits a whole lookup.
+	lookupTimeout = time.Second
+	// staleAfter is the age of the site's state from which targets of another version may
+	// have started unnoticed.
+	staleAfter = 3 * time.Second
+)
+
+// Find returns the origin of the stream that an attempt began.
+func (s *Service) Find(ctx context.Context, attempt string, service fleet.Service) (origin.Origin, origin.Verdict) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := s.clock.AfterFunc(lookupTimeout, cancel)
+	defer stop()
+	o, verdict := s.find(ctx, streamOf(attempt), service)
+	s.metrics.found(verdict)
+	return o, verdict
+}
+
+// find asks the recorder of a stream that is not known here. Without one it reads the log.
+func (s *Service) find(ctx context.Context, id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict) {
+	if o, verdict := s.decide(id, service); verdict == origin.Known {
+		return o, verdict
+	}
+	for range maxAsked {
+		recorder := s.recorderOf(id)
+		if recorder == s.self {
+			break
+		}
+		o, verdict, err := s.ask(ctx, recorder, id, service)
+		if err == nil && verdict != origin.Unaware {
+			return o, verdict
+		}
+		if err == nil {
+			break // this router may know the service for longer
+		}
+		if ctx.Err() != nil {
+			return origin.Origin{}, origin.Unaware
+		}
+		s.recorderFailed(recorder, err)
+	}
+	return s.findHere(ctx, id, service)
+}
+
+// ask asks a recorder.
+func (s *Service) ask(ctx context.Context, recorder fleet.VM, id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict, error) {
+	answer, err := s.query(ctx, recorder, &query{Asks: true, Stream: uint64(id), Service: service}, askTimeout)
+	if err != nil {
+		return origin.Origin{}, origin.Unaware, err
+	}
+	verdict, err := answer.verdict()
+	if err != nil {
+		return origin.Origin{}, origin.Unaware, fmt.Errorf("origin of %s: %w", recorder, err)
+	}
+	return origin.Origin{Service: answer.Service, Version: answer.Version}, verdict, nil
+}
+
+// findHere decides by what this router knows, and by the log if that is not enough.
+func (s *Service) findHere(ctx context.Context, id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict) {
+	o, verdict := s.decide(id, service)
+	if verdict == origin.Unaware || verdict == origin.Unknown {
+		s.readLog(ctx)
+		o, verdict = s.decide(id, service)
+	}
+	if verdict == origin.Uniform && s.isCutOff() {
+		return origin.Origin{}, origin.Unaware
+	}
+	return o, verdict
+}
+
+func (s *Service) decide(id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Decide(s.clock.Now(), id, service)
+}
+
+// isCutOff reports whether targets may have started unnoticed: the site's state is old, and
+// too few routers are heard that would tell what they know.
+func (s *Service) isCutOff() bool {
+	age, known := s.site.Age()
+	if known && age <= staleAfter {
+		return false
+	}
+	listed := len(s.site.Routers())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 2*len(s.routers) <= listed
+}
+
+// errReadFailed is the error while no other read is made after a failed one.
+var errReadFailed = errors.New("the log could not be read shortly before")
+
+// readLog reads what other recorders have written since the last read. Lookups at the same
+// time share one read. It reports whether the log could be read.
+func (s *Service) readLog(ctx context.Context) bool {
+	_, err, _ := s.reads.Do("", func() (any, error) {
+		s.mu.Lock()
+		from, failedAt := s.position, s.readFailedAt
+		s.mu.Unlock()
+		if s.clock.Now().Sub(failedAt) < readRetry {
+			return nil, errReadFailed
+		}
+		// The read serves other lookups too, whose callers have not left.
+		ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+		defer cancel()
+		stop := s.clock.AfterFunc(readTimeout, cancel)
+		defer stop()
+		batches, next, err := s.log.ReadOrigins(ctx, from)
+		s.logRead(batches, next, err)
+		return nil, err
+	})
+	if err != nil && !errors.Is(err, errReadFailed) {
+		s.logger.WithError(err).Warn("Cannot read origins of streams from the log.")
+	}
+	return err == nil
+}
+
+// logRead takes what was read from the log.
+func (s *Service) logRead(batches [][]byte, next Position, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	if err != nil {
+		s.readFailedAt = now
+		return
+	}
+	for _, payload := range batches {
+		var b batch
+		err := wire.Unmarshal(payload, &b)
+		var records []origin.Record
+		if err == nil {
+			records, err = decodeGroups(b.Groups)
+		}
+		if err != nil {
+			s.logger.WithError(err).Warn("Ignored origins of streams that can't be decoded.")
+			continue
+		}
+		s.tracker.Heard(now, b.Versions)
+		at := time.UnixMilli(b.AtMS)
+		if at.After(now) {
+			at = now // another VM's clock is ahead
+		}
+		if now.Sub(at) < origin.HistoryTime {
+			s.tracker.Learn(now, at, records)
+		}
+	}
+	s.position = next
+	s.tracker.HistoryRead()
+}
--- a/internal/service/peer/peer.go
+++ b/internal/service/peer/peer.go
@@ -23,6 +23,7 @@
 	KindOrders    Kind = "orders"
 	KindLoad      Kind = "load"
 	KindGrant     Kind = "grant"
+	KindOrigin    Kind = "origin"
 )
 
 // KindTransport counts what the connections themselves need: hello, ping and
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -33,6 +33,8 @@
 	{name: "forward.quarantine_refused", help: "Requests not sent on since a part of their prompt is in quarantine."},
 	{name: "forward.engine_crashes", help: "Sends that a target broke off."},
 	{name: "forward.limited_targets", help: "Targets that name a limit for requests a second from all routers.", gauge: true},
+	{name: "origins.batches", help: "Batches of origins of streams written to the log."},
+	{name: "origins.lookups", help: "Streams that callers took up, by what is known of their origin.", label: "verdict"},
 	{name: "forward.limited_sends", help: "Requests sent to targets that name a limit, by kind.", label: "kind"},
 	{name: "forward.grant_queries", help: "Questions for a request to a target that names a limit, by outcome.", label: "outcome"},
 	{name: "site.reads", help: "Reads of the site's state from the platform's log, with the VM list when due."},
