--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -185,3 +185,34 @@
 	}
 	must.Positive(t, total)
 }
+
+func TestStreamsOfTwoVersionsAreFound(t *testing.T) {
+	versions := map[string]string{"w1": "v1", "w2": "v2"}
+	calls := []Call{{ID: "r1", Stamp: "stamp-w1"}, {ID: "r2", Stamp: "stamp-w2", Resumes: "r1"}, {ID: "r3"}}
+	run := func(request, resumes, last, version string) workerd.Run {
+		return workerd.Run{Request: request, Resumes: resumes, LastEvent: last, Version: version}
+	}
+	for name, c := range map[string]struct {
+		run  workerd.Run
+		want int
+	}{
+		"resumed at its version":   {run("r1", "", "2", "v1"), 0},
+		"resumed at another":       {run("r1", "", "2", "v2"), 1},
+		"taken up at its version":  {run("r2", "r1", "2", "v1"), 0},
+		"taken up at another":      {run("r2", "r1", "2", "v2"), 1},
+		"sent twice at first":      {run("r1", "", "", "v2"), 0},
+		"no event was passed on":   {run("r3", "", "2", "v2"), 0},
+		"taken up, began nowhere":  {run("r4", "r3", "2", "v2"), 0},
+		"a stream nobody has sent": {run("r9", "r8", "2", "v2"), 0},
+	} {
+		got := checkVersions(calls, map[string][]workerd.Run{"w": {c.run}}, versions)
+		must.Len(t, c.want, got, must.Sprint(name))
+	}
+}
+
+func TestLastWholeEvent(t *testing.T) {
+	c := Call{Status: 200, After: 2, Body: "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\nda"}
+	must.Eq(t, 4, c.lastEvent())
+	c.Status = 503
+	must.Zero(t, c.lastEvent())
+}
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,6 +58,7 @@
 		if len(addresses) > 0 {
 			address := pick(random, addresses)
 			last := c.call(pick(random, routes), address)
+			c.goOn(&last, func() string { return pick(random, addresses) })
 			if stays {
 				addresses = []string{address}
 			}
@@ -111,7 +113,8 @@
 
 // do sends one request and notes it.
 func (c *clients) do(request *siteclient.Request, address string) Call {
-	out := Call{ID: request.ID, Route: request.Route, Router: c.routerOf(address)}
+	out := Call{ID: request.ID, Route: request.Route, Router: c.routerOf(address), Resumes: request.Resumes}
+	out.After, _ = strconv.Atoi(request.LastEvent) // zero at the beginning
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
 	defer cancel()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -133,6 +133,7 @@
 	r.checkDrain()
 	r.bed.setDrained(false)
 	time.Sleep(settleTime)
+	r.checkLossOfAll()
 	r.checkCrashes(crashesByPart())
 	r.checkCrashes(crashesByRequest(pick(r.random, []string{"order", "status", "chat", "draft"})))
 	stop()
@@ -250,7 +251,9 @@
 	}
 	r.report.Violations = append(r.report.Violations, check(calls, runs)...)
 	var workers []workerHistory
+	versions := make(map[string]string)
 	for _, w := range r.bed.workers {
+		versions[w.id] = w.version
 		workers = append(workers, w.history())
 		r.report.Violations = append(r.report.Violations, checkReports(calls, r.bed.routers, w.history())...)
 	}
@@ -265,6 +268,7 @@
 		r.report.Violations = append(r.report.Violations, checkLimits(calls, routers, w)...)
 	}
 	r.report.Violations = append(r.report.Violations, checkCuts(calls, routers, workers)...)
+	r.report.Violations = append(r.report.Violations, checkVersions(calls, runs, versions)...)
 	if r.report.Whole == 0 {
 		r.violation("nothing was served")
 	}
