Excuse answers that a crash of their worker cut in the soak

The check knew of the crash by the link to the worker, which refuses connections a moment after the worker's connections have ended.

--- a/internal/lab/soak/cuts.go
+++ b/internal/lab/soak/cuts.go
@@ -64,8 +64,10 @@
 	run    *workerd.Run
 }
 
-// reachable reports whether the worker could be reached from the start of its run.
-func (p place) reachable(until time.Time) bool { return !p.worker.link.meet(p.run.At, until) }
+// reachable reports whether the worker ran and could be reached from the start of its run.
+func (p place) reachable(until time.Time) bool {
+	return !p.worker.link.meet(p.run.At, until) && !anyBetween(p.worker.crashes, p.run.At, until)
+}
 
 // tookOver reports whether a later run of a stream may have taken over from p and broke
 // off by itself. No more than one worker may go on with a request, so the earlier one
@@ -84,8 +86,8 @@
 //
 //   - the deadline had passed, and nobody waited any more;
 //   - the router was killed or paused meanwhile, so that it wasn't in touch;
-//   - the link to the worker was disturbed meanwhile, so that the worker couldn't be
-//     reached;
+//   - the worker crashed meanwhile, or the link to it was disturbed, so that it couldn't
+//     be reached;
 //   - another worker took a stream over and broke off itself.
 func checkCuts(calls []Call, routers map[int]*spans, workers []workerHistory) []string {
 	ran := make(map[string][]place)
--- a/internal/lab/soak/reports.go
+++ b/internal/lab/soak/reports.go
@@ -26,6 +26,8 @@
 	refused []workerd.Refusal
 	// starts are the times at which the worker started, the first one included.
 	starts []time.Time
+	// crashes are the times at which requests crashed the worker.
+	crashes []time.Time
 	// link holds the times in which the worker could not be reached.
 	link *spans
 }
@@ -34,7 +36,7 @@
 func (w *worker) history() workerHistory {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return workerHistory{id: w.id, runs: w.Runs(), refused: w.Refused(), starts: slices.Clone(w.starts), link: &w.link.disturbed}
+	return workerHistory{id: w.id, runs: w.Runs(), refused: w.Refused(), starts: slices.Clone(w.starts), crashes: w.CrashTimes(), link: &w.link.disturbed}
 }
 
 // arrival is one request at a worker with the router that sent it. Began is the time
@@ -45,9 +47,9 @@
 	at, began time.Time
 }
 
-// startedBetween reports whether one of the starts lies between two times.
-func startedBetween(starts []time.Time, from, to time.Time) bool {
-	return slices.ContainsFunc(starts, func(s time.Time) bool { return s.After(from) && s.Before(to) })
+// anyBetween reports whether one of some times lies between two others.
+func anyBetween(times []time.Time, from, to time.Time) bool {
+	return slices.ContainsFunc(times, func(s time.Time) bool { return s.After(from) && s.Before(to) })
 }
 
 // reportChecker checks what routers sent to one worker after it had told them
@@ -96,7 +98,7 @@
 // holds reports whether what the worker told a router at one time still holds at
 // another: a start of either in between ends it.
 func (c *reportChecker) holds(router int, from, to time.Time) bool {
-	return !startedBetween(c.worker.starts, from, to) && !startedBetween(c.routerStarts[router], from, to)
+	return !anyBetween(c.worker.starts, from, to) && !anyBetween(c.routerStarts[router], from, to)
 }
 
 // checkLeaving returns the requests that reached the worker after an answer that said
--- a/internal/standin/workerd/crash.go
+++ b/internal/standin/workerd/crash.go
@@ -11,10 +11,10 @@
 
 // crashes is the state of a worker that certain requests crash.
 type crashes struct {
-	// down is true from a crash until the worker is back, and count is the number of
+	// down is true from a crash until the worker is back, and at holds the times of all
 	// crashes.
-	down  bool
-	count int
+	down bool
+	at   []time.Time
 	// process is done when the running process of the worker crashes.
 	process context.Context
 	end     context.CancelFunc
@@ -27,10 +27,13 @@
 }
 
 // Crashes returns how often a request has crashed the worker.
-func (s *Server) Crashes() int {
+func (s *Server) Crashes() int { return len(s.CrashTimes()) }
+
+// CrashTimes returns when requests have crashed the worker.
+func (s *Server) CrashTimes() []time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.crashed.count
+	return slices.Clone(s.crashed.at)
 }
 
 // alive makes a request end without an answer when the process that serves it crashes,
@@ -87,7 +90,7 @@
 		return
 	}
 	s.crashed.down = true
-	s.crashed.count++
+	s.crashed.at = append(s.crashed.at, time.Now())
 	s.crashed.end()
 	if s.opt.Crashed != nil {
 		go s.opt.Crashed()
@@ -100,9 +103,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.crashed.end()
-	count, down := s.crashed.count, s.crashed.down
+	at, down := s.crashed.at, s.crashed.down
 	s.crashed = newProcess()
-	s.crashed.count, s.crashed.down = count, down
+	s.crashed.at, s.crashed.down = at, down
 }
 
 // unframedHead is the head of an answer that ends with its connection.
@@ -113,9 +116,9 @@
 // back starts a new process of the worker, which knows nothing of the one before.
 func (s *Server) back() {
 	s.mu.Lock()
-	count := s.crashed.count
+	at := s.crashed.at
 	s.crashed = newProcess()
-	s.crashed.count = count
+	s.crashed.at = at
 	s.cached = nil
 	s.mu.Unlock()
 	if s.opt.Restarted != nil {
