Ask two targets before a stream that is taken up counts as complete

The engine had closed the connection after the head, as one does that crashes; without length or chunks that is the same as nothing left. For callers without events it counted as broken already.

The rest of a stream now counts as empty once two targets have no event. The test got an empty response before. TestResumedUnframedStream counted two runs for its two requests, of which one asks for what comes after the last event; it counts three now, as that one is asked twice.

A caller that has all events and asks while the retry budget is used up gets 502 instead of an empty response: that it has all can't be told.

--- a/internal/app/site_unframed_test.go
+++ b/internal/app/site_unframed_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -99,7 +101,7 @@
 		must.NoError(t, a.err, must.Sprint("nothing is left"))
 		must.Eq(t, 200, a.status)
 		must.Eq(t, "", a.body)
-		must.Eq(t, 2, b.runs())
+		must.Eq(t, 3, b.runs(), must.Sprint("two targets say that nothing is left"))
 	})
 	onSite(t, func(t *testing.T, b *siteBed) {
 		first, second := b.holder("chat")
@@ -110,3 +112,18 @@
 		must.StrHasPrefix(t, a.body, wholeStream(6))
 	})
 }
+
+// TestEmptyRestOfAStreamIsAskedForTwice takes streams up while one of two engines ends its
+// responses before the first event, as one that crashes after the head does.
+func TestEmptyRestOfAStreamIsAskedForTwice(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.workers["e1"].Set(workerd.FaultUnframedEmpty)
+		for i := range 5 {
+			a := b.send("1", "chat", "4", "aa", fmt.Sprint("b", i))
+			must.Eq(t, 200, a.status)
+			must.True(t, strings.HasSuffix(wholeStream(6), a.body) && a.body != "", must.Sprintf("%+v", a))
+			b.wait(3 * time.Second) // for the retry budget
+		}
+		must.SliceNotEmpty(t, b.workers["e1"].Runs())
+	})
+}
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -249,6 +249,9 @@
 		return r.responseBroken(s, io.ErrUnexpectedEOF, attempt.Broken)
 	}
 	if r.lacksEvents(s) {
+		r.mu.Lock()
+		r.emptyRest = true
+		r.mu.Unlock()
 		return r.responseBroken(s, errNoEvents, attempt.Broken)
 	}
 	if !r.headSent {
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -60,6 +60,9 @@
 	pinned string
 	// headSent is true once the head of a response was passed on.
 	headSent bool
+	// emptyRest is true once a target had no event for a caller that asked for the rest of
+	// a stream.
+	emptyRest bool
 	// lastSentID is the ID of the last event that the caller has received.
 	lastSentID string
 	// hedge is nil unless the request is being sent to a hedge.
