--- a/internal/service/forward/quarantine.go
+++ b/internal/service/forward/quarantine.go
@@ -163,7 +163,7 @@
 // The caller holds the lock.
 func (s *Service) logParts(changes []quarantine.Change, from fleet.VM) {
 	for _, c := range changes {
-		entry := s.logger.WithFields(logrus.Fields{"part": fmt.Sprintf("%x", c.Part), "crashes": c.Crashes, "from": from})
+		entry := s.logger.WithFields(logrus.Fields{"hash": fmt.Sprintf("%x", c.Part), "crashes": c.Crashes, "from": from})
 		switch c.State {
 		case quarantine.Suspected:
 			entry.Info("Request content or prompt part suspected of crashing targets.")
