--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -414,8 +414,8 @@
 
 // blame returns the part that explains most crashes, if enough count against it. A part
 // that is not familiar comes first. If several explain the same, it is the content, then
-// the last part in the prompt: fewest sound requests have it. If that is wrong, crashes without it go on
-// and count against the others, whose records are kept.
+// the last part in the prompt: fewest sound requests have it. If that is wrong, crashes
+// without it go on and count against the others, whose records are kept.
 func (t *Tracker) blame(parts []uint64) (uint64, bool) {
 	var best uint64
 	var most *record
