--- a/review/drive/quarantine.go
+++ b/review/drive/quarantine.go
@@ -56,18 +56,8 @@
 	time.Sleep(5 * time.Second)
 	b.record.line("the request has run %d times so far, %d times later than %s after the third crash", len(runs), b.late(bound), touch)
 
-	b.record.line("all routers are killed")
-	var killed sync.WaitGroup
-	for _, r := range b.routers {
-		killed.Add(1)
-		go func() { defer killed.Done(); b.kill(r) }()
-	}
-	killed.Wait()
-	time.Sleep(500 * time.Millisecond)
-	for _, r := range b.routers {
-		if err := b.start(r); err != nil {
-			return false, err
-		}
+	if err := b.killTogether(b.routers); err != nil {
+		return false, err
 	}
 	if err := b.awaitReady(readyTime); err != nil {
 		return false, err
