--- a/review/drive/bed.go
+++ b/review/drive/bed.go
@@ -48,6 +48,8 @@
 
 	mu     sync.Mutex
 	outage outage
+	// crashes are the times at which deadly requests crashed workers.
+	crashes []time.Time
 }
 
 // recorder writes record.txt.
--- a/review/drive/deadly.go
+++ b/review/drive/deadly.go
@@ -45,26 +45,49 @@
 	b.publish([]route{
 		{Name: "chat", Kind: "stream", Service: "llm", TimeoutMs: 12000, AimMs: 400, GapAimMs: 250, Attempts: 1},
 	}, []string{"llm"}, nil)
+	if err := b.addDeadlyEngines(trouble); err != nil {
+		return false, err
+	}
+	stopSound, err := b.soundChats()
+	if err != nil {
+		return false, err
+	}
+	began := time.Now()
+	for i := 0; time.Since(began) < deadlyTime; i++ {
+		go b.streamOn(b.routers[i%len(b.routers)].front, "/chat/1", chatParts(deadlyPartID, i), fmt.Sprint(i), "", 0, 5, streamDeadline)
+		time.Sleep(deadlyPeriod)
+	}
+	stopSound()
+	return b.judgeDeadly(5)
+}
+
+// addDeadlyEngines adds four engines, which the deadly part crashes if it is to.
+func (b *bed) addDeadlyEngines(isDeadly bool) error {
 	for i := range 4 {
 		w := &worker{id: fmt.Sprintf("w%d", i+1), service: "llm", engine: true, slots: 64, events: 5, gap: 20 * time.Millisecond, version: "v1"}
 		w.deadly = func(r *http.Request, _ string) bool {
-			return trouble && strings.Contains(r.Header.Get("X-Prompt-Prefix"), deadlyPartID+":")
+			return isDeadly && strings.Contains(r.Header.Get("X-Prompt-Prefix"), deadlyPartID+":")
 		}
 		w.onDeadly = crashAndRestart
 		if err := b.addWorker(w); err != nil {
-			return false, err
+			return err
 		}
 	}
+	return nil
+}
+
+// soundChats starts four routers and sends sound chats to them until stop is called.
+func (b *bed) soundChats() (stop func(), err error) {
 	if err := b.addRouters(4); err != nil {
-		return false, err
+		return nil, err
 	}
 	if err := b.awaitReady(readyTime); err != nil {
-		return false, err
+		return nil, err
 	}
 	time.Sleep(touch + time.Second)
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
-	for i := range b.routers { // sound chats
+	for i := range b.routers {
 		done.Add(1)
 		go func() {
 			defer done.Done()
@@ -75,14 +98,7 @@
 			}
 		}()
 	}
-	began := time.Now()
-	for i := 0; time.Since(began) < deadlyTime; i++ {
-		go b.streamOn(b.routers[i%len(b.routers)].front, "/chat/1", chatParts(deadlyPartID, i), fmt.Sprint(i), "", 0, 5, streamDeadline)
-		time.Sleep(deadlyPeriod)
-	}
-	cancel()
-	done.Wait()
-	return b.judgeDeadly(5)
+	return func() { cancel(); done.Wait() }, nil
 }
 
 // judgeDeadly counts the deadly requests that reached workers later than touch after a
@@ -90,8 +106,8 @@
 func (b *bed) judgeDeadly(crash int) (bool, error) {
 	runs := b.deadlyRuns()
 	late := 0
-	if len(runs) >= crash {
-		late = b.late(runs[crash-1].at.Add(touch))
+	if bound, ok := b.crashBound(crash); ok {
+		late = b.late(bound)
 	}
 	b.record.line("deadly requests reached workers %d times, %d times later than %s after crash %d", len(runs), late, touch, crash)
 	fmt.Printf("deadly requests reached workers %d times, %d times later than %s after crash %d; more than three break the rule\n", len(runs), late, touch, crash)
@@ -130,3 +146,39 @@
 	stopSound()
 	return b.judgeDeadly(3)
 }
+
+const (
+	// bursts is the number of times that burstClients clients at each router send the
+	// deadly part at once, burstPeriod apart.
+	bursts       = 6
+	burstClients = 2
+	burstPeriod  = 4 * time.Second
+)
+
+// deadlyBursts sends short chats whose first part crashes each engine that begins to write
+// an answer on it. No two of them are alike. They come several at a time.
+func deadlyBursts(b *bed, trouble bool) (bool, error) {
+	b.publish([]route{
+		{Name: "chat", Kind: "stream", Service: "llm", TimeoutMs: 12000, AimMs: 400, GapAimMs: 250, Attempts: 1},
+	}, []string{"llm"}, nil)
+	if err := b.addDeadlyEngines(trouble); err != nil {
+		return false, err
+	}
+	stop, err := b.soundChats()
+	if err != nil {
+		return false, err
+	}
+	chat := 0
+	for range bursts {
+		for _, r := range b.routers {
+			for range burstClients {
+				parts := fmt.Sprintf("%s:800,%08x:400,%08x:40", deadlyPartID, 0xc0000000+chat, 0xe0000000+chat)
+				go b.streamOn(r.front, "/chat/1", parts, fmt.Sprint(chat), "", 0, 5, streamDeadline)
+				chat++
+			}
+		}
+		time.Sleep(burstPeriod)
+	}
+	stop()
+	return b.judgeDeadly(5)
+}
--- a/review/drive/herd.go
+++ b/review/drive/herd.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -59,11 +60,10 @@
 		go b.plain(context.Background(), b.routers[i%9].front, "/order/1", deadly, 1500*time.Millisecond)
 		time.Sleep(400 * time.Millisecond)
 	}
-	runs := b.deadlyRuns()
-	if len(runs) < 3 {
-		return false, fmt.Errorf("the request has crashed %d workers only", len(runs))
+	bound, ok := b.crashBound(3)
+	if !ok {
+		return false, errors.New("the request has crashed less than three workers")
 	}
-	bound := runs[2].at.Add(touch)
 	time.Sleep(5 * time.Second)
 	r := b.routers
 	groups := [][]*router{r[:4], r[4:], {r[0], r[2], r[4], r[6], r[8]}, {r[1], r[3], r[5], r[7]}}
--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -21,6 +21,7 @@
 	"restarted-version": restartedVersion,
 	"lost-origins":      lostOrigins,
 	"lost-quarantine":   lostQuarantine,
+	"deadly-bursts":     deadlyBursts,
 	"herd-kill":         herdKill,
 	"deadly-part":       deadlyPart,
 	"deadly-query":      deadlyQuery,
--- a/review/drive/quarantine.go
+++ b/review/drive/quarantine.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -48,11 +49,11 @@
 	if trouble {
 		b.setStore(storeUp)
 	}
-	runs := b.deadlyRuns()
-	if len(runs) < 3 {
-		return false, fmt.Errorf("the request has crashed %d workers only", len(runs))
+	bound, ok := b.crashBound(3)
+	if !ok {
+		return false, errors.New("the request has crashed less than three workers")
 	}
-	bound := runs[2].at.Add(touch)
+	runs := b.deadlyRuns()
 	time.Sleep(5 * time.Second)
 	b.record.line("the request has run %d times so far, %d times later than %s after the third crash", len(runs), b.late(bound), touch)
 
@@ -84,12 +85,26 @@
 	if !w.crash() {
 		return
 	}
+	w.bed.mu.Lock()
+	w.bed.crashes = append(w.bed.crashes, time.Now())
+	w.bed.mu.Unlock()
 	time.Sleep(workerRestart)
 	if err := w.start(w.version); err != nil {
 		w.bed.record.line("worker %s cannot start: %v", w.id, err)
 	}
 }
 
+// crashBound returns the time that is touch after a crash by a deadly request, counted
+// from one, and false if there were less.
+func (b *bed) crashBound(number int) (time.Time, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.crashes) < number {
+		return time.Time{}, false
+	}
+	return b.crashes[number-1].Add(touch), true
+}
+
 // sound sends sound requests until the returned function is called.
 func (b *bed) sound() (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
