Measure the size, queueing and delay of messages between routers

forward.digest_bytes is the size of load digests, and a digest from 64 KiB on is logged with what it holds. peer.queued_bytes is what waits for all routers. site.message_delay is how much longer a message about the site's state took than others of its sender: messages carry the time on the sender's steady clock, which routers of earlier releases ignore. Nothing is decided by it yet.

--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/routing"
+	"github.com/zinniafork/zinniafork/internal/core/transit"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
@@ -50,6 +51,9 @@
 	// Age is the time since the log was read, negative if the sender has not
 	// read it.
 	Age time.Duration
+	// Stamp is the time at which a router sent the update to another one. Routers of
+	// earlier releases send none.
+	Stamp transit.Stamp
 }
 
 // whole reports whether the update replaces all that the log contains.
--- a/internal/service/forward/digest_exchange.go
+++ b/internal/service/forward/digest_exchange.go
@@ -15,6 +15,10 @@
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
+// largeDigestBytes is the size from which a digest is logged. At the planned size, some 500
+// placements and the outcomes of 1,200 targets take less.
+const largeDigestBytes = 64 << 10
+
 // digestEncoders are the encoders of one router, one for each audience: each
 // audience may have missed other parts of the target table.
 type digestEncoders struct {
@@ -128,6 +132,13 @@
 		s.logger.WithError(err).Error("Failed to encode load digest.")
 		return
 	}
+	s.metrics.digestBytes.Update(int64(len(payload)))
+	if len(payload) > largeDigestBytes {
+		s.logger.WithFields(logrus.Fields{
+			"bytes": len(payload), "total": d.Total, "placements": len(d.Prompts) / placementSize, "outcomes": len(d.Outcomes) / 3,
+			"leaving": len(d.Leaving) / 2, "limits": len(d.Limits) / limitSize, "to": len(to),
+		}).Warn("Load digest is large.")
+	}
 	for _, vm := range to {
 		if err := s.peers.Send(vm, peer.KindLoad, payload); err != nil {
 			s.logger.WithError(err).WithField("peer", vm).Debug("Failed to send load digest.")
--- a/internal/service/forward/metrics.go
+++ b/internal/service/forward/metrics.go
@@ -13,6 +13,8 @@
 	running   metrics.Counter
 	firstByte metrics.Histogram
 	total     metrics.Histogram
+	// digestBytes is the size of the digests sent.
+	digestBytes metrics.Histogram
 	// quarantinedParts is the number of requests and prompt parts in quarantine,
 	// quarantineRefused counts the requests refused for one, and engineCrashes the sends
 	// that a target broke off.
@@ -45,6 +47,8 @@
 		firstByte: metrics.GetOrRegisterHistogram("forward.first_byte", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 		total:     metrics.GetOrRegisterHistogram("forward.total", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 
+		digestBytes: metrics.GetOrRegisterHistogram("forward.digest_bytes", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+
 		quarantinedParts:  metrics.GetOrRegisterCounter("forward.quarantined_parts", r),
 		quarantineRefused: metrics.GetOrRegisterCounter("forward.quarantine_refused", r),
 		engineCrashes:     metrics.GetOrRegisterCounter("forward.engine_crashes", r),
--- a/internal/service/peer/conn.go
+++ b/internal/service/peer/conn.go
@@ -58,6 +58,8 @@
 	received atomic.Int64
 	sent     atomic.Int64
 	pinged   atomic.Int64
+	// queued is the number of bytes in both queues.
+	queued atomic.Int64
 
 	mu      sync.Mutex
 	err     error
--- a/internal/service/peer/meters.go
+++ b/internal/service/peer/meters.go
@@ -15,6 +15,8 @@
 	unknownKind metrics.Counter
 	// failedHandlers counts control messages whose handler panicked.
 	failedHandlers metrics.Counter
+	// queuedBytes is the number of bytes in the queues of all connections.
+	queuedBytes metrics.Counter
 }
 
 func newMeters(r metrics.Registry) meters {
@@ -30,5 +32,6 @@
 		replaced:       counter("connections_replaced"),
 		unknownKind:    counter("frames_unknown_kind"),
 		failedHandlers: counter("handlers_failed"),
+		queuedBytes:    counter("queued_bytes"),
 	}
 }
--- a/internal/service/peer/outbox.go
+++ b/internal/service/peer/outbox.go
@@ -39,6 +39,7 @@
 		buf = buf[:0]
 		final := false
 		for i := first; i != nil; i = c.waitingItem() {
+			c.queued.Add(-int64(len(i.data)))
 			if !i.take() {
 				continue
 			}
@@ -118,12 +119,15 @@
 
 // push queues an item and waits for room.
 func (c *conn) push(ctx context.Context, lane chan *item, i *item) error {
+	c.queued.Add(int64(len(i.data)))
 	select {
 	case lane <- i:
 		return nil
 	case <-c.done:
+		c.queued.Add(-int64(len(i.data)))
 		return c.cause()
 	case <-ctx.Done():
+		c.queued.Add(-int64(len(i.data)))
 		return context.Cause(ctx)
 	}
 }
@@ -135,10 +139,12 @@
 		return c.cause()
 	default:
 	}
+	c.queued.Add(int64(len(i.data)))
 	select {
 	case lane <- i:
 		return nil
 	default:
+		c.queued.Add(-int64(len(i.data)))
 		return ErrQueueFull
 	}
 }
--- a/internal/service/peer/service.go
+++ b/internal/service/peer/service.go
@@ -212,13 +212,16 @@
 func (s *Service) tick(now time.Time) {
 	last := s.ticked.Swap(now.UnixNano())
 	paused := last != 0 && now.UnixNano()-last > int64(pausedAfter)
+	queued := int64(0)
 	for _, c := range s.links.all() {
+		queued += c.queued.Load()
 		if paused {
 			c.excuse(now)
 			continue
 		}
 		c.tick(now)
 	}
+	s.metrics.queuedBytes.Inc(queued - s.metrics.queuedBytes.Count())
 	for _, c := range s.links.unlisted(now, s.settings.UnlistedGrace.Std()) {
 		c.retire(errReplaced)
 	}
--- a/internal/service/site/exchange.go
+++ b/internal/service/site/exchange.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/core/transit"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/wire"
@@ -38,6 +39,15 @@
 	// of releases that know no eras send neither.
 	Era     int64 `msgpack:"e,omitempty"`
 	Version int64 `msgpack:"c,omitempty"`
+	// Process and SentMS are the stamp of the message, the latter in milliseconds of the
+	// sender's steady clock. Routers of earlier releases send neither.
+	Process uint64 `msgpack:"p,omitempty"`
+	SentMS  int64  `msgpack:"n,omitempty"`
+}
+
+// stamp returns the time at which the positions were sent.
+func (p *positions) stamp() transit.Stamp {
+	return transit.Stamp{Process: p.Process, Sent: time.Duration(p.SentMS) * time.Millisecond}
 }
 
 // offsets returns the offsets with their era.
@@ -50,9 +60,14 @@
 	s.mu.Lock()
 	at := s.state.Positions()
 	version := s.version()
-	age, known := s.state.Age(s.clock.Now())
+	now := s.clock.Now()
+	age, known := s.state.Age(now)
+	stamp := s.stamp(now)
 	s.mu.Unlock()
-	p := positions{Operator: at.Operator, Targets: at.Targets, VMs: at.VMs, AgeMS: age.Milliseconds(), Era: at.Era, Version: version}
+	p := positions{
+		Operator: at.Operator, Targets: at.Targets, VMs: at.VMs, AgeMS: age.Milliseconds(), Era: at.Era, Version: version,
+		Process: stamp.Process, SentMS: stamp.Sent.Milliseconds(),
+	}
 	if !known {
 		p.AgeMS = -1
 	}
@@ -75,6 +90,7 @@
 	}
 	s.mu.Lock()
 	now := s.clock.Now()
+	s.observeDelay(now, from, p.stamp())
 	if p.AgeMS >= 0 {
 		s.state.ConfirmFresh(now, p.offsets(), time.Duration(p.AgeMS)*time.Millisecond)
 	}
@@ -167,6 +183,9 @@
 		s.logger.WithError(err).WithField("peer", from).Warn("Dropped an update that can't be decoded.")
 		return
 	}
+	s.mu.Lock()
+	s.observeDelay(s.clock.Now(), from, update.Stamp)
+	s.mu.Unlock()
 	before, known := s.Age()
 	changes := s.apply(update, string(from))
 	after, _ := s.Age()
@@ -190,6 +209,9 @@
 	if len(to) == 0 {
 		return
 	}
+	s.mu.Lock()
+	update.Stamp = s.stamp(s.clock.Now())
+	s.mu.Unlock()
 	payload, err := encodeUpdate(update)
 	if err != nil {
 		s.logger.WithError(err).Error("Cannot encode an update.")
@@ -201,3 +223,16 @@
 		}
 	}
 }
+
+// stamp returns the stamp of a message that is sent now. The caller holds the lock.
+func (s *Service) stamp(now time.Time) transit.Stamp {
+	return transit.Stamp{Process: s.processStamp, Sent: now.Sub(s.startedAt)}
+}
+
+// observeDelay records by how much a message of another router was delayed, if it has a
+// stamp. The caller holds the lock.
+func (s *Service) observeDelay(now time.Time, from fleet.VM, stamp transit.Stamp) {
+	if stamp.Process != 0 {
+		s.delays.Update(s.transit.Delay(now, from, stamp).Nanoseconds())
+	}
+}
--- a/internal/service/site/service.go
+++ b/internal/service/site/service.go
@@ -17,6 +17,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/refresh"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/core/transit"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
@@ -50,6 +51,12 @@
 	// treeHeartbeat is the heartbeat period in a tree of routers, where heartbeats
 	// are larger.
 	treeHeartbeat = 500 * time.Millisecond
+	// senderTTL is how long the clock of a router that is not heard is remembered.
+	senderTTL = 5 * time.Minute
+	// sampleSize and sampleAlpha weight the histogram of delays towards the last few
+	// minutes.
+	sampleSize  = 1028
+	sampleAlpha = 0.015
 )
 
 func init() {
@@ -80,6 +87,7 @@
 	reads    metrics.Counter
 	failures metrics.Counter
 	restores metrics.Counter
+	delays   metrics.Histogram
 	watchers []func(sitestate.Changes)
 
 	// tree determines which routers an update is sent to.
@@ -114,6 +122,11 @@
 	pause       refresh.PauseDetector
 	currentRead chan struct{}
 	resumedAt   time.Time
+	// processStamp and startedAt make up the stamps of messages to other routers, and
+	// transit measures how long theirs took.
+	processStamp uint64
+	startedAt    time.Time
+	transit      *transit.Estimator
 	// logUnavailable is true from a failed read until the next successful one.
 	logUnavailable bool
 }
@@ -150,8 +163,10 @@
 	s.reads = metrics.GetOrRegisterCounter("site.reads", c.Metrics)
 	s.failures = metrics.GetOrRegisterCounter("site.read_failures", c.Metrics)
 	s.restores = metrics.GetOrRegisterCounter("site.log_restores", c.Metrics)
+	s.delays = metrics.GetOrRegisterHistogram("site.message_delay", c.Metrics, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	s.announceWake = make(chan struct{}, 1)
 	s.random = rand.New(rand.NewPCG(c.Seed, uint64(s.identity.Incarnation())))
+	s.processStamp, s.startedAt, s.transit = s.random.Uint64()|1, c.Clock.Now(), transit.New()
 	s.state = sitestate.New()
 	s.schedule = refresh.New(s.identity.Self().VM)
 	s.catchUpSentAt = make(map[fleet.VM]time.Time)
@@ -231,6 +246,7 @@
 	s.members.SetControl(controlSettings(tree))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.transit.Expire(s.clock.Now().Add(-senderTTL))
 	s.schedule.SetRouters(hubs.RankAlive(view.Members))
 	s.unlistedRouter = slices.ContainsFunc(view.Members, s.isUnlisted)
 }
