--- a/internal/service/peer/peertest/hub.go
+++ b/internal/service/peer/peertest/hub.go
@@ -22,13 +22,33 @@
 	nodes map[fleet.VM]*Node
 	cut   map[link]bool
 	delay time.Duration
+	// slow holds the delay of messages to single routers.
+	slow map[fleet.VM]time.Duration
 }
 
 type link struct{ from, to fleet.VM }
 
 // NewHub returns a hub that delivers messages after delay.
 func NewHub(delay time.Duration) *Hub {
-	return &Hub{nodes: make(map[fleet.VM]*Node), cut: make(map[link]bool), delay: delay}
+	return &Hub{nodes: make(map[fleet.VM]*Node), cut: make(map[link]bool), delay: delay, slow: make(map[fleet.VM]time.Duration)}
+}
+
+// Delay sets the delay of control messages that are sent to a router from now on. They
+// keep their order.
+func (h *Hub) Delay(to fleet.VM, delay time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.slow[to] = delay
+}
+
+// delayTo returns the delay of messages to a router.
+func (h *Hub) delayTo(to fleet.VM) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if delay, ok := h.slow[to]; ok {
+		return delay
+	}
+	return h.delay
 }
 
 // Cut stops (or restores) the messages in both directions between two
@@ -144,7 +164,7 @@
 	t.Sent += uint64(len(payload))
 	n.traffic[kind] = t
 	n.mu.Unlock()
-	m := message{from: n.vm, kind: kind, payload: payload, at: time.Now().Add(n.hub.delay)}
+	m := message{from: n.vm, kind: kind, payload: payload, at: time.Now().Add(n.hub.delayTo(to))}
 	select {
 	case other.inbox <- m:
 		return nil
