Pass on updates by the scope of a digest, not by who its sender seems to be

Cause: a hub passed on to the other hubs what it got from any router that it did not take for a hub. While routers disagree about that, as when a partition begins or ends, a digest went from hub to member, from there, since that member took itself for the hub, to another hub, and back. With two such routers in two data centres each round doubled all that it held: placements, outcomes, notices.

Change: a digest tells what part of the site its updates are from, a router, a data centre or the site, and each hop widens it. Nothing travels further than three hops, whatever routers believe of each other. Digests of earlier releases don't tell it and are passed on as before.

--- a/internal/core/hubs/hubs.go
+++ b/internal/core/hubs/hubs.go
@@ -93,6 +93,9 @@
 	return alive
 }
 
+// Self returns the router whose paths these are.
+func (t *Tree) Self() fleet.VM { return t.self }
+
 // IsMesh reports whether every router sends to every other one.
 func (t *Tree) IsMesh() bool { return t.mesh }
 
@@ -143,3 +146,57 @@
 	out := slices.Concat(t.members, t.remoteHubs)
 	return slices.DeleteFunc(out, func(vm fleet.VM) bool { return vm == from })
 }
+
+// Scope is the part of the site whose updates a message holds.
+type Scope uint8
+
+// Scopes, from the narrowest to the widest.
+const (
+	// ScopeUnknown is that of a message of an earlier release, which does not tell.
+	ScopeUnknown Scope = iota
+	// ScopeRouter is one router.
+	ScopeRouter
+	// ScopeDataCentre is all routers of a data centre, as sent by its hub to other hubs.
+	ScopeDataCentre
+	// ScopeSite is all routers, as sent by a hub to its members.
+	ScopeSite
+)
+
+// Relay is where a hub passes on the updates of a message.
+type Relay struct {
+	Members, Hubs bool
+}
+
+// Relay returns where the updates of a message are passed on:
+//
+//	ScopeRouter      hub to members, and to other hubs if from the own data centre
+//	ScopeDataCentre  hub to members
+//	ScopeSite        nowhere
+//
+// Each hop widens the scope, so that no update travels more than three hops. The sender's
+// place in the own tree is of no use for that: while routers disagree about who is a hub,
+// it may lead in a circle. It counts only for messages that do not tell their scope.
+func (t *Tree) Relay(from fleet.VM, scope Scope) Relay {
+	if !t.IsHub() {
+		return Relay{}
+	}
+	if scope == ScopeUnknown {
+		scope = ScopeRouter
+		if t.IsRemoteHub(from) {
+			scope = ScopeDataCentre
+		}
+	}
+	switch scope {
+	case ScopeRouter:
+		return Relay{Members: true, Hubs: !t.isRemote(from)}
+	case ScopeDataCentre:
+		return Relay{Members: true}
+	default:
+		return Relay{}
+	}
+}
+
+// isRemote reports whether a router is known to be in another data centre.
+func (t *Tree) isRemote(vm fleet.VM) bool {
+	return !slices.Contains(t.members, vm) && slices.Contains(t.allRouters, vm)
+}
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
+	"github.com/zinniafork/zinniafork/internal/core/hubs"
 	"github.com/zinniafork/zinniafork/internal/core/loadtable"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/quarantine"
@@ -20,6 +21,8 @@
 	// Total is true when the loads are those of all routers, and false when they are
 	// the sender's own, or for a hub those of its data centre.
 	Total bool `msgpack:"s,omitempty"`
+	// Scope is the hubs.Scope of the updates. Routers of earlier releases don't send it.
+	Scope uint8 `msgpack:"h,omitempty"`
 	// Loads holds the target table and the load of each target.
 	Loads loadtable.Message `msgpack:"w"`
 	// Prompts holds 10 bytes for each placement, little endian: the prompt hash in 8
@@ -77,6 +80,18 @@
 	born   uint32
 }
 
+// scope returns the part of the site whose updates the digest holds.
+func (d *digest) scope() hubs.Scope {
+	switch {
+	case d.Total:
+		return hubs.ScopeSite
+	case d.Scope <= uint8(hubs.ScopeSite):
+		return hubs.Scope(d.Scope)
+	default:
+		return hubs.ScopeUnknown
+	}
+}
+
 // merge appends placements, leaving targets and notices, and adds up outcomes.
 func (u *updates) merge(more updates) {
 	u.prompts = append(u.prompts, more.prompts...)
--- a/internal/service/forward/digest_exchange.go
+++ b/internal/service/forward/digest_exchange.go
@@ -88,7 +88,7 @@
 	}
 	if due.Sum {
 		total = newDigest(now, s.encoders.members, s.balancer.TotalLoads(append(tree.RemoteHubs(), tree.Members()...)), s.toMembers.take())
-		total.Total = true
+		total.Total, total.Scope = true, uint8(hubs.ScopeSite)
 	}
 	s.mu.Unlock()
 	switch {
@@ -118,11 +118,15 @@
 	}
 	s.leaving = nil
 	if !tree.IsHub() {
-		return newDigest(now, s.encoders.own, loads, u)
+		d := newDigest(now, s.encoders.own, loads, u)
+		d.Scope = uint8(hubs.ScopeRouter)
+		return d
 	}
 	s.toMembers.merge(u)
 	s.toHubs.merge(u)
-	return newDigest(now, s.encoders.hubs, s.balancer.TotalLoads(tree.Members()), s.toHubs.take())
+	d := newDigest(now, s.encoders.hubs, s.balancer.TotalLoads(tree.Members()), s.toHubs.take())
+	d.Scope = uint8(hubs.ScopeDataCentre)
+	return d
 }
 
 // sendDigest sends a digest to the given routers. Failures are only logged.
@@ -146,8 +150,8 @@
 	}
 }
 
-// handleDigest applies another router's digest. A hub also collects its updates for
-// its members and, if they come from its own data centre, for the other hubs.
+// handleDigest applies another router's digest. A hub also collects its updates for the
+// routers that it passes them on to.
 func (s *Service) handleDigest(from fleet.VM, payload []byte) {
 	var d digest
 	if err := wire.Unmarshal(payload, &d); err != nil {
@@ -182,11 +186,12 @@
 			s.logger.WithField("target", s.targetNames[id]).WithField("from", from).Info("Target ejected after failures.")
 		}
 	}
-	if tree.IsHub() {
+	relay := tree.Relay(from, d.scope())
+	if relay.Members {
 		s.toMembers.merge(u)
-		if !tree.IsRemoteHub(from) {
-			s.toHubs.merge(u)
-		}
+	}
+	if relay.Hubs {
+		s.toHubs.merge(u)
 	}
 }
 
