Count the time that messages about the site's state took as age

Cause: routers tell each other how old their state is as a duration. The time that such a message waits in a queue, on a full link or at a busy router was lost, so that old news made a state fresh. A router that gets all its news late read the log never, although it could, and had configurations as late as its messages.

Change: core/transit measures the delay of messages without synchronized clocks, by the difference of steady clocks, and the delay is added to the ages in them. A clock that stood still against the time of day counts as another one. Messages of earlier releases have no stamp and count as before.

--- a/internal/core/transit/transit.go
+++ b/internal/core/transit/transit.go
@@ -14,14 +14,14 @@
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
-// baselineWindow is the least time for which the smallest difference to a sender's clock
-// counts. A sender whose clock stood still while its VM was suspended seems delayed for
-// twice that.
-const baselineWindow = 10 * time.Second
+// maxDrift is how much faster than another one a steady clock may run, per second. The
+// smallest difference to a sender's clock rises by that, so that it doesn't hold for ever.
+const maxDrift = time.Millisecond
 
 // Stamp is the time at which a message was sent.
 type Stamp struct {
-	// Process identifies the sender's process: clocks start anew with each one.
+	// Process identifies the sender's clock, which starts anew with each process and
+	// stands still while its VM is suspended.
 	Process uint64
 	// Sent is the time on the sender's steady clock, from an arbitrary start.
 	Sent time.Duration
@@ -34,13 +34,12 @@
 	senders map[fleet.VM]*sender
 }
 
-// sender holds the smallest differences to the clock of one router: in the current window,
-// which began at windowStart, and in the one before it.
+// sender is what is known of the clock of one router: its smallest difference, and when a
+// message of it was last received.
 type sender struct {
-	process          uint64
-	windowStart      time.Time
-	current, earlier time.Duration
-	lastHeard        time.Time
+	process   uint64
+	smallest  time.Duration
+	lastHeard time.Time
 }
 
 // New returns an estimator that has received no messages.
@@ -55,29 +54,13 @@
 	difference := now.Sub(e.start) - s.Sent
 	k, ok := e.senders[from]
 	if !ok || k.process != s.Process {
-		e.senders[from] = &sender{process: s.Process, windowStart: now, current: difference, earlier: difference, lastHeard: now}
+		e.senders[from] = &sender{process: s.Process, smallest: difference, lastHeard: now}
 		return 0
 	}
-	k.observe(now, difference)
-	return difference - min(k.current, k.earlier)
-}
-
-// observe adds the difference of a message to the current window, and begins another one
-// once it is old. A sender that was not heard for a whole window keeps what was known
-// before: its next message may be one that was held up.
-func (k *sender) observe(now time.Time, difference time.Duration) {
-	silence := now.Sub(k.lastHeard)
+	drift := time.Duration(now.Sub(k.lastHeard).Seconds() * float64(maxDrift))
+	k.smallest = min(k.smallest+drift, difference)
 	k.lastHeard = now
-	switch {
-	case silence >= baselineWindow:
-		k.windowStart = now
-		k.current = min(k.current, k.earlier, difference)
-		k.earlier = k.current
-	case now.Sub(k.windowStart) >= baselineWindow:
-		k.earlier, k.current, k.windowStart = k.current, difference, now
-	default:
-		k.current = min(k.current, difference)
-	}
+	return difference - k.smallest
 }
 
 // Expire forgets senders that were not heard since a time.
--- a/internal/service/site/exchange.go
+++ b/internal/service/site/exchange.go
@@ -90,8 +90,9 @@
 	}
 	s.mu.Lock()
 	now := s.clock.Now()
-	s.observeDelay(now, from, p.stamp())
+	delay := s.observeDelay(now, from, p.stamp())
 	if p.AgeMS >= 0 {
+		p.AgeMS += delay.Milliseconds()
 		s.state.ConfirmFresh(now, p.offsets(), time.Duration(p.AgeMS)*time.Millisecond)
 	}
 	update := s.catchUpUpdate(now, from, &p)
@@ -184,8 +185,11 @@
 		return
 	}
 	s.mu.Lock()
-	s.observeDelay(s.clock.Now(), from, update.Stamp)
+	delay := s.observeDelay(s.clock.Now(), from, update.Stamp)
 	s.mu.Unlock()
+	if update.Age >= 0 {
+		update.Age += delay
+	}
 	before, known := s.Age()
 	changes := s.apply(update, string(from))
 	after, _ := s.Age()
@@ -224,15 +228,28 @@
 	}
 }
 
+// minSuspension is the time for which the steady clock must have stood still, against the
+// time of day, to count as another clock in stamps.
+const minSuspension = 100 * time.Millisecond
+
 // stamp returns the stamp of a message that is sent now. The caller holds the lock.
 func (s *Service) stamp(now time.Time) transit.Stamp {
+	steady, timeOfDay := now.Sub(s.stampedAt), now.Round(0).Sub(s.stampedAt.Round(0))
+	if (timeOfDay - steady).Abs() > minSuspension {
+		s.processStamp = s.random.Uint64() | 1
+	}
+	s.stampedAt = now
 	return transit.Stamp{Process: s.processStamp, Sent: now.Sub(s.startedAt)}
 }
 
-// observeDelay records by how much a message of another router was delayed, if it has a
-// stamp. The caller holds the lock.
-func (s *Service) observeDelay(now time.Time, from fleet.VM, stamp transit.Stamp) {
-	if stamp.Process != 0 {
-		s.delays.Update(s.transit.Delay(now, from, stamp).Nanoseconds())
+// observeDelay returns and records by how much a message of another router was delayed,
+// zero for one without a stamp. What the message says of ages is older by that. The caller
+// holds the lock.
+func (s *Service) observeDelay(now time.Time, from fleet.VM, stamp transit.Stamp) time.Duration {
+	if stamp.Process == 0 {
+		return 0
 	}
+	delay := s.transit.Delay(now, from, stamp)
+	s.delays.Update(delay.Nanoseconds())
+	return delay
 }
--- a/internal/service/site/service.go
+++ b/internal/service/site/service.go
@@ -122,10 +122,11 @@
 	pause       refresh.PauseDetector
 	currentRead chan struct{}
 	resumedAt   time.Time
-	// processStamp and startedAt make up the stamps of messages to other routers, and
-	// transit measures how long theirs took.
+	// processStamp and startedAt make up the stamps of messages to other routers, the last
+	// of which is of stampedAt. transit measures how long those of the others took.
 	processStamp uint64
 	startedAt    time.Time
+	stampedAt    time.Time
 	transit      *transit.Estimator
 	// logUnavailable is true from a failed read until the next successful one.
 	logUnavailable bool
@@ -166,7 +167,8 @@
 	s.delays = metrics.GetOrRegisterHistogram("site.message_delay", c.Metrics, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
 	s.announceWake = make(chan struct{}, 1)
 	s.random = rand.New(rand.NewPCG(c.Seed, uint64(s.identity.Incarnation())))
-	s.processStamp, s.startedAt, s.transit = s.random.Uint64()|1, c.Clock.Now(), transit.New()
+	s.startedAt = c.Clock.Now()
+	s.processStamp, s.stampedAt, s.transit = s.random.Uint64()|1, s.startedAt, transit.New()
 	s.state = sitestate.New()
 	s.schedule = refresh.New(s.identity.Self().VM)
 	s.catchUpSentAt = make(map[fleet.VM]time.Time)
