Bound the bytes that wait for one router

Cause: the queue for a router that reads slowly was bounded by 1,024 frames, whatever their size.

Change: control messages are dropped while more than 1 MiB waits, loads from 256 KiB on, so that they leave room. Dropped ones are counted (peer.queue_full). The buffer of a connection no longer keeps the size of its largest write.

--- a/internal/service/peer/meters.go
+++ b/internal/service/peer/meters.go
@@ -15,6 +15,8 @@
 	unknownKind metrics.Counter
 	// failedHandlers counts control messages whose handler panicked.
 	failedHandlers metrics.Counter
+	// queueFull counts control messages that were dropped since too much waits.
+	queueFull metrics.Counter
 	// queuedBytes is the number of bytes in the queues of all connections.
 	queuedBytes metrics.Counter
 }
@@ -32,6 +34,7 @@
 		replaced:       counter("connections_replaced"),
 		unknownKind:    counter("frames_unknown_kind"),
 		failedHandlers: counter("handlers_failed"),
+		queueFull:      counter("queue_full"),
 		queuedBytes:    counter("queued_bytes"),
 	}
 }
--- a/internal/service/peer/outbox.go
+++ b/internal/service/peer/outbox.go
@@ -53,7 +53,11 @@
 				break
 			}
 		}
-		if _, err := c.raw.Write(buf); err != nil {
+		_, err := c.raw.Write(buf)
+		if cap(buf) > maxQueuedBytes {
+			buf = nil // one large frame must not keep its memory
+		}
+		if err != nil {
 			c.close(err)
 			return
 		}
@@ -93,6 +97,27 @@
 	}
 }
 
+// Bytes that may wait on a connection when a control message is queued. Loads are of no use
+// once they are late, and must not hold up what else is sent to the router.
+const (
+	maxQueuedBytes     = 1 << 20
+	maxQueuedLoadBytes = 256 << 10
+)
+
+// offerControl queues a control message if there is room. A message that is larger than the
+// limit is taken while nothing else waits.
+func (c *conn) offerControl(kind Kind, i *item) error {
+	limit := int64(maxQueuedBytes)
+	if kind == KindLoad {
+		limit = maxQueuedLoadBytes
+	}
+	if queued := c.queued.Load(); queued > 0 && queued+int64(len(i.data)) > limit {
+		c.host.metrics.queueFull.Inc(1)
+		return ErrQueueFull
+	}
+	return c.offer(c.urgent, i)
+}
+
 // encode makes an item of a frame, or fails when the other side would refuse
 // its size.
 func (c *conn) encode(f *wire.Frame, kind Kind) (*item, error) {
--- a/internal/service/peer/service.go
+++ b/internal/service/peer/service.go
@@ -252,7 +252,7 @@
 	if err != nil {
 		return errorf("send %s to %s: %w", kind, to, err)
 	}
-	if err := c.offer(c.urgent, i); err != nil {
+	if err := c.offerControl(kind, i); err != nil {
 		return errorf("send %s to %s: %w", kind, to, err)
 	}
 	return nil
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -47,6 +47,7 @@
 	{name: "platform.worker_connections", help: "Connections opened to targets."},
 	{name: "platform.answers_crossed", help: "Responses of targets that belong to another request."},
 	{name: "platform.limits_unreadable", help: "Responses of targets with a request limit that can't be read."},
+	{name: "peer.queue_full", help: "Control messages dropped since too many bytes wait for their router."},
 	{name: "peer.queued_bytes", help: "Bytes that wait to be sent to other routers.", gauge: true},
 	{name: "peer.frames_late", help: "Frames dropped because their stream had already ended."},
 	{name: "peer.frames_crossed", help: "Frames dropped because they belong to another request or attempt."},
