Bound what one load digest holds

What a hub collects between two digests had no limit, so that whatever multiplies it, such as a hub of an earlier release beside routers that disagree with it, ends in messages of any size. A digest now holds the newest 4,096 placements and 1,024 entries of each kind of report; forward.updates_dropped counts the others. At the planned size all routers place some 500 requests between two digests.

TestDigestHoldsTheNewestUpdates fails without the bound.

--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -107,11 +107,33 @@
 	}
 }
 
-// take returns the collected updates and empties u.
-func (u *updates) take() updates {
-	out := *u
+// Most entries of each kind in one digest. All routers of the planned size place some 500
+// requests between two digests.
+const (
+	maxPlacements = 4096
+	maxReports    = 1024
+)
+
+// take returns the collected updates and empties u. Of more than a digest may hold it
+// returns the newest, and the number of those that are left out.
+func (u *updates) take() (out updates, dropped int) {
+	out = *u
 	*u = updates{}
-	return out
+	out.prompts = newest(out.prompts, maxPlacements, &dropped)
+	out.leaving = newest(out.leaving, maxReports, &dropped)
+	out.limits = newest(out.limits, maxReports, &dropped)
+	out.parts.Crashes = newest(out.parts.Crashes, maxReports, &dropped)
+	out.parts.Cleared = newest(out.parts.Cleared, maxReports, &dropped)
+	out.parts.Familiar = newest(out.parts.Familiar, maxReports, &dropped)
+	out.parts.Quarantined = newest(out.parts.Quarantined, maxReports, &dropped)
+	return out, dropped
+}
+
+// newest returns the last entries of a list, and adds the number of the others to dropped.
+func newest[T any](list []T, most int, dropped *int) []T {
+	excess := max(len(list)-most, 0)
+	*dropped += excess
+	return list[excess:]
 }
 
 // newDigest encodes loads and updates with the target table of an encoder. Updates
--- a/internal/service/forward/digest_exchange.go
+++ b/internal/service/forward/digest_exchange.go
@@ -87,7 +87,7 @@
 		own = s.localDigest(now, tree)
 	}
 	if due.Sum {
-		total = newDigest(now, s.encoders.members, s.balancer.TotalLoads(append(tree.RemoteHubs(), tree.Members()...)), s.toMembers.take())
+		total = newDigest(now, s.encoders.members, s.balancer.TotalLoads(append(tree.RemoteHubs(), tree.Members()...)), s.takeUpdates(&s.toMembers))
 		total.Total, total.Scope = true, uint8(hubs.ScopeSite)
 	}
 	s.mu.Unlock()
@@ -124,11 +124,18 @@
 	}
 	s.toMembers.merge(u)
 	s.toHubs.merge(u)
-	d := newDigest(now, s.encoders.hubs, s.balancer.TotalLoads(tree.Members()), s.toHubs.take())
+	d := newDigest(now, s.encoders.hubs, s.balancer.TotalLoads(tree.Members()), s.takeUpdates(&s.toHubs))
 	d.Scope = uint8(hubs.ScopeDataCentre)
 	return d
 }
 
+// takeUpdates empties u and returns what the next digest holds of it.
+func (s *Service) takeUpdates(u *updates) updates {
+	out, dropped := u.take()
+	s.metrics.updatesDropped.Inc(int64(dropped))
+	return out
+}
+
 // sendDigest sends a digest to the given routers. Failures are only logged.
 func (s *Service) sendDigest(d *digest, to []fleet.VM) {
 	payload, err := wire.Marshal(d)
--- a/internal/service/forward/digest_test.go
+++ b/internal/service/forward/digest_test.go
@@ -77,3 +77,26 @@
 		must.Eq(t, c.want, outcomeUnlessLeft(ctx, "failed"), must.Sprint(c.name))
 	}
 }
+
+// TestDigestHoldsTheNewestUpdates checks that what a hub passes on between two digests is
+// bounded, whatever it receives.
+func TestDigestHoldsTheNewestUpdates(t *testing.T) {
+	var u updates
+	for i := range 3 * maxPlacements {
+		u.merge(updates{
+			prompts: []balance.Placement{{Prompt: uint64(i), Target: 1}},
+			leaving: []leavingTarget{{target: 1, born: uint32(i)}},
+		})
+	}
+	out, dropped := u.take()
+	must.Len(t, maxPlacements, out.prompts)
+	must.Eq(t, 3*maxPlacements-1, int(out.prompts[maxPlacements-1].Prompt))
+	must.Len(t, maxReports, out.leaving)
+	must.Eq(t, 3*maxPlacements-1, int(out.leaving[maxReports-1].born))
+	must.Eq(t, 2*maxPlacements+3*maxPlacements-maxReports, dropped)
+	payload, err := wire.Marshal(newDigest(start, loadtable.NewEncoder(1), nil, out))
+	must.NoError(t, err)
+	must.Less(t, largeDigestBytes, len(payload))
+	empty, _ := u.take()
+	must.SliceEmpty(t, empty.prompts)
+}
--- a/internal/service/forward/metrics.go
+++ b/internal/service/forward/metrics.go
@@ -15,6 +15,8 @@
 	total     metrics.Histogram
 	// digestBytes is the size of the digests sent.
 	digestBytes metrics.Histogram
+	// updatesDropped counts the updates that a digest had no room for.
+	updatesDropped metrics.Counter
 	// quarantinedParts is the number of requests and prompt parts in quarantine,
 	// quarantineRefused counts the requests refused for one, and engineCrashes the sends
 	// that a target broke off.
@@ -49,6 +51,8 @@
 
 		digestBytes: metrics.GetOrRegisterHistogram("forward.digest_bytes", r, metrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 
+		updatesDropped: metrics.GetOrRegisterCounter("forward.updates_dropped", r),
+
 		quarantinedParts:  metrics.GetOrRegisterCounter("forward.quarantined_parts", r),
 		quarantineRefused: metrics.GetOrRegisterCounter("forward.quarantine_refused", r),
 		engineCrashes:     metrics.GetOrRegisterCounter("forward.engine_crashes", r),
--- a/internal/service/forward/quarantine_test.go
+++ b/internal/service/forward/quarantine_test.go
@@ -84,9 +84,10 @@
 	crash := quarantine.Crash{Engine: quarantine.Engine{Target: 5}, Parts: []uint64{3}}
 	u.merge(updates{parts: quarantine.Notices{Cleared: []uint64{1}, Crashes: []quarantine.Crash{crash}}})
 	u.merge(updates{parts: quarantine.Notices{Cleared: []uint64{1, 2}, Familiar: []uint64{4}, Quarantined: []uint64{6}, Crashes: []quarantine.Crash{crash}}})
+	out, _ := u.take()
 	must.Eq(t, quarantine.Notices{
 		Cleared: []uint64{1, 2}, Familiar: []uint64{4}, Quarantined: []uint64{6}, Crashes: []quarantine.Crash{crash, crash},
-	}, u.take().parts)
+	}, out.parts)
 }
 
 func TestOnlyConnectionsThatTheTargetClosesCountAsCrashes(t *testing.T) {
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -30,6 +30,7 @@
 	{name: "forward.first_byte", help: "Time from the arrival of a streaming request to the first event of its response.", unit: nanoseconds},
 	{name: "forward.total", help: "Time from the arrival of a forwarded request to its end.", unit: nanoseconds},
 	{name: "forward.digest_bytes", help: "Size of the load digests sent to other routers.", unit: "bytes"},
+	{name: "forward.updates_dropped", help: "Placements and reports that a load digest had no room for."},
 	{name: "forward.quarantined_parts", help: "Requests and prompt parts in quarantine, since they crash targets.", gauge: true},
 	{name: "forward.quarantine_refused", help: "Requests not sent on since a part of their prompt is in quarantine."},
 	{name: "forward.engine_crashes", help: "Sends that a target broke off."},
