Tell paths that fail from targets that fail

When most targets with a recent outcome can't be reached, the path counts as failed, until three in a row are reached again. Full or slow targets accept connections and so don't count.

It is logged, and shown as forward.cut_paths; forward.path_probes counts the connections. Nothing is decided by it yet.

--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -116,6 +116,9 @@
 	// is a *SendError. The end of ctx stops the request, also while the body is
 	// being read.
 	Send(ctx context.Context, r *TargetRequest) (*Response, error)
+	// Connect opens a connection to a target, which later requests may use. It shows whether
+	// the target can be reached.
+	Connect(ctx context.Context, t sitestate.AvailableTarget) error
 	// CachedPrefixes lists the hashes of the long prompt prefixes that an engine has
 	// in cache, as in Call.Prefixes. The engine's other work is delayed by it.
 	CachedPrefixes(ctx context.Context, t sitestate.Target) ([]uint64, error)
--- a/internal/service/forward/hedge_test.go
+++ b/internal/service/forward/hedge_test.go
@@ -21,6 +21,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/overload"
 	"github.com/zinniafork/zinniafork/internal/core/quarantine"
 	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
+	"github.com/zinniafork/zinniafork/internal/core/reach"
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
 	"github.com/zinniafork/zinniafork/internal/core/selfreport"
@@ -62,6 +63,8 @@
 	return &Response{Status: http.StatusOK, Stamped: true, Body: io.NopCloser(strings.NewReader("id: 1\ndata: 1\n\n"))}, nil
 }
 
+func (*twoTargets) Connect(context.Context, sitestate.AvailableTarget) error { return nil }
+
 func (*twoTargets) CachedPrefixes(context.Context, sitestate.Target) ([]uint64, error) {
 	return nil, nil
 }
@@ -89,6 +92,9 @@
 		routers:  1,
 
 		quarantine: quarantine.New(),
+		paths:      reach.New(rand.New(rand.NewPCG(1, 1))),
+		probes:     make(chan struct{}, maxProbes),
+		ctx:        context.Background(),
 	}
 	r := &request{
 		Call: &Call{ID: "r", Received: time.Now()}, s: s, route: route, machine: attempt.New(route),
--- a/internal/service/forward/metrics.go
+++ b/internal/service/forward/metrics.go
@@ -23,6 +23,10 @@
 	quarantinedParts  metrics.Counter
 	quarantineRefused metrics.Counter
 	engineCrashes     metrics.Counter
+	// cutPaths is the number of services most of whose targets this router can't reach, and
+	// pathProbes counts the connections opened to see whether a target can be reached.
+	cutPaths   metrics.Counter
+	pathProbes metrics.Counter
 	// limitedTargets is the number of targets that name a limit. limitedFirst and
 	// limitedRepeats count the requests sent to them for the first time and again.
 	limitedTargets metrics.Counter
@@ -57,6 +61,9 @@
 		quarantineRefused: metrics.GetOrRegisterCounter("forward.quarantine_refused", r),
 		engineCrashes:     metrics.GetOrRegisterCounter("forward.engine_crashes", r),
 
+		cutPaths:   metrics.GetOrRegisterCounter("forward.cut_paths", r),
+		pathProbes: metrics.GetOrRegisterCounter("forward.path_probes", r),
+
 		limitedTargets: metrics.GetOrRegisterCounter("forward.limited_targets", r),
 		limitedFirst:   metrics.GetOrRegisterCounter("forward.limited_sends.first", r),
 		limitedRepeats: metrics.GetOrRegisterCounter("forward.limited_sends.repeat", r),
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -186,7 +186,7 @@
 	r.countLimitedSend(s)
 	req := r.targetRequest(s)
 	req.Trace = tracing.Parent(ctx)
-	resp, err := r.s.targets.Send(s.ctx, req)
+	resp, err := r.s.sendDirect(s.ctx, req)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -17,6 +17,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/overload"
 	"github.com/zinniafork/zinniafork/internal/core/quarantine"
 	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
+	"github.com/zinniafork/zinniafork/internal/core/reach"
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/selfreport"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
@@ -70,6 +71,9 @@
 	tree    atomic.Pointer[hubs.Tree]
 	running atomic.Int64
 	stopped atomic.Bool
+	// ctx ends with the service. probes holds a value for each probe under way.
+	ctx    context.Context
+	probes chan struct{}
 	// digestWake holds a value when the time of the next digest has changed or has
 	// come.
 	digestWake chan struct{}
@@ -87,6 +91,8 @@
 	budgets  map[fleet.Service]*retry.WindowBudget
 	// quarantine keeps the requests and prompt parts that crash targets.
 	quarantine *quarantine.Tracker
+	// paths tells failures of this router's paths from failures of targets.
+	paths *reach.Tracker
 	// limiters bound the load of the engines of each service.
 	limiters map[fleet.Service]*overload.Limiter
 	routers  int
@@ -169,6 +175,7 @@
 	s.reports = selfreport.New()
 	s.limits, s.granter, s.asker = ratelimit.New(), ratelimit.NewGranter(), ratelimit.NewAsker()
 	s.quarantine = quarantine.New()
+	s.paths, s.probes, s.ctx = reach.New(s.rng), make(chan struct{}, maxProbes), context.Background()
 	s.budgets = make(map[fleet.Service]*retry.WindowBudget)
 	s.limiters = make(map[fleet.Service]*overload.Limiter)
 	s.born = make(map[fleet.Target]int64)
@@ -198,6 +205,8 @@
 // Start sends digests, lists caches and keeps the log of quarantined parts in the
 // background.
 func (s *Service) Start(ctx context.Context) error {
+	s.ctx = ctx
+	go kernel.Every(ctx, s.clock, pathCheckPeriod, s.probePaths)
 	go s.sendDigests(ctx)
 	go s.writeParts(ctx)
 	if !s.settings.ColdCaches {
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -34,6 +34,8 @@
 	{name: "forward.quarantined_parts", help: "Requests and prompt parts in quarantine, since they crash targets.", gauge: true},
 	{name: "forward.quarantine_refused", help: "Requests not sent on since a part of their prompt is in quarantine."},
 	{name: "forward.engine_crashes", help: "Sends that a target broke off."},
+	{name: "forward.cut_paths", help: "Services most of whose targets this router can't reach.", gauge: true},
+	{name: "forward.path_probes", help: "Connections opened to see whether a target can be reached."},
 	{name: "forward.limited_targets", help: "Targets that name a limit for requests a second from all routers.", gauge: true},
 	{name: "origins.batches", help: "Batches of origins of streams written to the log."},
 	{name: "origins.lookups", help: "Streams that callers took up, by what is known of their origin.", label: "verdict"},
