--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -35,8 +35,10 @@
 	versions map[string]string
 	servers  map[string]*httpserve.Server
 	routers  map[string]*kernel.Kernel
-	client   *http.Client
-	serial   atomic.Int64
+	// views hold the network as each router sees it.
+	views  map[string]*kerneltest.View
+	client *http.Client
+	serial atomic.Int64
 }
 
 const storeAddress = "10.0.9.9:80"
@@ -51,6 +53,7 @@
 		versions: make(map[string]string),
 		servers:  make(map[string]*httpserve.Server),
 		routers:  make(map[string]*kernel.Kernel),
+		views:    make(map[string]*kerneltest.View),
 	}
 	t.Cleanup(func() { time.Sleep(time.Second) }) // answers without end notice the close
 	b.client = &http.Client{Transport: &http.Transport{DialContext: b.network.DialContext, DisableKeepAlives: true}}
@@ -171,7 +174,8 @@
 	must.NoError(b.t, err)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	k, err := NewSiteRouter(kernel.Env{Net: b.network, Log: logger, Seed: 7}, file)
+	b.views[name] = b.network.View()
+	k, err := NewSiteRouter(kernel.Env{Net: b.views[name], Log: logger, Seed: 7}, file)
 	must.NoError(b.t, err)
 	must.NoError(b.t, k.Start(context.Background()))
 	b.routers[name] = k
--- /dev/null
+++ b/internal/app/site_cut_off_test.go
@@ -0,0 +1,163 @@
+package app
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/zinniafork/zinniafork/internal/kernel/kerneltest"
+	"github.com/zinniafork/zinniafork/internal/standin/workerd"
+)
+
+// workerAddresses are the addresses of the workers that a site starts with.
+var workerAddresses = []string{"10.1.0.e1:80", "10.1.0.e2:80", "10.1.0.p1:80", "10.1.0.p2:80"}
+
+// cuts are the ways in which a router loses its links to the workers.
+var cuts = []kerneltest.Cut{kerneltest.CutHang, kerneltest.CutReset, kerneltest.CutRefuse}
+
+// served sends requests of all kinds to routers for a while, ten a second to each, and
+// returns how many of them were answered whole at each router.
+func (b *siteBed) served(length time.Duration, routers ...string) (answered, sent map[string]int) {
+	answered, sent = make(map[string]int), make(map[string]int)
+	type outcome struct {
+		router string
+		ok     bool
+	}
+	ended := make(chan outcome, 1000)
+	n := 0
+	for i := range int(length / (100 * time.Millisecond)) {
+		for _, router := range routers {
+			route := []string{"order", "status", "chat"}[i%3]
+			sent[router]++
+			n++
+			go func() {
+				a := b.call(router, route)
+				ok := a.err == nil && a.status == 200 && (route != "chat" || a.body == wholeStream(6))
+				ended <- outcome{router, ok}
+			}()
+		}
+		b.wait(100 * time.Millisecond)
+	}
+	for range n {
+		if o := <-ended; o.ok {
+			answered[o.router]++
+		}
+	}
+	return answered, sent
+}
+
+// ranOnce checks that no order ran twice.
+func (b *siteBed) ranOnce() {
+	ran := make(map[string]int)
+	for _, w := range b.workers {
+		for _, run := range w.Runs() {
+			if ran[run.Request]++; run.Path == "/order/" {
+				must.Eq(b.t, 1, ran[run.Request], must.Sprint(run.Request))
+			}
+		}
+	}
+}
+
+// TestRouterCutOffFromTargetsServesByOthers partitions a router from all workers while
+// the others reach them. From three seconds later it must serve as the others do, whose
+// workers must stay in use, and go straight to the workers again once it can.
+func TestRouterCutOffFromTargetsServesByOthers(t *testing.T) {
+	for _, cut := range cuts {
+		onSite(t, func(t *testing.T, b *siteBed) {
+			b.served(3*time.Second, "1", "2", "3")
+			b.views["1"].Partition(cut, workerAddresses...)
+			b.served(3*time.Second, "1", "2", "3")
+			answered, sent := b.served(9*time.Second, "1", "2", "3")
+			for router := range sent {
+				must.GreaterEq(t, sent[router]*95/100, answered[router], must.Sprint(cut, ": router ", router, " of ", sent[router]))
+			}
+			b.views["1"].Partition(kerneltest.CutNone)
+			b.wait(2 * time.Second)
+			before := b.views["1"].Dials("10.1.0.p1:80") + b.views["1"].Dials("10.1.0.p2:80")
+			answered, sent = b.served(6*time.Second, "1")
+			must.Eq(t, sent["1"], answered["1"], must.Sprint(cut, ": after the partition"))
+			must.Greater(t, before, b.views["1"].Dials("10.1.0.p1:80")+b.views["1"].Dials("10.1.0.p2:80"), must.Sprint(cut, ": straight again"))
+			b.ranOnce()
+		})
+	}
+}
+
+// TestDataCentreCutOffFromTargets partitions most routers from all workers.
+func TestDataCentreCutOffFromTargets(t *testing.T) {
+	for _, cut := range cuts {
+		onSite(t, func(t *testing.T, b *siteBed) {
+			b.served(3*time.Second, "1", "2", "3")
+			b.views["1"].Partition(cut, workerAddresses...)
+			b.views["2"].Partition(cut, workerAddresses...)
+			b.served(3*time.Second, "1", "2", "3")
+			answered, sent := b.served(6*time.Second, "1", "2", "3")
+			for router := range sent {
+				must.GreaterEq(t, sent[router]*95/100, answered[router], must.Sprint(cut, ": router ", router, " of ", sent[router]))
+			}
+			b.ranOnce()
+		})
+	}
+}
+
+// TestReportsOfACutOffRouterEjectNoTarget counts the requests that workers get from the
+// other routers while one is partitioned from all of them.
+func TestReportsOfACutOffRouterEjectNoTarget(t *testing.T) {
+	for _, cut := range cuts {
+		onSite(t, func(t *testing.T, b *siteBed) {
+			b.served(3*time.Second, "1", "2", "3")
+			b.views["1"].Partition(cut, workerAddresses...)
+			for second := range 6 {
+				before := map[string]int{}
+				for id, w := range b.workers {
+					before[id] = len(w.Runs())
+				}
+				answered, sent := b.served(time.Second, "1", "2", "3")
+				for _, router := range []string{"2", "3"} {
+					must.Eq(t, sent[router], answered[router], must.Sprint(cut, ": second ", second, " router ", router))
+				}
+				for _, id := range []string{"p1", "p2"} {
+					must.Positive(t, len(b.workers[id].Runs())-before[id], must.Sprint(cut, ": second ", second, " worker ", id))
+				}
+			}
+		})
+	}
+}
+
+// TestRelayedRequestEndsWithItsCaller covers callers that leave a cut-off router: the
+// workers that other routers reached for it must stop.
+func TestRelayedRequestEndsWithItsCaller(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		for _, id := range []string{"e1", "e2"} {
+			b.restartWorker(id, "llm", workerd.Options{Slots: 64, Events: 100, Work: 100 * time.Millisecond})
+		}
+		b.served(2*time.Second, "2")
+		b.views["1"].Partition(kerneltest.CutReset, workerAddresses...)
+		b.served(3*time.Second, "1")
+		ctx, cancel := context.WithCancel(t.Context())
+		request := b.request("chat", "aa", "bb")
+		request.Deadline = 9 * time.Second
+		r, err := request.HTTP(ctx, "10.0.0.1:80")
+		must.NoError(t, err)
+		resp, err := b.client.Do(r)
+		must.NoError(t, err)
+		must.Eq(t, 200, resp.StatusCode)
+		b.wait(500 * time.Millisecond)
+		cancel()
+		_ = resp.Body.Close()
+		left := time.Now()
+		b.wait(2 * time.Second)
+		found := false
+		for _, w := range b.workers {
+			for _, run := range w.Runs() {
+				if run.Request == request.ID {
+					found = true
+					must.Less(t, 500*time.Millisecond, run.Ended.Sub(left))
+				}
+			}
+		}
+		must.True(t, found, must.Sprint(fmt.Sprintf("request %s reached a worker", request.ID)))
+	})
+}
