Send requests by way of other routers while targets are out of reach

Cause: a router that is partitioned from targets held each failure against a target, ejected it, tried the next one, and refused once none was left; its reports made other routers eject sound targets, and connections that were reset counted as crashes of requests.

Change: while core/reach says that the path to a service has failed, its requests go to targets by way of other routers. Route, account, target, retries, limits and the origin of streams stay with the router that the caller reached; the other one passes on one request to one target as bytes arrive, and refuses what its own state forbids: a target that leaves, is drained, wants a pause or is out of its reach too. Refused so, the next router is asked, of another data centre first. A request that the path has lost is no failure of its target: it is neither held against it nor reported. A failure without a response is reported once another target has responded since, and a router trusts its own last three successes over reports. Sends that wait when the path fails are no load any more, and those that may be are hedged at once.

--- a/internal/app/site_cut_off_test.go
+++ b/internal/app/site_cut_off_test.go
@@ -161,3 +161,35 @@
 		must.True(t, found, must.Sprint(fmt.Sprintf("request %s reached a worker", request.ID)))
 	})
 }
+
+// TestOutageOfAllTargetsIsNoPartition takes all targets of a service down: requests are
+// refused at once by each router, none of which can help another, and are served again
+// soon after the targets are back.
+func TestOutageOfAllTargetsIsNoPartition(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.served(2*time.Second, "1", "2", "3")
+		for _, id := range []string{"p1", "p2"} {
+			must.NoError(t, b.servers[id].Close())
+		}
+		b.wait(5 * time.Second) // idle connections have expired
+		for range 10 {
+			for _, router := range []string{"1", "2", "3"} {
+				before := time.Now()
+				must.Eq(t, 503, b.call(router, "order").status)
+				must.Less(t, 100*time.Millisecond, time.Since(before))
+			}
+			b.wait(100 * time.Millisecond)
+		}
+		for _, id := range []string{"p1", "p2"} {
+			b.servers[id] = b.serveWorker(id)
+		}
+		b.wait(1500 * time.Millisecond)
+		for range 10 {
+			for _, router := range []string{"1", "2", "3"} {
+				must.Eq(t, 200, b.call(router, "order").status)
+			}
+			b.wait(100 * time.Millisecond)
+		}
+		b.ranOnce()
+	})
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -90,6 +90,9 @@
 	Status  int          `msgpack:"s"`
 	Header  http.Header  `msgpack:"h,omitempty"`
 	Target  fleet.Target `msgpack:"t"`
+	// Detail is what the handler of a kind adds for the router that asked, in its own
+	// encoding.
+	Detail []byte `msgpack:"x,omitempty"`
 }
 
 // Chunk is one part of an answer's body.
--- a/internal/core/outlier/outlier.go
+++ b/internal/core/outlier/outlier.go
@@ -41,6 +41,10 @@
 	// maxEjection while trials fail.
 	minEjection = 500 * time.Millisecond
 	maxEjection = 4 * time.Second
+	// trustedSuccesses successes in a row, the last one within trustedFor, outweigh what
+	// other routers report of a target.
+	trustedSuccesses = 3
+	trustedFor       = time.Second
 	// maxEjectedRatio is the share of the targets of a service that may be
 	// ejected.
 	maxEjectedRatio = 0.5
@@ -93,6 +97,10 @@
 	onProbation bool
 	// local counts outcomes that were not sent to other routers yet.
 	local Counts
+	// okInRow counts this router's successes since its last failure, the last of which was
+	// at okAt.
+	okInRow int
+	okAt    time.Time
 }
 
 // slot counts the outcomes of one slot of the window.
@@ -123,6 +131,8 @@
 	case OK:
 		c.OK = 1
 		t.unreachable, t.failed = 0, 0
+		t.okInRow++
+		t.okAt = now
 	case Failed:
 		c.Failed = 1
 		t.failed++
@@ -131,6 +141,9 @@
 		t.failed++
 		t.unreachable++
 	}
+	if o != OK {
+		t.okInRow = 0
+	}
 	t.local.OK += c.OK
 	t.local.Failed += c.Failed
 	if t.ejected(now) || t.trialPending {
@@ -149,13 +162,29 @@
 	return int64(now.Sub(d.start) / slotDuration)
 }
 
+// trusted reports whether this router's own requests show that the target is sound for it,
+// whatever others report: their path to the target may have failed.
+func (t *target) trusted(now time.Time) bool {
+	return t.okInRow >= trustedSuccesses && now.Sub(t.okAt) < trustedFor
+}
+
+// Withhold takes the last failure of a target back from the outcomes for other routers.
+func (d *Detector) Withhold(id fleet.Ref) {
+	if t := d.get(id); t.local.Failed > 0 {
+		t.local.Failed--
+	}
+}
+
+// Report adds a failure that was withheld to the outcomes for other routers.
+func (d *Detector) Report(id fleet.Ref) { d.get(id).local.Failed++ }
+
 // ObserveRemote adds outcomes that another router saw at a target and reports
 // whether they eject it.
 func (d *Detector) ObserveRemote(now time.Time, id fleet.Ref, c Counts) (ejected bool) {
 	t := d.get(id)
 	i := d.slotOf(now)
 	t.add(i, c)
-	if t.ejected(now) {
+	if t.ejected(now) || t.trusted(now) {
 		return false
 	}
 	return t.evaluate(now, i)
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -125,22 +125,22 @@
 	return first
 }
 
-// takeReport records what the target of a send says of itself in its response.
-func (r *request) takeReport(s *send) {
-	resp := s.resp
+// takeReport records what a target says of itself in its response to a request that was
+// sent at a given time.
+func (s *Service) takeReport(request string, t *sitestate.AvailableTarget, resp *Response, sentAt time.Time) {
 	if !resp.Stamped && !resp.NotRun && resp.RetryAfter == 0 {
 		return // nothing shows that the target wrote it
 	}
-	now, t := r.s.clock.Now(), &s.choice.Target
-	r.s.mu.Lock()
-	r.s.reports.ReportPause(now, t.ID.Ref(), t.Born, resp.RetryAfter)
-	isNew := resp.Leaving && r.s.reports.ReportLeaving(now, t.ID.Ref(), t.Born)
+	now := s.clock.Now()
+	s.mu.Lock()
+	s.reports.ReportPause(now, t.ID.Ref(), t.Born, resp.RetryAfter)
+	isNew := resp.Leaving && s.reports.ReportLeaving(now, t.ID.Ref(), t.Born)
 	if isNew {
-		r.s.leaving = append(r.s.leaving, leavingTarget{target: t.ID.Ref(), born: uint32(t.Born)})
+		s.leaving = append(s.leaving, leavingTarget{target: t.ID.Ref(), born: uint32(t.Born)})
 	}
-	limitChanged := r.s.takeLimit(now, s)
-	r.s.mu.Unlock()
-	entry := r.s.logger.WithFields(logrus.Fields{"request": r.ID, "target": t.ID})
+	limitChanged := s.takeLimit(now, t, resp, sentAt)
+	s.mu.Unlock()
+	entry := s.logger.WithFields(logrus.Fields{"request": request, "target": t.ID})
 	if limitChanged {
 		logLimit(entry, resp.Limited, resp.RateLimit)
 	}
@@ -182,12 +182,18 @@
 	return n
 }
 
-// sendEnded records the end of a send. With observed false, the outcome does not
-// count for or against the target.
-func (s *Service) sendEnded(now time.Time, id fleet.Target, outcome outlier.Outcome, observed bool) {
+// sendEnded records the end of a send. With observed false, the outcome does not count for
+// or against the target, and neither does a failure of the path to it.
+func (s *Service) sendEnded(now time.Time, ended *send, outcome outlier.Outcome, observed bool) {
+	id, service := ended.target(), ended.choice.Target.Service
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.RequestEnded(id)
+	if !ended.unloaded {
+		s.balancer.RequestEnded(id)
+	}
+	if outcome != outlier.OK && (ended.pathFailed || ended.via == "" && s.paths.IsCut(service)) {
+		observed = false
+	}
 	if !observed {
 		s.outliers.CancelTrial(id.Ref())
 		return
@@ -195,6 +201,9 @@
 	if s.outliers.Observe(now, id.Ref(), outcome) {
 		s.logger.WithField("target", id).Info("Target ejected after failures.")
 	}
+	if outcome != outlier.OK && ended.resp == nil && ended.via == "" {
+		s.holdFailure(now, service, id)
+	}
 }
 
 // inUse reports whether a target is neither ejected nor on trial, and has not asked
--- a/internal/service/forward/digest_exchange.go
+++ b/internal/service/forward/digest_exchange.go
@@ -108,6 +108,7 @@
 // kept until one is. The caller holds the lock.
 func (s *Service) localDigest(now time.Time, tree *hubs.Tree) *digest {
 	s.logParts(s.quarantine.Expire(now), s.self)
+	s.releaseHeld(now)
 	loads := s.balancer.LocalLoads(now)
 	if len(tree.ForwardTo("")) == 0 {
 		return nil
--- a/internal/service/forward/digest_relay_test.go
+++ b/internal/service/forward/digest_relay_test.go
@@ -19,6 +19,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/quarantine"
 	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
+	"github.com/zinniafork/zinniafork/internal/core/reach"
 	"github.com/zinniafork/zinniafork/internal/core/selfreport"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
@@ -62,7 +63,7 @@
 	s := &Service{
 		clock: kernel.SystemClock{}, logger: logrus.NewEntry(logger), metrics: newRequestMetrics(metrics.NewRegistry()),
 		balancer: balance.New("dc", rand.New(rand.NewPCG(1, 1))), outliers: outlier.New(), reports: selfreport.New(),
-		limits: ratelimit.New(), quarantine: quarantine.New(), decoder: loadtable.NewDecoder(),
+		limits: ratelimit.New(), quarantine: quarantine.New(), paths: reach.New(rand.New(rand.NewPCG(1, 1))), decoder: loadtable.NewDecoder(),
 		peers: digestPeers{site: d, self: self}, self: self, digestWake: make(chan struct{}, 1),
 	}
 	tree := hubs.New(self, view)
--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -131,7 +131,9 @@
 	Sent bool
 	// Unreachable is true when no connection opened.
 	Unreachable bool
-	Err         error
+	// PathFailed is true when the way to the target failed and not the target.
+	PathFailed bool
+	Err        error
 }
 
 // Error returns the target and the cause.
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -190,7 +190,7 @@
 	}
 	r.mu.Unlock()
 	if !allowed {
-		r.s.sendEnded(now, s.target(), outlier.OK, false)
+		r.s.sendEnded(now, s, outlier.OK, false)
 		return nil
 	}
 	return s
@@ -220,7 +220,7 @@
 	default:
 		return true
 	}
-	r.s.sendEnded(r.s.clock.Now(), s.target(), outcome, observed)
+	r.s.sendEnded(r.s.clock.Now(), s, outcome, observed)
 	r.hedgeFailed(s, result, err)
 	return false
 }
@@ -257,7 +257,7 @@
 		now := r.s.clock.Now()
 		r.sendBroke(s, now, err)
 		_ = body.Close()
-		r.s.sendEnded(now, s.target(), outlier.Failed, !canceled(s.ctx))
+		r.s.sendEnded(now, s, outlier.Failed, !canceled(s.ctx))
 		r.hedgeFailed(s, attempt.Unknown, err)
 		return false
 	}
@@ -346,7 +346,7 @@
 func (r *request) discardSend(s *send) {
 	s.cancel(errReplaced)
 	_ = s.resp.Body.Close()
-	r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.OK, false)
+	r.s.sendEnded(r.s.clock.Now(), s, outlier.OK, false)
 }
 
 // awaitHedge waits for the end of the hedge, if there is one, and returns the send
--- a/internal/service/forward/hedge_test.go
+++ b/internal/service/forward/hedge_test.go
@@ -93,6 +93,8 @@
 
 		quarantine: quarantine.New(),
 		paths:      reach.New(rand.New(rand.NewPCG(1, 1))),
+		waiting:    make(map[*send]struct{}),
+		relays:     reach.NewRelays(rand.New(rand.NewPCG(1, 1))),
 		probes:     make(chan struct{}, maxProbes),
 		ctx:        context.Background(),
 	}
--- /dev/null
+++ b/internal/service/forward/held.go
@@ -0,0 +1,54 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/core/overload"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+)
+
+// maxHold is how long a failure without a response is held back from other routers. One
+// that is not shown to be the target's by then is not reported.
+const maxHold = 3 * time.Second
+
+// heldFailure is a failure of a target without a response, which may be one of the path to
+// it. It is reported to other routers once this one has reached another target of the
+// service since.
+type heldFailure struct {
+	target  fleet.Target
+	service fleet.Service
+	at      time.Time
+}
+
+// holdFailure holds the last failure of a target back. The caller holds the lock.
+func (s *Service) holdFailure(now time.Time, service fleet.Service, id fleet.Target) {
+	s.outliers.Withhold(id.Ref())
+	s.held = append(s.held, heldFailure{target: id, service: service, at: now})
+}
+
+// releaseHeld reports the failures that are known to be those of their targets, and drops
+// the others in time. The caller holds the lock.
+func (s *Service) releaseHeld(now time.Time) {
+	s.held = slices.DeleteFunc(s.held, func(h heldFailure) bool {
+		switch {
+		case s.paths.IsCut(h.service):
+			return true
+		case s.paths.ReachedSince(h.at, h.service, h.target):
+			s.outliers.Report(h.target.Ref())
+			return true
+		default:
+			return now.Sub(h.at) > maxHold
+		}
+	})
+}
+
+// forgetFailures drops what failed sends have shown of the targets of a service, since it
+// was the path that failed. The caller holds the lock.
+func (s *Service) forgetFailures(service fleet.Service, targets []fleet.Target) {
+	for _, id := range targets {
+		s.outliers.Reset(id.Ref())
+	}
+	s.held = slices.DeleteFunc(s.held, func(h heldFailure) bool { return h.service == service })
+	s.limiters[service] = overload.New()
+}
--- a/internal/service/forward/limit.go
+++ b/internal/service/forward/limit.go
@@ -72,6 +72,12 @@
 	if !r.service.Engine || s.choice.Target.Slots <= 0 {
 		return
 	}
+	r.mu.Lock()
+	direct := s.via == ""
+	r.mu.Unlock()
+	if direct && r.s.pathIsCut(r.service.Name) {
+		return // it is the path that is slow
+	}
 	now := r.s.clock.Now()
 	f := overload.FirstByte{
 		Latency:     now.Sub(s.startedAt),
--- a/internal/service/forward/metrics.go
+++ b/internal/service/forward/metrics.go
@@ -39,6 +39,16 @@
 	metrics.GetOrRegisterCounter("forward.grant_queries."+outcome, m.registry).Inc(1)
 }
 
+// relayed counts a request that another router was asked to relay, by outcome.
+func (m *requestMetrics) relayed(outcome string) {
+	metrics.GetOrRegisterCounter("forward.relayed."+outcome, m.registry).Inc(1)
+}
+
+// relayServed counts a request of another router that this one was asked to relay.
+func (m *requestMetrics) relayServed(outcome string) {
+	metrics.GetOrRegisterCounter("forward.relay_served."+outcome, m.registry).Inc(1)
+}
+
 // sampleSize and sampleAlpha weight the histograms towards the last few minutes.
 const (
 	sampleSize  = 1028
--- a/internal/service/forward/paths.go
+++ b/internal/service/forward/paths.go
@@ -69,15 +69,51 @@
 	}
 	s.mu.Lock()
 	probe, cut := s.paths.Lost(s.clock.Now(), service, id, all)
+	var silent []*send
 	if cut {
+		silent = s.abandon(service)
+		s.forgetFailures(service, all)
 		s.countCutPaths()
 		s.logger.WithFields(logrus.Fields{"service": service, "target": id, "targets": len(all)}).
 			Warn("This router can't reach most targets of a service.")
 	}
 	s.mu.Unlock()
+	for _, snd := range silent {
+		snd.timer.reset(0)
+	}
 	s.probe(probe)
 }
 
+// awaitResponse notes that a send waits for its response, until done is called.
+func (s *Service) awaitResponse(snd *send) (done func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting[snd] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.waiting, snd)
+	}
+}
+
+// abandon expects no response any more of the sends to a service whose path has failed.
+// They are no load of their targets, and those that may be hedged are returned. The caller
+// holds the lock.
+func (s *Service) abandon(service fleet.Service) []*send {
+	var silent []*send
+	for snd := range s.waiting {
+		if snd.choice.Target.Service != service || snd.unloaded {
+			continue
+		}
+		snd.unloaded = true
+		s.balancer.RequestEnded(snd.target())
+		if snd.timer != nil {
+			silent = append(silent, snd)
+		}
+	}
+	return silent
+}
+
 // pathDoubted records that a target was silent or broke a connection, and probes it.
 func (s *Service) pathDoubted(service fleet.Service, id fleet.Target) {
 	s.mu.Lock()
@@ -86,6 +122,13 @@
 	s.probe(probe)
 }
 
+// pathIsCut reports whether this router can't reach most targets of a service.
+func (s *Service) pathIsCut(service fleet.Service) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paths.IsCut(service)
+}
+
 // countCutPaths updates the number of services that can't be reached. The caller holds the
 // lock.
 func (s *Service) countCutPaths() {
--- a/internal/service/forward/ratelimit.go
+++ b/internal/service/forward/ratelimit.go
@@ -226,18 +226,17 @@
 	return ratelimit.Process{Target: t.ID.Ref(), Born: uint32(t.Born)}
 }
 
-// takeLimit records whether the response of a send names a limit, and reports whether
+// takeLimit records whether the response to a request names a limit, and reports whether
 // that changes the limit of its target. The caller holds the lock.
-func (s *Service) takeLimit(now time.Time, send *send) (changed bool) {
-	resp := send.resp
+func (s *Service) takeLimit(now time.Time, t *sitestate.AvailableTarget, resp *Response, sentAt time.Time) (changed bool) {
 	if !resp.NamesRequest {
 		return false
 	}
-	p := processOf(&send.choice.Target)
+	p := processOf(t)
 	if resp.Limited {
 		changed = s.limits.Named(now, p, resp.RateLimit)
 	} else {
-		changed = s.limits.NotNamed(now, p, send.startedAt)
+		changed = s.limits.NotNamed(now, p, sentAt)
 	}
 	s.countLimited()
 	return changed
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -61,10 +61,10 @@
 	now := r.s.clock.Now()
 	if canceled(s.ctx) {
 		r.lastErr = fmt.Errorf("read error response of %s: %w", s.target(), context.Cause(s.ctx))
-		r.s.sendEnded(now, s.target(), outlier.Failed, false)
+		r.s.sendEnded(now, s, outlier.Failed, false)
 		return r.canceledAction(true)
 	}
-	r.s.sendEnded(now, s.target(), outlier.Failed, true)
+	r.s.sendEnded(now, s, outlier.Failed, true)
 	if err != nil {
 		r.lastErr = err
 		return r.nextAction(s, now, attempt.Unknown)
@@ -100,7 +100,7 @@
 	}
 	r.dropHedge()
 	// The target has ended the request, however slowly the caller reads.
-	r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.OK, true)
+	r.s.sendEnded(r.s.clock.Now(), s, outlier.OK, true)
 	r.partsServed(s)
 	r.contentServed(s)
 	r.reply.WriteHead(s.resp)
@@ -138,7 +138,7 @@
 
 // responseComplete handles the end of a complete response.
 func (r *request) responseComplete(s *send, writeErr error) attempt.Action {
-	r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.OK, true)
+	r.s.sendEnded(r.s.clock.Now(), s, outlier.OK, true)
 	r.contentServed(s)
 	return r.passedOn(s, writeErr)
 }
@@ -158,7 +158,7 @@
 
 // callerLeft handles a caller that no longer reads the response.
 func (r *request) callerLeft(s *send, err error) attempt.Action {
-	r.s.sendEnded(r.s.clock.Now(), s.target(), outlier.OK, false)
+	r.s.sendEnded(r.s.clock.Now(), s, outlier.OK, false)
 	r.lastErr = err
 	r.cut("caller_left")
 	return responseDone
@@ -170,11 +170,11 @@
 	r.lastErr = err
 	if canceled(s.ctx) {
 		timedOut := errors.Is(context.Cause(s.ctx), errDeadline)
-		r.s.sendEnded(now, s.target(), outlier.Failed, timedOut && !r.headSent)
+		r.s.sendEnded(now, s, outlier.Failed, timedOut && !r.headSent)
 		return r.canceledAction(true)
 	}
 	r.sendBroke(s, now, err)
-	r.s.sendEnded(now, s.target(), outlier.Failed, true)
+	r.s.sendEnded(now, s, outlier.Failed, true)
 	if !r.headSent {
 		outcome = attempt.Unknown // the caller can still get an error response
 	}
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -41,6 +41,16 @@
 	// chosen.
 	limited bool
 	limit   float64
+	// via is the router that relayed the request, empty for a send straight to the target.
+	// It is set with resp.
+	via fleet.VM
+	// timer notices the silence of the send, nil for a hedge.
+	timer *silenceTimer
+	// unloaded is true once the send does not count as load of its target any more. It is
+	// guarded by Service.mu.
+	unloaded bool
+	// pathFailed is true once the way to the target has failed, and not the target.
+	pathFailed bool
 	// responded is true once the send has brought an event or a complete response.
 	responded bool
 }
@@ -168,6 +178,7 @@
 	defer s.cancel(nil)
 	timer := r.startSilenceTimer(ctx, s)
 	defer timer.stop()
+	s.timer = timer
 	resp, err := r.roundTrip(s)
 	if err != nil {
 		return r.sendFailed(s, err)
@@ -186,14 +197,18 @@
 	r.countLimitedSend(s)
 	req := r.targetRequest(s)
 	req.Trace = tracing.Parent(ctx)
-	resp, err := r.s.sendDirect(s.ctx, req)
+	done := r.s.awaitResponse(s)
+	resp, via, err := r.s.deliver(s.ctx, req)
+	done()
+	r.mu.Lock()
+	s.resp, s.via = resp, via
+	r.mu.Unlock()
 	if err != nil {
+		var failure *SendError
+		s.pathFailed = errors.As(err, &failure) && failure.PathFailed
 		return nil, err
 	}
-	r.mu.Lock()
-	s.resp = resp
-	r.mu.Unlock()
-	r.takeReport(s)
+	r.s.takeReport(r.ID, &s.choice.Target, resp, s.startedAt)
 	return resp, nil
 }
 
@@ -281,11 +296,11 @@
 	r.lastErr = err
 	failure, outcome := failedSend(s, err)
 	if canceled(s.ctx) {
-		r.s.sendEnded(now, s.target(), outlier.Failed, errors.Is(context.Cause(s.ctx), errDeadline))
+		r.s.sendEnded(now, s, outlier.Failed, errors.Is(context.Cause(s.ctx), errDeadline))
 		return r.canceledAction(failure.Sent)
 	}
 	r.sendBroke(s, now, err)
-	r.s.sendEnded(now, s.target(), outcome, true)
+	r.s.sendEnded(now, s, outcome, true)
 	result := attempt.NotSent
 	if failure.Sent {
 		result = attempt.Unknown
@@ -327,7 +342,7 @@
 func (r *request) notRun(s *send) attempt.Action {
 	now := r.s.clock.Now()
 	result, outcome, observed := notRunOutcome(s)
-	r.s.sendEnded(now, s.target(), outcome, observed)
+	r.s.sendEnded(now, s, outcome, observed)
 	return r.nextAction(s, now, result)
 }
 
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -208,6 +208,9 @@
 		fields["route"] = r.route.Name
 		r.mu.Lock()
 		fields["sends"] = r.machine.Sends()
+		if r.cur.via != "" {
+			fields["via"] = r.cur.via
+		}
 		r.mu.Unlock()
 	}
 	if r.service != nil {
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -93,6 +93,15 @@
 	quarantine *quarantine.Tracker
 	// paths tells failures of this router's paths from failures of targets.
 	paths *reach.Tracker
+	// relays chooses among relayRouters, the other live routers, those that relay requests
+	// to targets which this one can't reach.
+	relays       *reach.Relays
+	relayRouters []reach.Relay
+	dataCentre   fleet.DataCentre
+	// waiting holds the sends that have no response yet.
+	waiting map[*send]struct{}
+	// held are failures of targets that are not reported to other routers yet.
+	held []heldFailure
 	// limiters bound the load of the engines of each service.
 	limiters map[fleet.Service]*overload.Limiter
 	routers  int
@@ -182,6 +191,8 @@
 	s.targetNames = make(map[fleet.Ref]fleet.Target)
 	s.targetServices = make(map[fleet.Ref]fleet.Service)
 	s.provisionDigests(id)
+	s.waiting = make(map[*send]struct{})
+	s.relays, s.dataCentre = reach.NewRelays(s.rng), id.Self().DataCentre
 	s.partWrites = make(chan partWrite, maxPartWrites)
 	s.routers = 1
 	s.handledJoins = make(map[fleet.VM]fleet.Incarnation)
@@ -189,6 +200,7 @@
 	s.members.Watch(s.membersChanged)
 	s.peers.HandleControl(peer.KindLoad, s.handleDigest)
 	s.peers.HandleQuery(peer.KindGrant, s.handleGrant)
+	s.peers.HandleCall(peer.KindRelay, s.handleRelay)
 	return nil
 }
 
@@ -255,9 +267,13 @@
 // may still send.
 func (s *Service) membersChanged(view *members.Snapshot) {
 	var vms, grant, heard []fleet.VM
+	var relays []reach.Relay
 	for _, m := range view.Members {
 		if m.Status == members.StateAlive {
 			heard = append(heard, m.VM)
+			if m.VM != s.self {
+				relays = append(relays, reach.Relay{VM: m.VM, DataCentre: m.DataCentre})
+			}
 		}
 		if m.Status == members.StateAlive || m.Status == members.StateSuspect {
 			grant = append(grant, m.VM)
@@ -276,6 +292,8 @@
 	s.cold.SetRouters(vms)
 	s.routers = max(len(vms), 1)
 	s.liveRouters, s.grantRouters, s.heardRouters = vms, grant, heard
+	s.relayRouters = relays
+	s.relays.Expire(s.clock.Now())
 	for _, b := range s.budgets {
 		b.SetRouters(s.routers)
 	}
--- a/internal/service/peer/peer.go
+++ b/internal/service/peer/peer.go
@@ -34,6 +34,7 @@
 const (
 	KindRun    Kind = "run"
 	KindSubmit Kind = "submit"
+	KindRelay  Kind = "relay"
 )
 
 // ControlHandler takes one control message. It must not block.
--- a/internal/service/site/delay_test.go
+++ b/internal/service/site/delay_test.go
@@ -42,6 +42,13 @@
 	l.versions = append(l.versions, version)
 }
 
+// count returns the number of reads.
+func (l *sharedLog) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reads
+}
+
 func (l fakeLog) Read(_ context.Context, from sitestate.Positions, _ bool) (*sitestate.Update, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -129,8 +136,8 @@
 		startRouter(ctx, t, hub, log, "a2", 0.5)
 		startRouter(ctx, t, hub, log, "a3", 0.1)
 		time.Sleep(8 * time.Second)
-		before := log.reads
+		before := log.count()
 		time.Sleep(30 * time.Second)
-		must.LessEq(t, 45, log.reads-before, must.Sprint("reads in 30 s; one router reads each 0.7 to 0.8 s"))
+		must.LessEq(t, 45, log.count()-before, must.Sprint("reads in 30 s; one router reads each 0.7 to 0.8 s"))
 	})
 }
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -36,6 +36,8 @@
 	{name: "forward.engine_crashes", help: "Sends that a target broke off."},
 	{name: "forward.cut_paths", help: "Services most of whose targets this router can't reach.", gauge: true},
 	{name: "forward.path_probes", help: "Connections opened to see whether a target can be reached."},
+	{name: "forward.relayed", help: "Requests to targets out of reach that other routers were asked to relay, by outcome.", label: "outcome"},
+	{name: "forward.relay_served", help: "Requests of other routers that this one was asked to relay, by outcome.", label: "outcome"},
 	{name: "forward.limited_targets", help: "Targets that name a limit for requests a second from all routers.", gauge: true},
 	{name: "origins.batches", help: "Batches of origins of streams written to the log."},
 	{name: "origins.lookups", help: "Streams that callers took up, by what is known of their origin.", label: "verdict"},
