Keep a lost keep-alive probe from ending a sound connection

Cause: the user timeout that is set on each connection also decides when keep-alive probes give up, whatever their count: at the first probe after that time if one is unanswered. Go's probes after 15 s, and those to targets after 5 s with a count of two, ended a sound connection whose request runs long as soon as one packet was lost.

Change: connections have no probes, as every use of them has its own timeout, but for those to targets of the product's own interface: there the user timeout covers all probes.

--- a/internal/kernel/env.go
+++ b/internal/kernel/env.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -100,16 +101,39 @@
 // lost are sent again within a few tenths of a second, several times.
 const userTimeout = 2 * time.Second
 
-// DialContext opens a connection that fails soon when its path goes silent.
+// DialContext opens a connection that fails soon when sent bytes are not acknowledged. It
+// sends no keep-alive probes: with a user timeout, the kernel would give the connection up
+// after the first one that is lost.
 func (SystemNetwork) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	d := net.Dialer{Control: setUserTimeout}
+	d := net.Dialer{Control: setUserTimeout, KeepAlive: -1}
 	return d.DialContext(ctx, network, address)
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+// SetKeepAlive makes the kernel probe a connection that has been idle, each interval, and
+// give it up after count probes without a response. The user timeout, which would end it
+// earlier, is raised to that. It does nothing to a connection that is not TCP.
+func SetKeepAlive(c net.Conn, idle, interval time.Duration, count int) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	if err := tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: idle, Interval: interval, Count: count}); err != nil {
+		return fmt.Errorf("set keep-alive: %w", err)
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("set user timeout: %w", err)
+	}
+	return setTimeout(raw, idle+time.Duration(count)*interval)
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error { return setTimeout(c, userTimeout) }
+
+// setTimeout sets the user timeout of a connection.
+func setTimeout(c syscall.RawConn, timeout time.Duration) error {
 	var failed error
 	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	return errors.Join(err, failed)
 }
--- a/internal/target/transport.go
+++ b/internal/target/transport.go
@@ -13,10 +13,16 @@
 
 // Limits of connections to targets.
 const (
-	dialTimeout     = 2 * time.Second
-	idleTimeout     = 30 * time.Second
-	idlePerTarget   = 256
-	keepAlivePeriod = 5 * time.Second
+	dialTimeout   = 2 * time.Second
+	idleTimeout   = 30 * time.Second
+	idlePerTarget = 256
+)
+
+// Keep-alive probes of a connection.
+const (
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 3 * time.Second
+	keepAliveProbes   = 2
 )
 
 // NewHTTPClient returns a client for targets and platform services. It dials
@@ -31,7 +37,11 @@
 				if err != nil {
 					return nil, err
 				}
-				keepAlive(raw)
+				// Lets the kernel notice a path that has lost track of an idle connection.
+				if err := kernel.SetKeepAlive(raw, keepAliveIdle, keepAliveInterval, keepAliveProbes); err != nil {
+					_ = raw.Close()
+					return nil, err
+				}
 				return &countedConn{Conn: raw}, nil
 			},
 			MaxIdleConnsPerHost: idlePerTarget,
@@ -55,14 +65,6 @@
 	return &fresh
 }
 
-// keepAlive lets the kernel notice a path that has lost track of an idle
-// connection.
-func keepAlive(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod / 2, Count: 2})
-	}
-}
-
 // countedConn counts the bytes that were handed to the network, so that a
 // request of which none left can be told from one that may have run.
 type countedConn struct {
