Grant the slots of targets that say that they are brittle

Cause: a target that is brittle (Server-Brittle) lets fewer requests wait and falls over when it turns more than N away in a second. Each router knows the load that the others put on it some tenths of a second late, so that all of them fill its last free slot.

Change: while a target says so, one router grants its slots to all, as it does for rates that targets name, and takes them back at the end of each request. What is brittle travels with the digests. Earlier releases don't know the question; the next router grants in their place.

Also, the digest that a router gets when it joins is not passed on by it.

--- a/internal/service/forward/caches.go
+++ b/internal/service/forward/caches.go
@@ -245,9 +245,10 @@
 	s.mu.Lock()
 	now := s.clock.Now()
 	placements := s.balancer.Placements(now)
-	d := newDigest(now, s.newEncoder("caches"), s.balancer.LocalLoads(now), updates{prompts: placements, parts: s.quarantine.Snapshot(), limits: s.limits.Reports()})
+	d := newDigest(now, s.newEncoder("caches"), s.balancer.LocalLoads(now), updates{prompts: placements, parts: s.quarantine.Snapshot(), limits: s.limits.Reports(), brittle: s.brittle.Reports()})
+	d.Scope = uint8(hubs.ScopeSite)
 	s.mu.Unlock()
-	if len(placements)+len(d.Quarantined)+len(d.Limits) == 0 {
+	if len(placements)+len(d.Quarantined)+len(d.Limits)+len(d.Brittle) == 0 {
 		return
 	}
 	s.sendDigest(d, []fleet.VM{to})
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -89,7 +89,7 @@
 		return choice, len(targets), false
 	}
 	t := &choice.Target
-	if rule.granted == nil && s.isLimited(t) {
+	if rule.granted == nil && (s.isLimited(t) || s.isBrittle(t)) {
 		return choice, len(targets), true
 	}
 	if now.Before(t.ColdUntil) {
@@ -139,11 +139,15 @@
 		s.leaving = append(s.leaving, leavingTarget{target: t.ID.Ref(), born: uint32(t.Born)})
 	}
 	limitChanged := s.takeLimit(now, t, resp, sentAt)
+	brittleChanged := s.takeBrittle(now, t, resp, sentAt)
 	s.mu.Unlock()
 	entry := s.logger.WithFields(logrus.Fields{"request": request, "target": t.ID})
 	if limitChanged {
 		logLimit(entry, resp.Limited, resp.RateLimit)
 	}
+	if brittleChanged {
+		logBrittle(entry, resp.Brittle, float64(resp.MaxRejected))
+	}
 	if isNew {
 		entry.Info("Target says that it is leaving.")
 	}
@@ -185,6 +189,7 @@
 // sendEnded records the end of a send. With observed false, the outcome does not count for
 // or against the target, and neither does a failure of the path to it.
 func (s *Service) sendEnded(now time.Time, ended *send, outcome outlier.Outcome, observed bool) {
+	defer s.releaseSlot(ended.slot, ended.resp != nil && ended.resp.NotRun)
 	id, service := ended.target(), ended.choice.Target.Service
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -50,6 +50,9 @@
 	// milliseconds in 2, and in 4 bytes the limit in thousandths of a request a second
 	// plus one, zero when there is none any more, all little endian.
 	Limits []byte `msgpack:"r,omitempty"`
+	// Brittle holds which targets are brittle, as Limits does, with the number of requests
+	// that they may turn away in a second.
+	Brittle []byte `msgpack:"b,omitempty"`
 }
 
 // placementSize is the length in bytes of one entry of Prompts.
@@ -71,6 +74,7 @@
 	leaving  []leavingTarget
 	parts    quarantine.Notices
 	limits   []ratelimit.Report
+	brittle  []ratelimit.Report
 }
 
 // leavingTarget is the process of a target that said that it is leaving, identified by
@@ -98,6 +102,7 @@
 	u.leaving = append(u.leaving, more.leaving...)
 	u.parts.Merge(more.parts)
 	u.limits = append(u.limits, more.limits...)
+	u.brittle = append(u.brittle, more.brittle...)
 	if u.outcomes == nil {
 		u.outcomes = make(map[fleet.Ref]outlier.Counts)
 	}
@@ -122,6 +127,7 @@
 	out.prompts = newest(out.prompts, maxPlacements, &dropped)
 	out.leaving = newest(out.leaving, maxReports, &dropped)
 	out.limits = newest(out.limits, maxReports, &dropped)
+	out.brittle = newest(out.brittle, maxReports, &dropped)
 	out.parts.Crashes = newest(out.parts.Crashes, maxReports, &dropped)
 	out.parts.Cleared = newest(out.parts.Cleared, maxReports, &dropped)
 	out.parts.Familiar = newest(out.parts.Familiar, maxReports, &dropped)
@@ -163,11 +169,8 @@
 			d.Contents = append(d.Contents, c.Content)
 		}
 	}
-	for _, r := range u.limits {
-		if index, ok := enc.Index(r.Process.Target); ok {
-			d.Limits = appendLimit(d.Limits, index, now.Sub(r.At), r)
-		}
-	}
+	d.Limits = appendLimits(now, enc, u.limits)
+	d.Brittle = appendLimits(now, enc, u.brittle)
 	d.Cleared, d.Familiar, d.Quarantined = u.parts.Cleared, u.parts.Familiar, u.parts.Quarantined
 	d.Loads = enc.Encode(loads)
 	return d
@@ -251,6 +254,17 @@
 	return n
 }
 
+// appendLimits encodes the reports on targets that the table can hold.
+func appendLimits(now time.Time, enc *loadtable.Encoder, reports []ratelimit.Report) []byte {
+	var out []byte
+	for _, r := range reports {
+		if index, ok := enc.Index(r.Process.Target); ok {
+			out = appendLimit(out, index, now.Sub(r.At), r)
+		}
+	}
+	return out
+}
+
 // appendLimit appends an entry of Limits.
 func appendLimit(out []byte, index uint16, age time.Duration, r ratelimit.Report) []byte {
 	rate := uint32(0)
@@ -263,11 +277,20 @@
 	return binary.LittleEndian.AppendUint32(out, rate)
 }
 
-// limits decodes the reports of limits, given the targets of the table by index. Reports
-// on unknown targets and an incomplete one at the end are ignored.
+// limits decodes the reports of limits, and brittle those of brittle targets, given the
+// targets of the table by index. Reports on unknown targets and an incomplete one at the
+// end are ignored.
 func (d *digest) limits(now time.Time, refs []fleet.Ref) []ratelimit.Report {
+	return decodeLimits(now, refs, d.Limits)
+}
+
+func (d *digest) brittle(now time.Time, refs []fleet.Ref) []ratelimit.Report {
+	return decodeLimits(now, refs, d.Brittle)
+}
+
+func decodeLimits(now time.Time, refs []fleet.Ref, entries []byte) []ratelimit.Report {
 	var out []ratelimit.Report
-	for rest := d.Limits; len(rest) >= limitSize; rest = rest[limitSize:] {
+	for rest := entries; len(rest) >= limitSize; rest = rest[limitSize:] {
 		index := int(binary.LittleEndian.Uint16(rest))
 		if index >= len(refs) {
 			continue
--- a/internal/service/forward/digest_exchange.go
+++ b/internal/service/forward/digest_exchange.go
@@ -116,6 +116,7 @@
 	u := updates{
 		prompts: s.balancer.TakePlacements(), outcomes: s.outliers.TakeLocalCounts(), leaving: s.leaving,
 		parts: s.quarantine.TakeNotices(), limits: s.limits.TakeDue(now),
+		brittle: s.brittle.TakeDue(now),
 	}
 	s.leaving = nil
 	if !tree.IsHub() {
@@ -184,11 +185,15 @@
 	} else {
 		s.balancer.SetPeerLoads(now, from, loads)
 	}
-	u := updates{prompts: d.prompts(refs), outcomes: d.outcomes(refs), leaving: d.leaving(refs), parts: d.parts(now, refs), limits: d.limits(now, refs)}
+	u := updates{
+		prompts: d.prompts(refs), outcomes: d.outcomes(refs), leaving: d.leaving(refs), parts: d.parts(now, refs),
+		limits: d.limits(now, refs), brittle: d.brittle(now, refs),
+	}
 	s.balancer.AddPlacements(now, u.prompts)
 	s.applyLeaving(now, from, u.leaving)
 	u.parts = s.applyNotices(now, from, u.parts)
 	s.applyLimits(now, from, u.limits)
+	s.applyBrittle(now, from, u.brittle)
 	for id, counts := range u.outcomes {
 		if s.outliers.ObserveRemote(now, id, counts) {
 			s.logger.WithField("target", s.targetNames[id]).WithField("from", from).Info("Target ejected after failures.")
--- a/internal/service/forward/digest_relay_test.go
+++ b/internal/service/forward/digest_relay_test.go
@@ -63,7 +63,7 @@
 	s := &Service{
 		clock: kernel.SystemClock{}, logger: logrus.NewEntry(logger), metrics: newRequestMetrics(metrics.NewRegistry()),
 		balancer: balance.New("dc", rand.New(rand.NewPCG(1, 1))), outliers: outlier.New(), reports: selfreport.New(),
-		limits: ratelimit.New(), quarantine: quarantine.New(), paths: reach.New(rand.New(rand.NewPCG(1, 1))), decoder: loadtable.NewDecoder(),
+		limits: ratelimit.New(), brittle: ratelimit.New(), quarantine: quarantine.New(), paths: reach.New(rand.New(rand.NewPCG(1, 1))), decoder: loadtable.NewDecoder(),
 		peers: digestPeers{site: d, self: self}, self: self, digestWake: make(chan struct{}, 1),
 	}
 	tree := hubs.New(self, view)
--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -108,6 +108,10 @@
 	NamesRequest bool
 	Limited      bool
 	RateLimit    float64
+	// Brittle is true when the target says that it falls over if it has to turn more than
+	// MaxRejected requests away in a second.
+	Brittle     bool
+	MaxRejected int
 }
 
 // TargetClient sends requests to targets.
--- a/internal/service/forward/hedge_test.go
+++ b/internal/service/forward/hedge_test.go
@@ -87,6 +87,7 @@
 		limits:   ratelimit.New(),
 		granter:  ratelimit.NewGranter(),
 		asker:    ratelimit.NewAsker(),
+		brittle:  ratelimit.New(),
 		budgets:  make(map[fleet.Service]*retry.WindowBudget),
 		limiters: make(map[fleet.Service]*overload.Limiter),
 		routers:  1,
--- a/internal/service/forward/metrics.go
+++ b/internal/service/forward/metrics.go
@@ -49,6 +49,11 @@
 	metrics.GetOrRegisterCounter("forward.relay_served."+outcome, m.registry).Inc(1)
 }
 
+// slotQueried counts a question for a slot of a brittle target.
+func (m *requestMetrics) slotQueried(outcome string) {
+	metrics.GetOrRegisterCounter("forward.slot_queries."+outcome, m.registry).Inc(1)
+}
+
 // sampleSize and sampleAlpha weight the histograms towards the last few minutes.
 const (
 	sampleSize  = 1028
--- a/internal/service/forward/ratelimit.go
+++ b/internal/service/forward/ratelimit.go
@@ -29,11 +29,13 @@
 // for the limits that they name.
 const limitUsedUp balance.Reason = "limit_used_up"
 
-// limitRule says which targets that name a limit a choice may take.
+// limitRule says which targets that name a limit, or are brittle, a choice may take.
 type limitRule struct {
 	// granted is the only process that may be chosen: a request to it was granted. It is
-	// nil without a grant.
+	// nil without a grant. slot is the slot that was granted with it, if the target is
+	// brittle.
 	granted *ratelimit.Process
+	slot    *slotGrant
 	// noneLimited excludes all targets that name a limit.
 	noneLimited bool
 }
@@ -44,8 +46,10 @@
 	if rule.granted != nil {
 		return *rule.granted == p
 	}
-	_, limited := s.limits.Limit(p)
-	return !limited || !rule.noneLimited && s.asker.Open(now, p)
+	if _, limited := s.limits.Limit(p); limited && (rule.noneLimited || !s.asker.Open(now, p)) {
+		return false
+	}
+	return !s.isBrittle(t) || !rule.noneLimited && s.slotAsker.Open(now, p)
 }
 
 // isLimited reports whether a target names a limit. The caller holds the lock.
@@ -98,7 +102,7 @@
 	case err != nil && ctx.Err() != nil:
 		return false // the caller has left, or its deadline has passed
 	case err != nil:
-		s.grantFailed(first, p, err)
+		s.grantFailed(s.asker, first, p, err)
 		return false
 	}
 	return s.takeGrantReply(asked, p, reply)
@@ -113,11 +117,7 @@
 	if err != nil {
 		return reply, fmt.Errorf("encode grant query: %w", err)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	stop := s.clock.AfterFunc(grantTimeout, cancel)
-	defer stop()
-	data, err := s.peers.Query(ctx, to, peer.KindGrant, payload)
+	data, err := s.queryGranter(ctx, to, peer.KindGrant, payload)
 	if err != nil {
 		return reply, fmt.Errorf("query grant of %s: %w", to, err)
 	}
@@ -127,21 +127,30 @@
 	return reply, nil
 }
 
+// queryGranter asks the router that grants requests or slots, within grantTimeout.
+func (s *Service) queryGranter(ctx context.Context, to fleet.VM, kind peer.Kind, payload []byte) ([]byte, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := s.clock.AfterFunc(grantTimeout, cancel)
+	defer stop()
+	return s.peers.Query(ctx, to, kind, payload)
+}
+
 // milliseconds returns a time that is not negative in whole milliseconds.
 func milliseconds(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
 
 // grantFailed records that a router did not answer. Its targets get their grants from the
 // next one in their ranking, as long as it does not.
-func (s *Service) grantFailed(vm fleet.VM, p ratelimit.Process, err error) {
+func (s *Service) grantFailed(asker *ratelimit.Asker, vm fleet.VM, p ratelimit.Process, err error) {
 	var failure *call.Error
 	unsupported := errors.As(err, &failure) && failure.Code == call.CodeNotFound
 	s.metrics.grantQueried("failed")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	s.asker.Denied(now, p, 0)
-	if s.asker.Failed(now, vm, unsupported) {
-		s.logger.WithError(err).WithField("peer", vm).Warn("Router grants no requests to limited targets.")
+	asker.Denied(now, p, 0)
+	if asker.Failed(now, vm, unsupported) {
+		s.logger.WithError(err).WithField("peer", vm).Warn("Router grants no requests to targets with a limit.")
 	}
 }
 
@@ -203,13 +212,18 @@
 	if !ok {
 		r = asked
 	}
-	all := func(fleet.VM) bool { return true }
-	first := ratelimit.First(r.Process.Target, s.heardRouters, all)
-	deputy := first != "" && first != s.self
-	granted, wait := s.granter.Grant(now, r.Process, r.Rate, deputy)
+	granted, wait := s.granter.Grant(now, r.Process, r.Rate, s.isDeputy(r.Process.Target))
 	return grantReply{Granted: granted, WaitMS: milliseconds(wait)}
 }
 
+// isDeputy reports whether this router grants requests to a target in place of another one
+// that it believes to be alive. The caller holds the lock.
+func (s *Service) isDeputy(target fleet.Ref) bool {
+	all := func(fleet.VM) bool { return true }
+	first := ratelimit.First(target, s.heardRouters, all)
+	return first != "" && first != s.self
+}
+
 // applyLimits records what another router reports of limits. The caller holds the lock.
 func (s *Service) applyLimits(now time.Time, from fleet.VM, reports []ratelimit.Report) {
 	for _, r := range reports {
--- a/internal/service/forward/relay.go
+++ b/internal/service/forward/relay.go
@@ -60,6 +60,8 @@
 	NamesRequest bool          `msgpack:"q,omitempty"`
 	Limited      bool          `msgpack:"i,omitempty"`
 	RateLimit    float64       `msgpack:"t,omitempty"`
+	Brittle      bool          `msgpack:"b,omitempty"`
+	MaxRejected  int           `msgpack:"x,omitempty"`
 }
 
 // deliver sends a request to its target, straight or by way of another router, which it
@@ -185,6 +187,7 @@
 		Status: h.Status, Header: header, Length: more.Length, Unframed: more.Unframed, NotRun: more.NotRun,
 		Misdirected: more.Misdirected, Stamped: more.Stamped, Leaving: more.Leaving, RetryAfter: more.RetryAfter,
 		NamesRequest: more.NamesRequest, Limited: more.Limited, RateLimit: more.RateLimit,
+		Brittle: more.Brittle, MaxRejected: more.MaxRejected,
 	}
 	return nil
 }
@@ -308,7 +311,7 @@
 	detail, err := wire.Marshal(&relayHead{
 		Length: resp.Length, Unframed: resp.Unframed, NotRun: resp.NotRun, Misdirected: resp.Misdirected, Stamped: resp.Stamped,
 		Leaving: resp.Leaving, RetryAfter: resp.RetryAfter, NamesRequest: resp.NamesRequest, Limited: resp.Limited,
-		RateLimit: resp.RateLimit,
+		RateLimit: resp.RateLimit, Brittle: resp.Brittle, MaxRejected: resp.MaxRejected,
 	})
 	if err != nil {
 		return relayFailure(from, call.CodeUnknownOutcome, call.RunUnknown, err)
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -41,6 +41,8 @@
 	// chosen.
 	limited bool
 	limit   float64
+	// slot is the slot that the send has taken, nil if its target is not brittle.
+	slot *slotGrant
 	// via is the router that relayed the request, empty for a send straight to the target.
 	// It is set with resp.
 	via fleet.VM
@@ -68,15 +70,17 @@
 		rule.noneLimited = asked >= maxGrantQueries
 		s, available, needsGrant := r.tryChoose(now, rule)
 		if rule.granted != nil && s.target() == "" {
-			rule.granted = nil // the target may get no request any more
+			r.s.releaseSlot(rule.slot, false)
+			rule.granted, rule.slot = nil, nil // the target may get no request any more
 			continue
 		}
 		if !needsGrant {
+			s.slot = rule.slot
 			return s, available
 		}
-		if r.s.obtainGrant(ctx, &s.choice.Target) {
+		if slot, ok := r.s.obtain(ctx, &s.choice.Target); ok {
 			p := processOf(&s.choice.Target)
-			rule.granted = &p
+			rule.granted, rule.slot = &p, slot
 		}
 		r.s.site.AwaitCurrent(ctx)
 		now = r.s.clock.Now()
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -88,7 +88,12 @@
 	limits   *ratelimit.Tracker
 	granter  *ratelimit.Granter
 	asker    *ratelimit.Asker
-	budgets  map[fleet.Service]*retry.WindowBudget
+	// brittle holds which targets fall over when they turn too many requests away, slots
+	// grants theirs, and slotAsker keeps whom it is of use to ask.
+	brittle   *ratelimit.Tracker
+	slots     *ratelimit.SlotGranter
+	slotAsker *ratelimit.Asker
+	budgets   map[fleet.Service]*retry.WindowBudget
 	// quarantine keeps the requests and prompt parts that crash targets.
 	quarantine *quarantine.Tracker
 	// paths tells failures of this router's paths from failures of targets.
@@ -177,31 +182,39 @@
 	}
 	s.clock, s.logger, s.tracer = c.Clock, c.Logger(), c.Tracer
 	s.metrics = newRequestMetrics(c.Metrics)
+	s.provisionDecisions(c, id)
+	s.provisionDigests(id)
+	s.partWrites = make(chan partWrite, maxPartWrites)
+	s.routers = 1
+	s.handledJoins = make(map[fleet.VM]fleet.Incarnation)
+	s.site.Watch(s.siteChanged)
+	s.members.Watch(s.membersChanged)
+	s.peers.HandleControl(peer.KindLoad, s.handleDigest)
+	s.peers.HandleQuery(peer.KindGrant, s.handleGrant)
+	s.peers.HandleQuery(peer.KindSlot, s.handleSlot)
+	s.peers.HandleControl(peer.KindSlotRelease, s.handleSlotRelease)
+	s.peers.HandleCall(peer.KindRelay, s.handleRelay)
+	return nil
+}
+
+// provisionDecisions sets up the state machines.
+func (s *Service) provisionDecisions(c *kernel.Context, id identity.Identity) {
 	s.rng = rand.New(rand.NewPCG(c.Seed, uint64(id.Incarnation())))
 	s.balancer = balance.New(id.Self().DataCentre, s.rng)
 	s.cold = balance.NewColdLimit(id.Self().VM)
 	s.outliers = outlier.New()
 	s.reports = selfreport.New()
 	s.limits, s.granter, s.asker = ratelimit.New(), ratelimit.NewGranter(), ratelimit.NewAsker()
+	s.brittle, s.slots, s.slotAsker = ratelimit.New(), ratelimit.NewSlotGranter(), ratelimit.NewAsker()
 	s.quarantine = quarantine.New()
 	s.paths, s.probes, s.ctx = reach.New(s.rng), make(chan struct{}, maxProbes), context.Background()
 	s.budgets = make(map[fleet.Service]*retry.WindowBudget)
 	s.limiters = make(map[fleet.Service]*overload.Limiter)
+	s.waiting = make(map[*send]struct{})
+	s.relays, s.dataCentre = reach.NewRelays(s.rng), id.Self().DataCentre
 	s.born = make(map[fleet.Target]int64)
 	s.targetNames = make(map[fleet.Ref]fleet.Target)
 	s.targetServices = make(map[fleet.Ref]fleet.Service)
-	s.provisionDigests(id)
-	s.waiting = make(map[*send]struct{})
-	s.relays, s.dataCentre = reach.NewRelays(s.rng), id.Self().DataCentre
-	s.partWrites = make(chan partWrite, maxPartWrites)
-	s.routers = 1
-	s.handledJoins = make(map[fleet.VM]fleet.Incarnation)
-	s.site.Watch(s.siteChanged)
-	s.members.Watch(s.membersChanged)
-	s.peers.HandleControl(peer.KindLoad, s.handleDigest)
-	s.peers.HandleQuery(peer.KindGrant, s.handleGrant)
-	s.peers.HandleCall(peer.KindRelay, s.handleRelay)
-	return nil
 }
 
 // provisionDigests sets up the exchange of digests.
@@ -246,6 +259,9 @@
 	s.limits.Expire(s.clock.Now())
 	s.granter.Expire(s.clock.Now())
 	s.asker.Expire(s.clock.Now())
+	s.brittle.Expire(s.clock.Now())
+	s.slots.Expire(s.clock.Now())
+	s.slotAsker.Expire(s.clock.Now())
 	for _, r := range changes.Targets {
 		id := fleet.Target(r.Key)
 		if r.Gone {
@@ -255,6 +271,7 @@
 			s.balancer.ForgetCache(id)
 			s.outliers.Reset(id.Ref())
 			s.limits.Forget(id.Ref())
+			s.brittle.Forget(id.Ref())
 		}
 		s.targetNames[id.Ref()] = id
 		s.targetServices[id.Ref()] = r.Value.Service
--- a/internal/service/peer/peer.go
+++ b/internal/service/peer/peer.go
@@ -24,6 +24,9 @@
 	KindLoad      Kind = "load"
 	KindGrant     Kind = "grant"
 	KindOrigin    Kind = "origin"
+	KindSlot      Kind = "slot"
+	// KindSlotRelease gives back what a query of KindSlot has granted.
+	KindSlotRelease Kind = "slot_release"
 )
 
 // KindTransport counts what the connections themselves need: hello, ping and
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -43,6 +43,7 @@
 	{name: "origins.lookups", help: "Streams that callers took up, by what is known of their origin.", label: "verdict"},
 	{name: "forward.limited_sends", help: "Requests sent to targets that name a limit, by kind.", label: "kind"},
 	{name: "forward.grant_queries", help: "Questions for a request to a target that names a limit, by outcome.", label: "outcome"},
+	{name: "forward.slot_queries", help: "Questions for a slot of a target that is brittle, by outcome.", label: "outcome"},
 	{name: "site.reads", help: "Reads of the site's state from the platform's log, with the VM list when due."},
 	{name: "site.log_restores", help: "Returns of the platform's log from a copy, with the loss of what was written since."},
 	{name: "site.read_failures", help: "Failed reads of the site's state from the platform."},
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -111,6 +111,7 @@
 	refused []Refusal
 	sent    int64
 	crashed crashes
+	brittle brittleness
 }
 
 // New returns a worker.
@@ -259,8 +260,10 @@
 		return
 	}
 	s.nameLimit(h)
+	s.nameBrittle(h)
 	run, fault, ok := s.begin(r, string(body))
 	if !ok {
+		s.fallOver()
 		s.refuse(w, r, fault)
 		return
 	}
