Take a service for one of one version only by what the log says now

Cause: a caller's stream that is taken up goes on without a record if its service has one version.

Change: that verdict holds after a read of the log that began after the request.

--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -35,6 +36,8 @@
 	versions map[string]string
 	servers  map[string]*httpserve.Server
 	routers  map[string]*kernel.Kernel
+	// lines counts what routers log.
+	lines lineCounts
 	// views hold the network as each router sees it.
 	views  map[string]*kerneltest.View
 	client *http.Client
@@ -174,6 +177,7 @@
 	must.NoError(b.t, err)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
+	logger.AddHook(&lineCounter{count: func(line string) { b.lines.add(name, line) }})
 	b.views[name] = b.network.View()
 	k, err := NewSiteRouter(kernel.Env{Net: b.views[name], Log: logger, Seed: 7}, file)
 	must.NoError(b.t, err)
@@ -182,6 +186,40 @@
 	b.t.Cleanup(func() { b.stop(name) })
 }
 
+// lineCounts counts log lines by router and message. It is safe for concurrent use.
+type lineCounts struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func (l *lineCounts) add(router, message string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.count == nil {
+		l.count = make(map[string]int)
+	}
+	l.count[router+" "+message]++
+}
+
+// of returns how often a router has logged a message.
+func (l *lineCounts) of(router, message string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.count[router+" "+message]
+}
+
+// lineCounter passes the messages of a logger on.
+type lineCounter struct{ count func(message string) }
+
+// Levels returns all levels.
+func (*lineCounter) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire passes a message on.
+func (c *lineCounter) Fire(e *logrus.Entry) error {
+	c.count(e.Message)
+	return nil
+}
+
 // stop ends a router as a kill does.
 func (b *siteBed) stop(name string) {
 	if k, ok := b.routers[name]; ok {
--- a/internal/service/origins/codec.go
+++ b/internal/service/origins/codec.go
@@ -36,6 +36,8 @@
 	Asks    bool          `msgpack:"q,omitempty"`
 	Stream  uint64        `msgpack:"i,omitempty"`
 	Service fleet.Service `msgpack:"s,omitempty"`
+	// Brief asks for what the router knows, without a look at the log.
+	Brief bool `msgpack:"b,omitempty"`
 }
 
 // reply answers a query that asks.
--- a/internal/service/origins/find.go
+++ b/internal/service/origins/find.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/origin"
@@ -18,13 +19,12 @@
 	readRetry   = time.Second
 	// askTimeout limits the answer of a recorder, which may read the log.
 	askTimeout = 600 * time.Millisecond
+	// witnessTimeout limits the answer of a router that is asked what it knows.
+	witnessTimeout = 200 * time.Millisecond
 	// maxAsked is the number of recorders that are asked for one stream.
 	maxAsked = 2
 	// lookupTimeout limits a whole lookup.
 	lookupTimeout = time.Second
-	// staleAfter is the age of the site's state from which targets of another version may
-	// have started unnoticed.
-	staleAfter = 3 * time.Second
 )
 
 // Find returns the origin of the stream that an attempt began.
@@ -76,32 +76,60 @@
 	return origin.Origin{Service: answer.Service, Version: answer.Version}, verdict, nil
 }
 
-// findHere decides by what this router knows, and by the log if that is not enough.
+// findHere decides by what this router knows, and by the log if that is not enough. That a
+// service has one version holds only for what the log says now: a router that was paused or
+// cut off may not know the target at which the stream began, however little time has passed.
 func (s *Service) findHere(ctx context.Context, id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict) {
 	o, verdict := s.decide(id, service)
 	if verdict == origin.Unaware || verdict == origin.Unknown {
 		s.readLog(ctx)
 		o, verdict = s.decide(id, service)
 	}
-	if verdict == origin.Uniform && s.isCutOff() {
+	if verdict != origin.Uniform {
+		return o, verdict
+	}
+	if s.site.Refresh(ctx) == nil {
+		return s.decide(id, service)
+	}
+	if s.isCutOff() || !s.othersAgree(ctx, id, service, o) {
 		return origin.Origin{}, origin.Unaware
 	}
 	return o, verdict
 }
 
+// findKnown returns what this router knows, for one that can't read the log.
+func (s *Service) findKnown(_ context.Context, id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict) {
+	return s.decide(id, service)
+}
+
+// witnesses is the number of other routers that must know a service as uniform when the log
+// can't be read: this router may be cut off from it and from others, and does not know yet.
+const witnesses = 2
+
+// othersAgree reports whether other routers take a service for one of the same version too.
+func (s *Service) othersAgree(ctx context.Context, id origin.Stream, service fleet.Service, o origin.Origin) bool {
+	s.mu.Lock()
+	others := slices.DeleteFunc(slices.Clone(s.routers), func(vm fleet.VM) bool { return vm == s.self })
+	s.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	s.mu.Unlock()
+	for _, vm := range others[:min(witnesses, len(others))] {
+		answer, err := s.query(ctx, vm, &query{Asks: true, Stream: uint64(id), Service: service, Brief: true}, witnessTimeout)
+		if err != nil || answer.Verdict != uint8(origin.Uniform) || answer.Version != o.Version {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Service) decide(id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.tracker.Decide(s.clock.Now(), id, service)
 }
 
-// isCutOff reports whether targets may have started unnoticed: the site's state is old, and
-// too few routers are heard that would tell what they know.
+// isCutOff reports whether too few routers are heard to know of targets that have started
+// while this router can't read the log.
 func (s *Service) isCutOff() bool {
-	age, known := s.site.Age()
-	if known && age <= staleAfter {
-		return false
-	}
 	listed := len(s.site.Routers())
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/service/origins/record.go
+++ b/internal/service/origins/record.go
@@ -222,7 +222,11 @@
 	}
 	var out reply
 	if q.Asks {
-		o, verdict := s.findHere(ctx, origin.Stream(q.Stream), q.Service)
+		look := s.findHere
+		if q.Brief {
+			look = s.findKnown
+		}
+		o, verdict := look(ctx, origin.Stream(q.Stream), q.Service)
 		out = reply{Verdict: uint8(verdict), Service: o.Service, Version: o.Version}
 	}
 	return wire.Marshal(&out)
--- a/internal/service/origins/service.go
+++ b/internal/service/origins/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -69,6 +70,7 @@
 	// the last read if that failed.
 	position     Position
 	readFailedAt time.Time
+	random       *rand.Rand
 	// versions are those that this router has written to the log, nil before.
 	versions []origin.Origin
 	// startedAt is the start of the process.
@@ -110,6 +112,7 @@
 	s.self, s.clock, s.logger = id.Self().VM, c.Clock, c.Logger()
 	s.metrics = serviceMetrics{registry: c.Metrics, batches: metrics.GetOrRegisterCounter("origins.batches", c.Metrics)}
 	s.startedAt = s.clock.Now()
+	s.random = rand.New(rand.NewPCG(c.Seed, uint64(id.Incarnation())))
 	s.waiting, s.wrote = make(map[origin.Stream]chan struct{}), make(chan struct{})
 	s.sending = make(chan struct{}, maxSending)
 	s.tracker, s.asker = origin.New(s.startedAt), ratelimit.NewAsker()
--- a/internal/service/site/service.go
+++ b/internal/service/site/service.go
@@ -11,6 +11,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/hubs"
@@ -96,6 +97,8 @@
 	announceWake chan struct{}
 	// publishMu serializes publishVMList.
 	publishMu sync.Mutex
+	// refreshes shares the reads of Refresh.
+	refreshes singleflight.Group
 
 	mu       sync.Mutex
 	random   *rand.Rand
--- a/internal/service/site/site.go
+++ b/internal/service/site/site.go
@@ -62,6 +62,9 @@
 	// AwaitCurrent waits, after this process was paused, until the log has been read
 	// again, but not for long. At other times it returns at once.
 	AwaitCurrent(ctx context.Context)
+	// Refresh reads the log now, so that what was written to it before the call is known.
+	// It fails if the log can't be read.
+	Refresh(ctx context.Context) error
 	// Age returns the time since the log was last known to match the state, and
 	// false if the state never matched a read of the log.
 	Age() (time.Duration, bool)
