Test refusals that a target writes once more

Other operators saw workers write an earlier refusal again on a kept connection, so that callers were told 'not run' of requests that ran (REFUSED, TWICE). It can't happen here: a connection that is used again takes only responses that name its request, and each attempt has a name of its own.

--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -44,6 +44,9 @@
 	FaultLeaving Fault = "leaving"
 	// FaultPause refuses and asks for a pause of Options.Pause.
 	FaultPause Fault = "pause"
+	// FaultRefusedTwice refuses, and writes the refusal once more before the answer to the
+	// next request on the connection, which it runs.
+	FaultRefusedTwice Fault = "refused_twice"
 	// FaultEndlessHead sends a head without end, until the caller closes.
 	FaultEndlessHead Fault = "endless_head"
 	// FaultEndlessBody sends a body without length and without end.
@@ -112,6 +115,8 @@
 	sent    int64
 	crashed crashes
 	brittle brittleness
+	// repeated counts the refusals that were written once more.
+	repeated int
 }
 
 // New returns a worker.
@@ -210,11 +215,23 @@
 func (s *Server) begin(r *http.Request, body string) (*Run, Fault, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	refuses := s.fault == FaultRefuse || s.fault == FaultPause || s.fault == FaultEndlessRefusal
+	refuses := s.fault == FaultRefuse || s.fault == FaultRefusedTwice || s.fault == FaultPause || s.fault == FaultEndlessRefusal
 	if refuses || s.opt.Slots > 0 && s.running >= s.opt.Slots {
 		s.refused = append(s.refused, Refusal{Request: r.Header.Get("X-Request-Id"), At: time.Now(), Pause: s.fault == FaultPause})
 		return nil, s.fault, false
 	}
+	return s.noteLocked(r, body), s.fault, true
+}
+
+// note notes a run that takes no notice of slots.
+func (s *Server) note(r *http.Request, body string) *Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.noteLocked(r, body)
+}
+
+// noteLocked notes a run. The caller holds the lock.
+func (s *Server) noteLocked(r *http.Request, body string) *Run {
 	s.running++
 	left, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms")) // zero when there is none
 	run := &Run{
@@ -235,7 +252,7 @@
 		Limit:     s.limit,
 	}
 	s.runs = append(s.runs, run)
-	return run, s.fault, true
+	return run
 }
 
 func (s *Server) end(run *Run) {
@@ -264,6 +281,10 @@
 	run, fault, ok := s.begin(r, string(body))
 	if !ok {
 		s.fallOver()
+		if fault == FaultRefusedTwice {
+			s.refuseTwice(w, r)
+			return
+		}
 		s.refuse(w, r, fault)
 		return
 	}
