Play brittle workers, odd entries and repeated refusals in the soak

Workers of a service say for a while that they are brittle, and may fall over two times and once in ten workers after three seconds, unless a router was paused or killed; odd entries stand among those of the workers; a worker writes its refusals twice.

--- a/internal/lab/soak/bed.go
+++ b/internal/lab/soak/bed.go
@@ -58,6 +58,8 @@
 	mu      sync.Mutex
 	version int
 	drained bool
+	// brittle are the times in which workers were brittle.
+	brittle []*brittleTime
 }
 
 // worker is one stand-in of a worker and the link to it.
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -58,6 +58,9 @@
 		{"worker says that it leaves", 2, leaveWorker},
 		{"worker leaves and comes back", 2, bounceWorker},
 		{"worker names a limit, or none any more", 3, toggleLimit},
+		{"workers are brittle, or not any more", 2, toggleBrittle},
+		{"odd entry among those of the workers", 2, leaveOddEntry},
+		{"worker writes refusals twice", 2, repeatRefusals},
 		{"configuration", 2, changeConfig},
 		{"drain", 1, drain},
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -174,6 +174,10 @@
 	for _, w := range r.bed.workers {
 		w.SetLimit(0)
 	}
+	r.bed.mu.Lock()
+	r.bed.endBrittle("llm")
+	r.bed.endBrittle("plain")
+	r.bed.mu.Unlock()
 	for _, one := range r.bed.routers {
 		one.signal(syscall.SIGCONT)
 		if !one.running() {
@@ -267,6 +271,7 @@
 	for _, w := range workers {
 		r.report.Violations = append(r.report.Violations, checkLimits(calls, routers, w)...)
 	}
+	r.report.Violations = append(r.report.Violations, checkBrittle(r.bed.brittle, routers)...)
 	r.report.Violations = append(r.report.Violations, checkCuts(calls, routers, workers)...)
 	r.report.Violations = append(r.report.Violations, checkVersions(calls, runs, versions)...)
 	if r.report.Whole == 0 {
--- a/internal/standin/workerd/brittle.go
+++ b/internal/standin/workerd/brittle.go
@@ -60,12 +60,17 @@
 		b.rejected = b.rejected[1:]
 	}
 	falls := b.names && len(b.rejected) > b.limit
-	if falls {
-		b.falls, b.rejected = append(b.falls, now), nil
-	}
 	s.mu.Unlock()
 	if falls {
-		s.crash()
+		s.FallOver()
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// FallOver makes the worker fall over now.
+func (s *Server) FallOver() {
+	s.mu.Lock()
+	s.brittle.falls, s.brittle.rejected = append(s.brittle.falls, time.Now()), nil
+	s.mu.Unlock()
+	s.crash()
+}
