Let each router that starts learn of quarantines

Routers that were killed together passed on a request that had crashed three targets, 12 to 16 times too late.

Change: each router that starts reads the log, at a random time in its first second, and asks live routers for what they know until one that has run for a while answers. Who sends to those that join is chosen among routers that have run for a while.

--- a/internal/app/site_crash_request_test.go
+++ b/internal/app/site_crash_request_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/zinniafork/zinniafork/internal/standin/keyedlog"
 	"github.com/zinniafork/zinniafork/internal/standin/workerd"
 )
 
@@ -119,3 +121,48 @@
 		must.Eq(t, before, b.crashes())
 	})
 }
+
+// TestRestartedRoutersLearnOfAQuarantine ends all routers but one at once after a request
+// was quarantined, whichever that one is: each that starts again must refuse the request,
+// with the store and without it.
+func TestRestartedRoutersLearnOfAQuarantine(t *testing.T) {
+	for _, storeAway := range []bool{false, true} {
+		for _, survivor := range []string{"1", "2", "3", "4", "5"} {
+			restartAllBut(t, survivor, storeAway)
+		}
+	}
+}
+
+func restartAllBut(t *testing.T, survivor string, storeAway bool) {
+	t.Helper()
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.crashingSite(0)
+		b.router("4")
+		b.router("5")
+		b.wait(3 * time.Second)
+		for i := range 20 {
+			go b.callBody(fmt.Sprint(i%5+1), "order", deadlyBody)
+			b.wait(500 * time.Millisecond)
+		}
+		before := b.crashes()
+		must.Between(t, 3, before, 6)
+		if storeAway {
+			b.store.Set(keyedlog.Faults{Status: 503})
+		}
+		restarted := slices.DeleteFunc([]string{"1", "2", "3", "4", "5"}, func(name string) bool { return name == survivor })
+		for _, name := range restarted {
+			b.stop(name)
+		}
+		b.wait(500 * time.Millisecond)
+		for _, name := range restarted {
+			b.router(name)
+		}
+		b.wait(6 * time.Second)
+		for _, name := range restarted {
+			must.Eq(t, 503, b.callBody(name, "order", deadlyBody).status, must.Sprintf("router %s, survivor %s, store away %t", name, survivor, storeAway))
+			must.Eq(t, 200, b.callBody(name, "order", "").status, must.Sprintf("router %s, survivor %s", name, survivor))
+		}
+		must.Eq(t, before, b.crashes(), must.Sprintf("survivor %s, store away %t", survivor, storeAway))
+		b.store.Set(keyedlog.Faults{})
+	})
+}
--- a/internal/service/forward/caches.go
+++ b/internal/service/forward/caches.go
@@ -210,32 +210,53 @@
 	s.lastParent = parent
 }
 
+// liveProcess is a process of another router, and since when it is known to be alive.
+type liveProcess struct {
+	incarnation fleet.Incarnation
+	since       time.Time
+}
+
 // updateAlive records the processes that are alive and reports whether any of them
 // was not alive in the last view.
 func (s *Service) updateAlive(view *members.Snapshot) bool {
-	alive := make(map[fleet.VM]fleet.Incarnation)
+	alive := make(map[fleet.VM]liveProcess)
 	joined := false
 	for _, m := range view.Members {
 		if m.Status != members.StateAlive {
 			continue
 		}
-		alive[m.VM] = m.Incarnation
-		if last, ok := s.alive[m.VM]; !ok || last != m.Incarnation {
+		last, ok := s.alive[m.VM]
+		if !ok || last.incarnation != m.Incarnation {
 			joined = true
+			last = liveProcess{incarnation: m.Incarnation, since: s.clock.Now()}
 		}
+		alive[m.VM] = last
 	}
 	s.alive = alive
 	return joined
 }
 
-// sharesCachesWith reports whether this router is the one that sends the placements
-// to a router that has joined: its hub, or in a mesh the highest ranked of the other
-// routers.
+// sharesCachesWith reports whether this router is the one that sends what it knows to a
+// router that has joined: its hub, or the highest ranked of the other routers that have
+// run for a while, since those that start together know nothing.
 func (s *Service) sharesCachesWith(tree *hubs.Tree, vm fleet.VM) bool {
-	if !tree.IsMesh() {
-		return tree.IsHub() && slices.Contains(tree.Members(), vm)
+	if !tree.IsMesh() && tree.IsHub() && slices.Contains(tree.Members(), vm) {
+		return true
+	}
+	now := s.clock.Now()
+	var others, settled []fleet.VM
+	for other, process := range s.alive {
+		if other == vm {
+			continue
+		}
+		others = append(others, other)
+		if now.Sub(process.since) >= cacheScanDuration {
+			settled = append(settled, other)
+		}
+	}
+	if len(settled) > 0 {
+		others = settled
 	}
-	others := slices.DeleteFunc(append(tree.ForwardTo(""), s.self), func(other fleet.VM) bool { return other == vm })
 	return highestRanked(fleet.Target(vm), others) == s.self
 }
 
@@ -243,14 +264,11 @@
 // targets to one router.
 func (s *Service) sendCaches(to fleet.VM) {
 	s.mu.Lock()
-	now := s.clock.Now()
-	placements := s.balancer.Placements(now)
-	d := newDigest(now, s.newEncoder("caches"), s.balancer.LocalLoads(now), updates{prompts: placements, parts: s.quarantine.Snapshot(), limits: s.limits.Reports(), brittle: s.brittle.Reports()})
-	d.Scope = uint8(hubs.ScopeSite)
+	d := s.snapshot(s.clock.Now())
 	s.mu.Unlock()
-	if len(placements)+len(d.Quarantined)+len(d.Limits)+len(d.Brittle) == 0 {
+	if len(d.Prompts)+len(d.Quarantined)+len(d.Limits)+len(d.Brittle) == 0 {
 		return
 	}
 	s.sendDigest(d, []fleet.VM{to})
-	s.logger.WithFields(logrus.Fields{"peer": to, "prompts": len(placements)}).Info("Cache placements sent.")
+	s.logger.WithFields(logrus.Fields{"peer": to, "prompts": len(d.Prompts) / placementSize}).Info("Cache placements sent.")
 }
--- a/internal/service/forward/quarantine_log.go
+++ b/internal/service/forward/quarantine_log.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/core/quarantine"
-	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
 // QuarantineLog keeps the hashes of requests and prompt parts in quarantine in the
@@ -28,8 +27,8 @@
 	quarantineLogTries   = 5
 	// maxPartWrites is the number of writes that wait; further ones are dropped.
 	maxPartWrites = 64
-	// quarantineReader is ranked against the routers to find the one that reads the log.
-	quarantineReader fleet.Target = "quarantined prompt parts"
+	// quarantineReadSpread is the time over which routers that start together read the log.
+	quarantineReadSpread = time.Second
 )
 
 // partWrite is a change of the log that is due.
@@ -83,23 +82,13 @@
 	}
 }
 
-// learnQuarantine reads the parts in quarantine from the log once, if this router is the
-// one that does so for all, until cacheScanDuration has passed or ctx ends. The others
-// learn of them by digest.
+// learnQuarantine reads the parts in quarantine from the log once, after a random part of
+// quarantineReadSpread: many routers may start together.
 func (s *Service) learnQuarantine(ctx context.Context) {
-	for {
-		age := s.configAge()
-		if age >= cacheScanDuration {
-			return
-		}
-		if age > 0 && highestRanked(quarantineReader, s.listingRouters(age >= aliveOnlyAfter)) == s.self {
-			s.withLog(ctx, "read", s.readQuarantine)
-			return
-		}
-		if s.clock.Sleep(ctx, cacheScanInterval) != nil {
-			return
-		}
+	if s.clock.Sleep(ctx, time.Duration(s.randomFloat()*float64(quarantineReadSpread))) != nil {
+		return
 	}
+	s.withLog(ctx, "read", s.readQuarantine)
 }
 
 // readQuarantine reads the parts in quarantine and announces them.
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -146,7 +146,7 @@
 	// goroutine that watches the members.
 	handledJoins map[fleet.VM]fleet.Incarnation
 	lastParent   fleet.VM
-	alive        map[fleet.VM]fleet.Incarnation
+	alive        map[fleet.VM]liveProcess
 }
 
 // Name returns the name of the service.
@@ -192,6 +192,7 @@
 	s.peers.HandleControl(peer.KindLoad, s.handleDigest)
 	s.peers.HandleQuery(peer.KindGrant, s.handleGrant)
 	s.peers.HandleQuery(peer.KindSlot, s.handleSlot)
+	s.peers.HandleQuery(peer.KindSnapshot, s.handleSnapshot)
 	s.peers.HandleControl(peer.KindSlotRelease, s.handleSlotRelease)
 	s.peers.HandleCall(peer.KindRelay, s.handleRelay)
 	return nil
@@ -237,6 +238,7 @@
 	if !s.settings.ColdCaches {
 		go s.learnCaches(ctx)
 		go s.learnQuarantine(ctx)
+		go s.learnFromPeers(ctx)
 	}
 	return nil
 }
--- a/internal/service/origins/find.go
+++ b/internal/service/origins/find.go
@@ -91,10 +91,10 @@
 	if s.site.Refresh(ctx) == nil {
 		return s.decide(id, service)
 	}
-	if s.isCutOff() || !s.othersAgree(ctx, id, service, o) {
+	if s.isCutOff() {
 		return origin.Origin{}, origin.Unaware
 	}
-	return o, verdict
+	return s.askWitnesses(ctx, id, service, o)
 }
 
 // findKnown returns what this router knows, for one that can't read the log.
@@ -106,19 +106,23 @@
 // can't be read: this router may be cut off from it and from others, and does not know yet.
 const witnesses = 2
 
-// othersAgree reports whether other routers take a service for one of the same version too.
-func (s *Service) othersAgree(ctx context.Context, id origin.Stream, service fleet.Service, o origin.Origin) bool {
+// askWitnesses returns the verdict of other routers on a service that this router takes for
+// one of a single version: that one if all say so, or what one of them knows of the stream.
+func (s *Service) askWitnesses(ctx context.Context, id origin.Stream, service fleet.Service, own origin.Origin) (origin.Origin, origin.Verdict) {
 	s.mu.Lock()
 	others := slices.DeleteFunc(slices.Clone(s.routers), func(vm fleet.VM) bool { return vm == s.self })
 	s.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	s.mu.Unlock()
 	for _, vm := range others[:min(witnesses, len(others))] {
 		answer, err := s.query(ctx, vm, &query{Asks: true, Stream: uint64(id), Service: service, Brief: true}, witnessTimeout)
-		if err != nil || answer.Verdict != uint8(origin.Uniform) || answer.Version != o.Version {
-			return false
+		switch {
+		case err == nil && answer.Verdict == uint8(origin.Known):
+			return origin.Origin{Service: answer.Service, Version: answer.Version}, origin.Known
+		case err != nil || answer.Verdict != uint8(origin.Uniform) || answer.Version != own.Version:
+			return origin.Origin{}, origin.Unaware
 		}
 	}
-	return true
+	return own, origin.Uniform
 }
 
 func (s *Service) decide(id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict) {
--- a/internal/service/peer/peer.go
+++ b/internal/service/peer/peer.go
@@ -25,6 +25,7 @@
 	KindGrant     Kind = "grant"
 	KindOrigin    Kind = "origin"
 	KindSlot      Kind = "slot"
+	KindSnapshot  Kind = "snapshot"
 	// KindSlotRelease gives back what a query of KindSlot has granted.
 	KindSlotRelease Kind = "slot_release"
 )
