Suspect all parts of a prompt that crashes engines

Change: a crash counts against up to 255 parts, as many as a notice holds. Records are bounded by 8,192 in place of 1,024, and the crashes in one digest by 64.

--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -76,13 +76,13 @@
 	announcePeriod = 10 * time.Second
 	// expirePeriod is the interval of checks for what has expired.
 	expirePeriod = time.Second
-	// maxParts is the number of parts of one request that a crash counts against; the
-	// last ones are the most specific.
-	maxParts = 16
+	// maxParts is the number of parts of one request that a crash counts against, as many
+	// as a notice holds; the last ones are the most specific.
+	maxParts = 255
 	// maxRecords bounds the parts that are suspected or quarantined, maxEngines the
 	// engine processes that are kept for each, and maxNotices the notices of one kind
 	// between two digests.
-	maxRecords = 1024
+	maxRecords = 8192
 	maxEngines = 8
 	maxNotices = 64
 )
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -117,6 +117,8 @@
 const (
 	maxPlacements = 4096
 	maxReports    = 1024
+	// maxCrashes is lower, since a crash may hold 2 KiB of parts.
+	maxCrashes = 64
 )
 
 // take returns the collected updates and empties u. Of more than a digest may hold it
@@ -128,7 +130,7 @@
 	out.leaving = newest(out.leaving, maxReports, &dropped)
 	out.limits = newest(out.limits, maxReports, &dropped)
 	out.brittle = newest(out.brittle, maxReports, &dropped)
-	out.parts.Crashes = newest(out.parts.Crashes, maxReports, &dropped)
+	out.parts.Crashes = newest(out.parts.Crashes, maxCrashes, &dropped)
 	out.parts.Cleared = newest(out.parts.Cleared, maxReports, &dropped)
 	out.parts.Familiar = newest(out.parts.Familiar, maxReports, &dropped)
 	out.parts.Quarantined = newest(out.parts.Quarantined, maxReports, &dropped)
