Count crashes that come together against a part that was never served

Requests with a deadly part that come eight at a time crashed four engines in each burst, and the part was quarantined after the third: 8 or 16 late arrivals.

Change: such a crash counts by itself once a connection to its engine can't be opened, which routers tell each other, for parts that were never served. A rack that fails breaks off requests with parts that were, and those still count once.

--- /dev/null
+++ b/internal/core/quarantine/down.go
@@ -0,0 +1,58 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/fleet"
+)
+
+// Connections that break together point to the network or to a VM, and count once against
+// a part. Requests with a deadly part may come together too. What tells the two apart is
+// whether the engines are down afterwards. A router that has lost its own path takes them
+// for down as well, so that this holds for parts only that were never served.
+
+// processKey identifies the process of an engine.
+type processKey struct {
+	target fleet.Ref
+	born   uint32
+}
+
+// EngineDown records that the process of an engine was found to be down, here or at another
+// router, and lets each crash of it in the last maxCrashAge count. It reports whether there
+// was one, so that other routers are told.
+func (t *Tracker) EngineDown(now time.Time, e Engine) (changes []Change, crashed bool) {
+	t.down[processKey{e.Target, e.Born}] = now
+	for _, r := range t.records {
+		crashed = crashed || slices.ContainsFunc(append(r.crashes, r.together...), func(n noted) bool { return n.engine.is(e) })
+		if r.familiar || r.quarantined {
+			continue
+		}
+		i := slices.IndexFunc(r.together, func(n noted) bool { return n.engine.is(e) && now.Sub(n.at) <= maxCrashAge })
+		if i < 0 || len(r.crashes) >= maxEngines {
+			continue
+		}
+		n := r.together[i]
+		r.together = slices.Delete(r.together, i, i+1)
+		r.crashes = append(r.crashes, n)
+		if len(r.crashes) >= r.enough() {
+			changes = append(changes, t.judge(now, n.parts, n.engine.Service)...)
+		}
+	}
+	return changes, crashed
+}
+
+// isDown reports whether the process of an engine was found to be down lately.
+func (t *Tracker) isDown(now time.Time, e Engine) bool {
+	at, ok := t.down[processKey{e.Target, e.Born}]
+	return ok && now.Sub(at) <= maxCrashAge
+}
+
+// expireDown forgets processes that were found to be down long ago.
+func (t *Tracker) expireDown(now time.Time) {
+	for p, at := range t.down {
+		if now.Sub(at) > maxCrashAge {
+			delete(t.down, p)
+		}
+	}
+}
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -142,6 +142,7 @@
 	}
 	t.expiredAt = now
 	t.served.expire(now)
+	t.expireDown(now)
 	var changes []Change
 	for part, r := range t.records {
 		ttl := suspectTTL
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -190,6 +190,8 @@
 	served  memory
 	outages map[fleet.Service]*outage
 	notices Notices
+	// down holds when processes were found to be down.
+	down map[processKey]time.Time
 	// quarantined is the number of records in quarantine.
 	quarantined int
 	expiredAt   time.Time
@@ -198,6 +200,9 @@
 // record is what is known about a part that is suspected or quarantined.
 type record struct {
 	crashes []noted
+	// together are crashes that count as one with another, unless their engine is found to
+	// be down.
+	together []noted
 	// familiar is true if the part was served before its first crash, here or, as told
 	// by a notice, at another router. toldFamiliar is true once this router has told so.
 	familiar     bool
@@ -224,7 +229,10 @@
 
 // New returns a tracker without evidence.
 func New() *Tracker {
-	return &Tracker{records: make(map[uint64]*record), served: newMemory(), outages: make(map[fleet.Service]*outage)}
+	return &Tracker{
+		records: make(map[uint64]*record), served: newMemory(), outages: make(map[fleet.Service]*outage),
+		down: make(map[processKey]time.Time),
+	}
 }
 
 // outage returns what tells an outage of a service from a part that crashes its targets.
@@ -341,16 +349,22 @@
 	for _, hash := range hashes {
 		r := t.record(now, hash)
 		r.content = r.content || hash == c.Content
-		if r.note(&c, hashes) && len(r.crashes) == isolateCrashes {
+		if r.note(&c, hashes, t.isDown(now, c.Engine)) && len(r.crashes) == isolateCrashes {
 			changes = append(changes, Change{Part: hash, State: Suspected, Crashes: len(r.crashes)})
 		}
 	}
+	return append(changes, t.judge(now, hashes, c.Engine.Service)...)
+}
+
+// judge quarantines the one of some parts and contents that is to blame, if there is one.
+func (t *Tracker) judge(now time.Time, hashes []uint64, service fleet.Service) []Change {
+	var changes []Change
 	part, ok := t.blame(hashes)
 	if !ok {
 		return changes
 	}
 	r := t.records[part]
-	if outage := t.outage(c.Engine.Service); outage.explains(part, r.familiar, r.content, r.crashes[0].at) {
+	if outage := t.outage(service); outage.explains(part, r.familiar, r.content, r.crashes[0].at) {
 		r.held = outage
 		return changes
 	}
@@ -391,15 +405,21 @@
 }
 
 // note adds a crash of a request with these parts, and reports whether it counts. Requests
-// with the same content that break off together still have only that in common.
-func (r *record) note(c *Crash, parts []uint64) bool {
-	known := func(n noted) bool {
-		return n.engine.is(c.Engine) || !r.content && n.at.Sub(c.At).Abs() < sameEvent
+// with the same content that break off together still have only that in common, and so
+// do those with a part that was never served, if their engines are down.
+func (r *record) note(c *Crash, parts []uint64, down bool) bool {
+	n := noted{at: c.At, engine: c.Engine, parts: parts}
+	if len(r.crashes) >= maxEngines || slices.ContainsFunc(r.crashes, func(other noted) bool { return other.engine.is(c.Engine) }) {
+		return false
 	}
-	if len(r.crashes) >= maxEngines || slices.ContainsFunc(r.crashes, known) {
+	alone := r.content || down && !r.familiar
+	if !alone && slices.ContainsFunc(r.crashes, func(other noted) bool { return other.at.Sub(c.At).Abs() < sameEvent }) {
+		if len(r.together) < maxEngines {
+			r.together = append(r.together, n)
+		}
 		return false
 	}
-	r.crashes = append(r.crashes, noted{at: c.At, engine: c.Engine, parts: parts})
+	r.crashes = append(r.crashes, n)
 	r.changedAt = later(r.changedAt, c.At)
 	return true
 }
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -53,6 +53,9 @@
 	// Brittle holds which targets are brittle, as Limits does, with the number of requests
 	// that they may turn away in a second.
 	Brittle []byte `msgpack:"b,omitempty"`
+	// Down holds, as Leaving does, the processes that broke off requests and can't be
+	// reached since.
+	Down []uint32 `msgpack:"d,omitempty"`
 }
 
 // placementSize is the length in bytes of one entry of Prompts.
@@ -75,10 +78,11 @@
 	parts    quarantine.Notices
 	limits   []ratelimit.Report
 	brittle  []ratelimit.Report
+	down     []leavingTarget
 }
 
-// leavingTarget is the process of a target that said that it is leaving, identified by
-// the low bits of its Born value.
+// leavingTarget is the process of a target that said that it is leaving, or that is down,
+// identified by the low bits of its Born value.
 type leavingTarget struct {
 	target fleet.Ref
 	born   uint32
@@ -103,6 +107,7 @@
 	u.parts.Merge(more.parts)
 	u.limits = append(u.limits, more.limits...)
 	u.brittle = append(u.brittle, more.brittle...)
+	u.down = append(u.down, more.down...)
 	if u.outcomes == nil {
 		u.outcomes = make(map[fleet.Ref]outlier.Counts)
 	}
@@ -130,6 +135,7 @@
 	out.leaving = newest(out.leaving, maxReports, &dropped)
 	out.limits = newest(out.limits, maxReports, &dropped)
 	out.brittle = newest(out.brittle, maxReports, &dropped)
+	out.down = newest(out.down, maxReports, &dropped)
 	out.parts.Crashes = newest(out.parts.Crashes, maxCrashes, &dropped)
 	out.parts.Cleared = newest(out.parts.Cleared, maxReports, &dropped)
 	out.parts.Familiar = newest(out.parts.Familiar, maxReports, &dropped)
@@ -160,11 +166,7 @@
 			d.Outcomes = append(d.Outcomes, uint32(index), uint32(c.OK), uint32(c.Failed))
 		}
 	}
-	for _, l := range u.leaving {
-		if index, ok := enc.Index(l.target); ok {
-			d.Leaving = append(d.Leaving, uint32(index), l.born)
-		}
-	}
+	d.Leaving, d.Down = appendProcesses(enc, u.leaving), appendProcesses(enc, u.down)
 	for _, c := range u.parts.Crashes {
 		if index, ok := enc.Index(c.Engine.Target); ok {
 			d.Crashes = appendCrash(d.Crashes, index, now.Sub(c.At), c)
@@ -203,11 +205,25 @@
 	return out
 }
 
+// appendProcesses encodes the processes of targets that the table can hold.
+func appendProcesses(enc *loadtable.Encoder, processes []leavingTarget) []uint32 {
+	var out []uint32
+	for _, p := range processes {
+		if index, ok := enc.Index(p.target); ok {
+			out = append(out, uint32(index), p.born)
+		}
+	}
+	return out
+}
+
 // leaving decodes the leaving targets, given the targets of the table by index.
-// Entries with an unknown index and incomplete pairs are ignored.
-func (d *digest) leaving(refs []fleet.Ref) []leavingTarget {
+func (d *digest) leaving(refs []fleet.Ref) []leavingTarget { return decodeProcesses(refs, d.Leaving) }
+
+// decodeProcesses decodes the processes of targets. Entries with an unknown index and
+// incomplete pairs are ignored.
+func decodeProcesses(refs []fleet.Ref, entries []uint32) []leavingTarget {
 	var out []leavingTarget
-	for rest := d.Leaving; len(rest) >= 2; rest = rest[2:] {
+	for rest := entries; len(rest) >= 2; rest = rest[2:] {
 		if int(rest[0]) < len(refs) {
 			out = append(out, leavingTarget{target: refs[rest[0]], born: rest[1]})
 		}
--- a/internal/service/forward/digest_exchange.go
+++ b/internal/service/forward/digest_exchange.go
@@ -116,9 +116,9 @@
 	u := updates{
 		prompts: s.balancer.TakePlacements(), outcomes: s.outliers.TakeLocalCounts(), leaving: s.leaving,
 		parts: s.quarantine.TakeNotices(), limits: s.limits.TakeDue(now),
-		brittle: s.brittle.TakeDue(now),
+		brittle: s.brittle.TakeDue(now), down: s.down,
 	}
-	s.leaving = nil
+	s.leaving, s.down = nil, nil
 	if !tree.IsHub() {
 		d := newDigest(now, s.encoders.own, loads, u)
 		d.Scope = uint8(hubs.ScopeRouter)
@@ -187,11 +187,12 @@
 	}
 	u := updates{
 		prompts: d.prompts(refs), outcomes: d.outcomes(refs), leaving: d.leaving(refs), parts: d.parts(now, refs),
-		limits: d.limits(now, refs), brittle: d.brittle(now, refs),
+		limits: d.limits(now, refs), brittle: d.brittle(now, refs), down: decodeProcesses(refs, d.Down),
 	}
 	s.balancer.AddPlacements(now, u.prompts)
 	s.applyLeaving(now, from, u.leaving)
 	u.parts = s.applyNotices(now, from, u.parts)
+	s.applyDown(now, from, u.down)
 	s.applyLimits(now, from, u.limits)
 	s.applyBrittle(now, from, u.brittle)
 	for id, counts := range u.outcomes {
--- a/internal/service/forward/quarantine.go
+++ b/internal/service/forward/quarantine.go
@@ -179,3 +179,23 @@
 	gauge := s.metrics.quarantinedParts
 	gauge.Inc(int64(s.quarantine.Count()) - gauge.Count())
 }
+
+// engineDown records that a target can't be reached, which tells that its process has
+// crashed if it broke off requests before. The caller holds the lock.
+func (s *Service) engineDown(now time.Time, id fleet.Target) {
+	e := quarantine.Engine{Target: id.Ref(), Born: uint32(s.born[id]), Service: s.targetServices[id.Ref()]}
+	changes, crashed := s.quarantine.EngineDown(now, e)
+	s.logParts(changes, s.self)
+	if crashed {
+		s.down = append(s.down, leavingTarget{target: e.Target, born: e.Born})
+	}
+}
+
+// applyDown records the processes that another router has found to be down. The caller
+// holds the lock.
+func (s *Service) applyDown(now time.Time, from fleet.VM, down []leavingTarget) {
+	for _, d := range down {
+		changes, _ := s.quarantine.EngineDown(now, quarantine.Engine{Target: d.target, Born: d.born, Service: s.targetServices[d.target]})
+		s.logParts(changes, from)
+	}
+}
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -140,6 +140,8 @@
 	toHubs    updates
 	// leaving holds the targets that said so to this router since its last digest.
 	leaving []leavingTarget
+	// down holds the processes that broke off requests and were found to be down since.
+	down []leavingTarget
 
 	// handledJoins holds the processes whose join was handled, lastParent the last
 	// hub, and alive the live processes of the last view. They are used only by the
