Ask a target which process it runs before a stream goes on there

A target that started again under its ID with other software kept the entry of the process before until the log was read again, in an outage of the store for all of it: 21 to 23 of 36 streams held events of two versions.

Change: a resumable stream that goes on, or that begins at a target which broke or refused a connection since, is sent only if the target reports the Born value of its entry (/-/report). A target that doesn't report it is taken for that of its entry, and while the path to a service has failed nothing is asked.

--- a/internal/lab/soak/bed.go
+++ b/internal/lab/soak/bed.go
@@ -148,6 +148,7 @@
 		Silence: silenceLeast + time.Duration(i%silenceSteps)*silenceStep,
 	}
 	b.crashOptions(w, &worker)
+	worker.Born = func() int64 { return w.entry().Born }
 	w.Server = workerd.New(worker)
 	own := fmt.Sprintf("%s.2:%d", b.net, 7000+i)
 	if err := b.serve(own, w.Handler()); err != nil {
--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -123,6 +123,9 @@
 	// Connect opens a connection to a target, which later requests may use. It shows whether
 	// the target can be reached.
 	Connect(ctx context.Context, t sitestate.AvailableTarget) error
+	// Born returns the Born value of the process that a target runs, zero if it does not
+	// tell.
+	Born(ctx context.Context, t sitestate.Target) (int64, error)
 	// CachedPrefixes lists the hashes of the long prompt prefixes that an engine has
 	// in cache, as in Call.Prefixes. The engine's other work is delayed by it.
 	CachedPrefixes(ctx context.Context, t sitestate.Target) ([]uint64, error)
--- a/internal/service/forward/hedge_test.go
+++ b/internal/service/forward/hedge_test.go
@@ -65,6 +65,8 @@
 
 func (*twoTargets) Connect(context.Context, sitestate.AvailableTarget) error { return nil }
 
+func (*twoTargets) Born(context.Context, sitestate.Target) (int64, error) { return 0, nil }
+
 func (*twoTargets) CachedPrefixes(context.Context, sitestate.Target) ([]uint64, error) {
 	return nil, nil
 }
@@ -95,6 +97,7 @@
 		quarantine: quarantine.New(),
 		paths:      reach.New(rand.New(rand.NewPCG(1, 1))),
 		waiting:    make(map[*send]struct{}),
+		doubted:    make(map[fleet.Target]bool),
 		relays:     reach.NewRelays(rand.New(rand.NewPCG(1, 1))),
 		probes:     make(chan struct{}, maxProbes),
 		ctx:        context.Background(),
--- a/internal/service/forward/paths.go
+++ b/internal/service/forward/paths.go
@@ -68,6 +68,7 @@
 		all = append(all, t.ID)
 	}
 	s.mu.Lock()
+	s.doubt(id)
 	s.engineDown(s.clock.Now(), id)
 	probe, cut := s.paths.Lost(s.clock.Now(), service, id, all)
 	var silent []*send
--- a/internal/service/forward/quarantine.go
+++ b/internal/service/forward/quarantine.go
@@ -106,6 +106,7 @@
 	}
 	r.s.metrics.engineCrashes.Inc(1)
 	r.s.mu.Lock()
+	r.s.doubt(s.target())
 	r.s.logParts(r.s.quarantine.Crashed(now, crash), r.s.self)
 	r.s.mu.Unlock()
 	if r.isolated() {
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -201,6 +201,10 @@
 	r.countLimitedSend(s)
 	req := r.targetRequest(s)
 	req.Trace = tracing.Parent(ctx)
+	if err := r.checkProcess(s); err != nil {
+		s.pathFailed = true
+		return nil, err
+	}
 	done := r.s.awaitResponse(s)
 	resp, via, err := r.s.deliver(s.ctx, req)
 	done()
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -105,6 +105,9 @@
 	dataCentre   fleet.DataCentre
 	// waiting holds the sends that have no response yet.
 	waiting map[*send]struct{}
+	// doubted holds the targets that broke or refused a connection since the process of
+	// their entry was confirmed.
+	doubted map[fleet.Target]bool
 	// held are failures of targets that are not reported to other routers yet.
 	held []heldFailure
 	// limiters bound the load of the engines of each service.
@@ -213,7 +216,7 @@
 	s.paths, s.probes, s.ctx = reach.New(s.rng), make(chan struct{}, maxProbes), context.Background()
 	s.budgets = make(map[fleet.Service]*retry.WindowBudget)
 	s.limiters = make(map[fleet.Service]*overload.Limiter)
-	s.waiting = make(map[*send]struct{})
+	s.waiting, s.doubted = make(map[*send]struct{}), make(map[fleet.Target]bool)
 	s.relays, s.dataCentre = reach.NewRelays(s.rng), id.Self().DataCentre
 	s.born = make(map[fleet.Target]int64)
 	s.targetNames = make(map[fleet.Ref]fleet.Target)
@@ -269,11 +272,13 @@
 	for _, r := range changes.Targets {
 		id := fleet.Target(r.Key)
 		if r.Gone {
+			delete(s.doubted, id)
 			continue
 		}
 		if born, ok := s.born[id]; ok && born != r.Value.Born {
 			s.balancer.ForgetCache(id)
 			s.outliers.Reset(id.Ref())
+			delete(s.doubted, id)
 			s.limits.Forget(id.Ref())
 			s.brittle.Forget(id.Ref())
 		}
--- a/internal/standin/workerd/options.go
+++ b/internal/standin/workerd/options.go
@@ -7,6 +7,8 @@
 	ID string
 	// Version is the version of the worker's software.
 	Version string
+	// Born returns when the process of the worker started, in Unix milliseconds.
+	Born func() int64
 	// Slots is the number of requests that run at once; more are refused.
 	Slots int
 	// Work is the time of a plain request, and that before each event of a
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -188,6 +188,7 @@
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-list", s.serveCache)
+	mux.HandleFunc("GET /-/report", s.serveReport)
 	mux.HandleFunc("GET /admin/runs", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(s.Runs()) })
 	mux.HandleFunc("PUT /admin/fault", func(_ http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body) // a fault that can't be read is none
@@ -208,6 +209,15 @@
 	_ = json.NewEncoder(w).Encode(map[string]any{"epoch": 1, "Next": 0, "held": rows})
 }
 
+// serveReport tells which process runs, if Options.Born does.
+func (s *Server) serveReport(w http.ResponseWriter, _ *http.Request) {
+	report := map[string]any{"Stage": "unified"}
+	if s.opt.Born != nil {
+		report["born"] = s.opt.Born()
+	}
+	_ = json.NewEncoder(w).Encode(report)
+}
+
 // cachedTokens is the length of each cached part.
 const cachedTokens = 5000
 
