Tell one other router which streams begin while there is one version

Change: a router tells what it begins to one other router each 0.5 s, the recorder or the highest ranked of another data centre, without the log. The holder records them once there are two versions. Routers that don't know the flag record them at once.

--- a/internal/app/site_version_test.go
+++ b/internal/app/site_version_test.go
@@ -252,6 +252,25 @@
 	})
 }
 
+// TestStreamsOfALostRouterAreTakenUpOnceAReleaseStarts kills each router in turn, the
+// recorder included, shortly before the first target of another version starts.
+func TestStreamsOfALostRouterAreTakenUpOnceAReleaseStarts(t *testing.T) {
+	for _, lost := range []string{"1", "2", "3"} {
+		t.Run("router "+lost, func(t *testing.T) {
+			onSite(t, func(t *testing.T, b *siteBed) {
+				b.release("v1", "e1", "e2", "e3")
+				streams := b.beginAt(12, lost)
+				b.wait(500 * time.Millisecond)
+				b.stop(lost)
+				b.release("v2", "e4")
+				others := slices.DeleteFunc([]string{"1", "2", "3"}, func(name string) bool { return name == lost })
+				must.Eq(t, 12, b.takeUp(streams, others...))
+				must.SliceEmpty(t, b.joined())
+			})
+		})
+	}
+}
+
 // TestStreamOfTheOnlyVersionIsTakenUp kills all routers while one version serves: nothing
 // need be known of a stream, and the store is not written to.
 func TestStreamOfTheOnlyVersionIsTakenUp(t *testing.T) {
--- a/internal/core/origin/origin.go
+++ b/internal/core/origin/origin.go
@@ -9,9 +9,10 @@
 // A service is in one of these states:
 //
 //   - uniform: all its targets of the last HistoryTime had one version. Nothing need be
-//     known of a stream: whoever began it, it was that version.
+//     known of a stream: whoever began it, it was that version. A router tells what it
+//     begins to one other, a holder, as it may be lost shortly before the service gets mixed.
 //   - mixed: there were more. Routers record the origins of the streams that they begin,
-//     with those that they have begun before.
+//     with those that they have begun before, or hold for another.
 //   - A uniform service gets mixed with the first target, or the first origin that is
 //     heard of, of another version. A mixed one gets uniform once HistoryTime has passed
 //     since the last target of another version went.
@@ -37,6 +38,9 @@
 	// maxStreams is the number of streams in one generation. One that is full is followed
 	// by the next one early.
 	maxStreams = 64 << 10
+	// maxUntold is the number of streams that wait to be told to a holder. The oldest make
+	// room.
+	maxUntold = 4096
 )
 
 // Stream identifies a stream by the hash of the ID of the attempt that began it.
@@ -88,13 +92,17 @@
 	turnedAt    time.Time
 	// unsent are the streams that began here and are still to be recorded.
 	unsent []Stream
+	// untold are the streams of uniform services that began here and are still to be told
+	// to a holder.
+	untold []Stream
 }
 
 // entry is what is known of a stream.
 type entry struct {
 	origin Origin
-	// own is true for a stream that began at this router.
-	own bool
+	// own is true for a stream that began at this router, held for one that another router
+	// has told before it was recorded.
+	own, held bool
 }
 
 // New returns a tracker of a router that starts now.
@@ -140,21 +148,20 @@
 }
 
 // update moves a service between uniform and mixed. Once it is mixed, all streams that
-// began here are to be recorded.
+// began here or are held are to be recorded.
 func (t *Tracker) update(now time.Time, service fleet.Service) {
 	mixed := len(t.versions(now, service)) > 1
 	if mixed && !t.mixed[service] {
-		t.requeue(func(o Origin) bool { return o.Service == service })
+		t.requeue(func(e entry) bool { return (e.own || e.held) && e.origin.Service == service })
 	}
 	t.mixed[service] = mixed
 }
 
-// requeue makes streams that began here and match be recorded, again or for the first
-// time.
-func (t *Tracker) requeue(match func(Origin) bool) {
+// requeue makes streams that match be recorded, again or for the first time.
+func (t *Tracker) requeue(match func(entry) bool) {
 	for _, generation := range []map[Stream]entry{t.old, t.recent} {
 		for id, e := range generation {
-			if e.own && match(e.origin) {
+			if match(e) {
 				t.unsent = append(t.unsent, id)
 			}
 		}
@@ -165,7 +172,7 @@
 // was recorded may be lost.
 func (t *Tracker) Requeue() {
 	t.unsent = nil
-	t.requeue(func(o Origin) bool { return t.mixed[o.Service] })
+	t.requeue(func(e entry) bool { return e.own && t.mixed[e.origin.Service] })
 }
 
 // Began takes a stream that began at a target, and reports whether it is to be recorded. One
@@ -177,10 +184,61 @@
 	t.add(now, id, entry{origin: o, own: true})
 	if t.mixed[o.Service] {
 		t.unsent = append(t.unsent, id)
+	} else {
+		t.untold = append(t.untold, id)
+		t.boundUntold()
 	}
 	return t.mixed[o.Service]
 }
 
+// boundUntold drops the oldest streams that wait for a holder.
+func (t *Tracker) boundUntold() {
+	t.untold = slices.Delete(t.untold, 0, max(0, len(t.untold)-maxUntold))
+}
+
+// TakeUntold returns the origins that are to be told to a holder. Those of mixed services
+// are recorded instead.
+func (t *Tracker) TakeUntold() []Record {
+	out := make([]Record, 0, len(t.untold))
+	for _, id := range t.untold {
+		if e, ok := t.lookup(id); ok && !t.mixed[e.origin.Service] {
+			out = append(out, Record{Stream: id, Origin: e.origin})
+		}
+	}
+	t.untold = nil
+	return out
+}
+
+// Untold takes back origins that no holder took.
+func (t *Tracker) Untold(records []Record) {
+	for _, r := range records {
+		t.untold = append(t.untold, r.Stream)
+	}
+	t.boundUntold()
+}
+
+// Hold takes origins for a router that may be lost, and reports whether some are to be
+// recorded at once, as their service is mixed here.
+func (t *Tracker) Hold(now time.Time, records []Record) bool {
+	before := len(t.unsent)
+	services := make(map[fleet.Service]bool)
+	for _, r := range records {
+		if _, ok := t.lookup(r.Stream); ok {
+			continue
+		}
+		t.add(now, r.Stream, entry{origin: r.Origin, held: true})
+		if t.mixed[r.Origin.Service] {
+			t.unsent = append(t.unsent, r.Stream)
+		}
+		t.seen[r.Origin] = now
+		services[r.Origin.Service] = true
+	}
+	for service := range services {
+		t.update(now, service)
+	}
+	return len(t.unsent) > before
+}
+
 // add remembers a stream.
 func (t *Tracker) add(now time.Time, id Stream, e entry) {
 	if len(t.recent) >= maxStreams {
--- a/internal/core/origin/origin_test.go
+++ b/internal/core/origin/origin_test.go
@@ -253,3 +253,57 @@
 		}
 	}
 }
+
+// TestStreamsAreHeldForARouter checks what a router tells a holder while there is one
+// version, and what the holder records once there are two.
+func TestStreamsAreHeldForARouter(t *testing.T) {
+	q, holder := origin.New(start), origin.New(start)
+	q.TargetChanged(start, "a", v1)
+	holder.TargetChanged(start, "a", v1)
+	q.Began(at(1), 1, v1)
+	told := []origin.Record{{Stream: 1, Origin: v1}}
+	must.Eq(t, told, q.TakeUntold())
+	must.SliceEmpty(t, q.TakeUntold(), must.Sprint("told already"))
+	q.Untold(told)
+	must.Eq(t, told, q.TakeUntold(), must.Sprint("no holder took it"))
+	must.False(t, holder.Hold(at(2), told))
+	must.SliceEmpty(t, holder.TakeUnsent())
+	holder.TargetChanged(at(3), "b", v2)
+	must.Eq(t, told, holder.TakeUnsent(), must.Sprint("two versions"))
+	holder.Requeue()
+	must.SliceEmpty(t, holder.TakeUnsent(), must.Sprint("recorded again by the router that began it"))
+	must.True(t, holder.Hold(at(4), []origin.Record{{Stream: 2, Origin: v1}}), must.Sprint("told late"))
+	must.Eq(t, []origin.Record{{Stream: 2, Origin: v1}}, holder.TakeUnsent())
+	o, verdict := holder.Decide(at(5), 2, "llm")
+	must.Eq(t, origin.Known, verdict)
+	must.Eq(t, v1, o)
+	q.Began(at(3), 3, v1)
+	q.TargetChanged(at(3), "b", v2)
+	must.SliceEmpty(t, q.TakeUntold(), must.Sprint("recorded instead"))
+}
+
+// TestOldestStreamsMakeRoomForAHolder checks what waits without a holder.
+func TestOldestStreamsMakeRoomForAHolder(t *testing.T) {
+	q := origin.New(start)
+	q.TargetChanged(start, "a", v1)
+	for i := range 5000 {
+		q.Began(at(1), origin.Stream(i), v1)
+	}
+	untold := q.TakeUntold()
+	must.SliceLen(t, 4096, untold)
+	must.Eq(t, 4999, untold[4095].Stream)
+	q.Untold(untold)
+	q.Began(at(2), 5000, v1)
+	must.Eq(t, 905, q.TakeUntold()[0].Stream)
+}
+
+// TestHeldStreamOfAnotherVersionMixesAService tells a holder of a version that it has not
+// heard of.
+func TestHeldStreamOfAnotherVersionMixesAService(t *testing.T) {
+	holder := origin.New(start)
+	holder.TargetChanged(start, "a", v1)
+	holder.HistoryRead()
+	must.True(t, holder.Hold(at(2), []origin.Record{{Stream: 1, Origin: v2}}))
+	_, verdict := holder.Decide(at(3), 9, "llm")
+	must.Eq(t, origin.Unknown, verdict)
+}
--- a/internal/service/origins/codec.go
+++ b/internal/service/origins/codec.go
@@ -32,6 +32,9 @@
 // query tells origins to a recorder, or asks it for one.
 type query struct {
 	Groups []group `msgpack:"g,omitempty"`
+	// Holds is true if the origins are to be held until their service has several versions,
+	// instead of recorded. Routers that do not know it record them.
+	Holds bool `msgpack:"h,omitempty"`
 	// Asks is true for a question. Stream and Service are those of core/origin's Decide.
 	Asks    bool          `msgpack:"q,omitempty"`
 	Stream  uint64        `msgpack:"i,omitempty"`
--- a/internal/service/origins/origins.go
+++ b/internal/service/origins/origins.go
@@ -8,6 +8,10 @@
 // recordTimeout at most: what a caller has seen of a stream then outlasts all routers. A
 // router that a caller returns to asks the recorder, which reads the log if it lacks the
 // stream. Without a recorder it reads the log itself.
+//
+// While all targets have one version, a router tells what it begins to one other, each
+// tellPeriod and without the log. That one records it if another version starts, as the
+// router that began it may be lost by then.
 package origins
 
 import (
--- a/internal/service/origins/record.go
+++ b/internal/service/origins/record.go
@@ -9,6 +9,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/core/origin"
+	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/wire"
@@ -25,6 +26,9 @@
 	sendTimeout = 400 * time.Millisecond
 	sendRetry   = 50 * time.Millisecond
 	maxSending  = 16
+	// tellPeriod is the time in which origins of services with one version are collected
+	// before a holder is told.
+	tellPeriod = 500 * time.Millisecond
 	// writePeriod is the shortest time between two batches that a recorder writes to the
 	// log, writeTimeout limits one write, and writeRetry is the wait after a failed one.
 	// writeWait is the longest time that a recorder's answer waits for a write.
@@ -131,6 +135,53 @@
 	}
 }
 
+// tellHolder tells another router what began here at services of one version. Without it
+// nobody knows these streams once this router is lost and another version starts.
+func (s *Service) tellHolder(ctx context.Context) {
+	s.mu.Lock()
+	holder := s.holder()
+	if holder == "" {
+		s.mu.Unlock()
+		return // they wait for one
+	}
+	records := s.tracker.TakeUntold()
+	s.mu.Unlock()
+	if len(records) == 0 {
+		return
+	}
+	if _, err := s.query(ctx, holder, &query{Groups: encodeGroups(records), Holds: true}, sendTimeout); err != nil {
+		s.recorderFailed(holder, err)
+		s.mu.Lock()
+		s.tracker.Untold(records)
+		s.mu.Unlock()
+		return
+	}
+	s.metrics.told.Inc(int64(len(records)))
+}
+
+// holder returns the router that holds what begins here: the recorder, which is asked
+// first, or the next in its ranking, where possible in another data centre than this
+// router. It is empty without another router. The caller holds the lock.
+func (s *Service) holder() fleet.VM {
+	others := slices.DeleteFunc(slices.Clone(s.routers), func(vm fleet.VM) bool { return vm == s.self })
+	far := slices.DeleteFunc(slices.Clone(others), func(vm fleet.VM) bool { return s.dataCentres[vm] == s.dataCentres[s.self] })
+	usable := s.asker.Usable(s.clock.Now())
+	if vm := ratelimit.First(0, far, usable); vm != "" {
+		return vm
+	}
+	return ratelimit.First(0, others, usable)
+}
+
+// hold takes origins for another router.
+func (s *Service) hold(records []origin.Record) {
+	s.mu.Lock()
+	record := s.tracker.Hold(s.clock.Now(), records)
+	s.mu.Unlock()
+	if record {
+		wake(s.sendWake)
+	}
+}
+
 // taken lets the streams go on whose origins a recorder has taken.
 func (s *Service) taken(records []origin.Record) {
 	s.mu.Lock()
@@ -217,7 +268,10 @@
 	if err != nil {
 		return nil, &call.Error{Code: call.CodeBadRequest, Step: Name, Peer: string(from), Run: call.RunNot, Message: "decode query of origins: " + err.Error()}
 	}
-	if len(records) > 0 {
+	switch {
+	case len(records) > 0 && q.Holds:
+		s.hold(records)
+	case len(records) > 0:
 		s.record(ctx, records)
 	}
 	var out reply
--- a/internal/service/origins/service.go
+++ b/internal/service/origins/service.go
@@ -66,6 +66,8 @@
 	asker *ratelimit.Asker
 	// routers are the routers that are alive, this one included.
 	routers []fleet.VM
+	// dataCentres are those of routers.
+	dataCentres map[fleet.VM]fleet.DataCentre
 	// position is the position up to which the log was read, and readFailedAt the time of
 	// the last read if that failed.
 	position     Position
@@ -77,10 +79,12 @@
 	startedAt time.Time
 }
 
-// serviceMetrics counts lookups by verdict, and the batches that were written.
+// serviceMetrics counts lookups by verdict, the batches that were written and the origins
+// that a holder took.
 type serviceMetrics struct {
 	registry metrics.Registry
 	batches  metrics.Counter
+	told     metrics.Counter
 }
 
 // found counts a lookup.
@@ -110,7 +114,8 @@
 		return err
 	}
 	s.self, s.clock, s.logger = id.Self().VM, c.Clock, c.Logger()
-	s.metrics = serviceMetrics{registry: c.Metrics, batches: metrics.GetOrRegisterCounter("origins.batches", c.Metrics)}
+	s.metrics = serviceMetrics{registry: c.Metrics, batches: metrics.GetOrRegisterCounter("origins.batches", c.Metrics),
+		told: metrics.GetOrRegisterCounter("origins.told", c.Metrics)}
 	s.startedAt = s.clock.Now()
 	s.random = rand.New(rand.NewPCG(c.Seed, uint64(id.Incarnation())))
 	s.waiting, s.wrote = make(map[origin.Stream]chan struct{}), make(chan struct{})
@@ -127,6 +132,7 @@
 func (s *Service) Start(ctx context.Context) error {
 	go s.sendLoop(ctx)
 	go s.writeLoop(ctx)
+	go kernel.Every(ctx, s.clock, tellPeriod, func(time.Time) { s.tellHolder(ctx) })
 	go kernel.Every(ctx, s.clock, expirePeriod, func(now time.Time) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -169,15 +175,17 @@
 // what the one before has taken.
 func (s *Service) membersChanged(view *members.Snapshot) {
 	var alive []fleet.VM
+	dataCentres := make(map[fleet.VM]fleet.DataCentre)
 	for _, m := range view.Members {
 		if m.Status == members.StateAlive {
 			alive = append(alive, m.VM)
+			dataCentres[m.VM] = m.DataCentre
 		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.recorders()
-	s.routers = alive
+	s.routers, s.dataCentres = alive, dataCentres
 	after := s.recorders()
 	for i := range max(len(before), len(after)) {
 		if i >= len(before) || i >= len(after) || before[i] != after[i] {
