Expect of brittle targets again what their room allows

Room is for half of a burst and five of six slots are granted, 41 in 100, so the first bound stands.

--- a/internal/app/site_brittle_test.go
+++ b/internal/app/site_brittle_test.go
@@ -52,14 +52,14 @@
 			}
 		}
 		must.LessEq(t, 2, falls, must.Sprint("times that targets fell over"))
-		// Room is for half of a burst, and five of six slots are granted.
-		must.GreaterEq(t, sent*35/100, answered, must.Sprint("of ", sent, " requests"))
+		// Room is for half of a burst, and five of six slots are granted: 41 in 100.
+		must.GreaterEq(t, sent*40/100, answered, must.Sprint("of ", sent, " requests"))
 
 		for _, id := range []string{"p1", "p2"} {
 			b.workers[id].SetSturdy()
 		}
 		burst(2 * time.Second)
 		answered, _ = burst(2 * time.Second)
-		must.GreaterEq(t, sent/5*35/100, answered, must.Sprint("after that time"))
+		must.GreaterEq(t, sent/5*40/100, answered, must.Sprint("after that time"))
 	})
 }
