Take streams without a record for those of the only former version

Cause: while a service has one version, the origin of a stream is known to its router and one holder only. Once there were two versions, a stream that nobody knew was unknown. But whoever sends streams to the new version records them, so that one without a record began at the version that was there alone. Lookups also asked two lost recorders for longer than their limit and never read the log, and a log that could not be read made a stream unknown for good. Change: core/origin keeps the base of a mixed service, for 20 s; recorders write it, routers read it when they start and record what they begin until then. A stream at another version than the base waits up to 0.7 s for its record. The log is read in the same lookup, and once the store's era changed what was written before counts no more. Tests: TestStreamsOfRoutersLostTogetherAreTakenUp failed before (0 of 24 streams in each of four cases), 24 of 24 after. A lookup takes 1.5 s at most.

--- a/internal/app/site_version_test.go
+++ b/internal/app/site_version_test.go
@@ -317,3 +317,51 @@
 		must.Eq(t, 200, b.callOn("1", "chat", "aa", "bb").status)
 	})
 }
+
+// TestStreamsOfRoutersLostTogetherAreTakenUp kills several routers at once, just after they
+// have begun streams, so that whoever holds these may be lost too. The first target of another
+// version starts before their callers are back.
+func TestStreamsOfRoutersLostTogetherAreTakenUp(t *testing.T) {
+	for name, lost := range map[string][]string{
+		"1 and 2": {"1", "2"}, "1 and 3": {"1", "3"}, "2 and 3": {"2", "3"}, "all": {"1", "2", "3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			onSite(t, func(t *testing.T, b *siteBed) {
+				b.release("v1", "e1", "e2", "e3")
+				streams := b.beginAt(24, lost...)
+				for _, router := range lost {
+					b.stop(router)
+				}
+				b.release("v2", "e4")
+				left := slices.DeleteFunc([]string{"1", "2", "3"}, func(name string) bool { return slices.Contains(lost, name) })
+				if len(left) == 0 {
+					b.startAll()
+					left = lost
+				}
+				must.Eq(t, 24, b.takeUp(streams, left...))
+				must.SliceEmpty(t, b.joined())
+			})
+		})
+	}
+}
+
+// TestStreamsAreInferredOnlyFromALogThatAnswers takes up streams of lost routers while the store
+// fails, and once it is back. Streams of the new version that the routers left have begun go on
+// there all the while.
+func TestStreamsAreInferredOnlyFromALogThatAnswers(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.release("v1", "e1", "e2", "e3")
+		streams := b.beginAt(12, "1", "2")
+		b.stop("1")
+		b.stop("2")
+		b.release("v2", "e4", "e5", "e6")
+		b.store.Set(keyedlog.Faults{Status: 503})
+		must.Eq(t, 0, b.takeUp(streams, "3"))
+		later := b.beginAt(12, "3")
+		must.Eq(t, 12, b.takeUp(later, "3"))
+		b.store.Set(keyedlog.Faults{})
+		b.wait(2 * time.Second)
+		must.Eq(t, 12, b.takeUp(streams, "3"))
+		must.SliceEmpty(t, b.joined())
+	})
+}
--- a/internal/core/origin/origin.go
+++ b/internal/core/origin/origin.go
@@ -17,6 +17,11 @@
 //     heard of, of another version. A mixed one gets uniform once HistoryTime has passed
 //     since the last target of another version went.
 //
+// The version of a uniform service that gets mixed is its base. All streams that begin at
+// another version are recorded, as whoever sends one there knows that the service is mixed.
+// So a stream that was not recorded began at the base, whoever else is lost. This holds for
+// BaseTime, in which the callers of routers that were lost come back.
+//
 // A router that has just started cannot tell uniform from mixed until HistoryTime has
 // passed, or it has read what was recorded: origins, and the versions that there were. A
 // version may have gone while no router ran.
@@ -35,6 +40,13 @@
 	// HistoryTime is the time from the first event of a stream in which it may be taken up.
 	// Requests last no longer.
 	HistoryTime = 60 * time.Second
+	// BaseTime is the time after a service got mixed in which a stream that was not recorded
+	// is taken for one of the base.
+	BaseTime = 20 * time.Second
+	// soleTime is the time for which a router must have known a version as the only one, so
+	// that it is the base. Targets of several versions do not all get known at once to a
+	// router that starts.
+	soleTime = 2 * time.Second
 	// maxStreams is the number of streams in one generation. One that is full is followed
 	// by the next one early.
 	maxStreams = 64 << 10
@@ -58,6 +70,12 @@
 	Origin Origin
 }
 
+// Base is the version that a service had alone until it got mixed.
+type Base struct {
+	Origin  Origin
+	MixedAt time.Time
+}
+
 // Verdict tells what is known of the origin of a stream.
 type Verdict uint8
 
@@ -71,10 +89,15 @@
 	Uniform
 	// Known: the origin was recorded.
 	Known
+	// Inferred: the service is mixed, and the stream began at its base unless its origin was
+	// recorded where this router has not looked yet.
+	Inferred
 )
 
 // String returns the name of the verdict in logs.
-func (v Verdict) String() string { return [...]string{"unaware", "unknown", "uniform", "known"}[v] }
+func (v Verdict) String() string {
+	return [...]string{"unaware", "unknown", "uniform", "known", "inferred"}[v]
+}
 
 // Tracker knows the versions of services and the origins of streams. It is not safe for
 // concurrent use.
@@ -87,6 +110,9 @@
 	seen map[Origin]time.Time
 	// mixed holds the services that are known to be mixed.
 	mixed map[fleet.Service]bool
+	// sole are the versions of uniform services, and bases those of mixed ones.
+	sole  map[fleet.Service]soleVersion
+	bases map[fleet.Service]Base
 	// recent and old are two generations of streams.
 	recent, old map[Stream]entry
 	turnedAt    time.Time
@@ -97,6 +123,13 @@
 	untold []Stream
 }
 
+// soleVersion is the only version of a service, and the time since which this router knows it
+// as that. The time is zero if another router has vouched for it.
+type soleVersion struct {
+	origin Origin
+	since  time.Time
+}
+
 // entry is what is known of a stream.
 type entry struct {
 	origin Origin
@@ -109,7 +142,7 @@
 func New(now time.Time) *Tracker {
 	return &Tracker{
 		startedAt: now, turnedAt: now, targets: make(map[fleet.Target]Origin), seen: make(map[Origin]time.Time),
-		mixed: make(map[fleet.Service]bool), recent: make(map[Stream]entry),
+		mixed: make(map[fleet.Service]bool), sole: make(map[fleet.Service]soleVersion), bases: make(map[fleet.Service]Base), recent: make(map[Stream]entry),
 	}
 }
 
@@ -150,13 +183,59 @@
 // update moves a service between uniform and mixed. Once it is mixed, all streams that
 // began here or are held are to be recorded.
 func (t *Tracker) update(now time.Time, service fleet.Service) {
-	mixed := len(t.versions(now, service)) > 1
-	if mixed && !t.mixed[service] {
+	versions := t.versions(now, service)
+	mixed := len(versions) > 1
+	switch {
+	case mixed && !t.mixed[service]:
 		t.requeue(func(e entry) bool { return (e.own || e.held) && e.origin.Service == service })
+		if sole, ok := t.sole[service]; ok && t.isAware(now) && now.Sub(sole.since) >= soleTime {
+			t.bases[service] = Base{Origin: sole.origin, MixedAt: now}
+		}
+		delete(t.sole, service)
+	case len(versions) == 1:
+		delete(t.bases, service)
+		for version := range versions {
+			if o := (Origin{Service: service, Version: version}); t.sole[service].origin != o {
+				t.sole[service] = soleVersion{origin: o, since: now}
+			}
+		}
 	}
 	t.mixed[service] = mixed
 }
 
+// isAware reports whether this router knows all versions of the last HistoryTime.
+func (t *Tracker) isAware(now time.Time) bool {
+	return t.historyRead || now.Sub(t.startedAt) >= HistoryTime
+}
+
+// base returns the base of a mixed service for as long as it matters.
+func (t *Tracker) base(now time.Time, service fleet.Service) (Origin, bool) {
+	b, ok := t.bases[service]
+	return b.Origin, ok && now.Sub(b.MixedAt) < BaseTime
+}
+
+// Bases returns the bases of services, in order.
+func (t *Tracker) Bases(now time.Time) []Base {
+	var out []Base
+	for service, b := range t.bases {
+		if _, ok := t.base(now, service); ok {
+			out = append(out, b)
+		}
+	}
+	slices.SortFunc(out, func(a, b Base) int { return cmp.Compare(a.Origin.Service, b.Origin.Service) })
+	return out
+}
+
+// ForgetBases makes streams that were not recorded unknown, as what was recorded may be lost.
+func (t *Tracker) ForgetBases() { clear(t.bases) }
+
+// MustRecord reports whether a stream would be taken for one of another version if it were
+// not recorded.
+func (t *Tracker) MustRecord(now time.Time, o Origin) bool {
+	base, ok := t.base(now, o.Service)
+	return ok && base != o || !t.isAware(now)
+}
+
 // requeue makes streams that match be recorded, again or for the first time.
 func (t *Tracker) requeue(match func(entry) bool) {
 	for _, generation := range []map[Stream]entry{t.old, t.recent} {
@@ -176,19 +255,21 @@
 }
 
 // Began takes a stream that began at a target, and reports whether it is to be recorded. One
-// at a target without a version is not.
+// at a target without a version is not. A router that is not aware of all versions records
+// what it begins, as others may know the service as mixed.
 func (t *Tracker) Began(now time.Time, id Stream, o Origin) bool {
 	if o.Version == "" {
 		return false
 	}
 	t.add(now, id, entry{origin: o, own: true})
-	if t.mixed[o.Service] {
+	record := t.mixed[o.Service] || !t.isAware(now)
+	if record {
 		t.unsent = append(t.unsent, id)
 	} else {
 		t.untold = append(t.untold, id)
 		t.boundUntold()
 	}
-	return t.mixed[o.Service]
+	return record
 }
 
 // boundUntold drops the oldest streams that wait for a holder.
@@ -227,6 +308,7 @@
 			continue
 		}
 		t.add(now, r.Stream, entry{origin: r.Origin, held: true})
+		t.contradict(r.Origin)
 		if t.mixed[r.Origin.Service] {
 			t.unsent = append(t.unsent, r.Stream)
 		}
@@ -239,6 +321,17 @@
 	return len(t.unsent) > before
 }
 
+// contradict drops another version that its service was taken to have alone: a router has begun
+// streams at this one without recording them.
+func (t *Tracker) contradict(o Origin) {
+	if sole, ok := t.sole[o.Service]; ok && sole.origin != o {
+		delete(t.sole, o.Service)
+	}
+	if b, ok := t.bases[o.Service]; ok && b.Origin != o {
+		delete(t.bases, o.Service)
+	}
+}
+
 // add remembers a stream.
 func (t *Tracker) add(now time.Time, id Stream, e entry) {
 	if len(t.recent) >= maxStreams {
@@ -328,6 +421,34 @@
 	}
 }
 
+// HeardBases takes the bases that another router has recorded beside versions. One that is the
+// only version of its service there was its only one when that router recorded it. Bases
+// that were recorded in a log which has lost records since must not be taken.
+func (t *Tracker) HeardBases(now time.Time, versions []Origin, bases []Base) {
+	count := make(map[fleet.Service]int)
+	for _, o := range versions {
+		count[o.Service]++
+	}
+	for _, o := range versions {
+		if count[o.Service] > 1 {
+			continue
+		}
+		if sole, ok := t.sole[o.Service]; ok && sole.origin == o {
+			t.sole[o.Service] = soleVersion{origin: o}
+		} else if _, ok := t.bases[o.Service]; t.mixed[o.Service] && !ok {
+			t.bases[o.Service] = Base{Origin: o, MixedAt: now}
+		}
+	}
+	for _, b := range bases {
+		if b.MixedAt.After(now) {
+			b.MixedAt = now // another VM's clock is ahead
+		}
+		if t.mixed[b.Origin.Service] {
+			t.bases[b.Origin.Service] = b
+		}
+	}
+}
+
 // HistoryRead records that all origins and versions that were recorded are known.
 func (t *Tracker) HistoryRead() { t.historyRead = true }
 
@@ -341,7 +462,7 @@
 }
 
 // Decide returns the origin of a stream that a caller takes up at a service, and how it is
-// known. The origin holds only with Known and Uniform. With Uniform it has no version if
+// known. The origin holds only with Known, Inferred and Uniform. With Uniform it has no version if
 // no target of the service has one.
 func (t *Tracker) Decide(now time.Time, id Stream, service fleet.Service) (Origin, Verdict) {
 	if e, ok := t.lookup(id); ok {
@@ -350,8 +471,11 @@
 	versions := t.versions(now, service)
 	switch {
 	case len(versions) > 1:
+		if base, ok := t.base(now, service); ok {
+			return base, Inferred
+		}
 		return Origin{}, Unknown
-	case !t.historyRead && now.Sub(t.startedAt) < HistoryTime:
+	case !t.isAware(now):
 		return Origin{}, Unaware
 	}
 	out := Origin{Service: service}
--- a/internal/service/origins/codec.go
+++ b/internal/service/origins/codec.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/origin"
 	"github.com/zinniafork/zinniafork/internal/fleet"
@@ -27,6 +28,40 @@
 	Groups []group `msgpack:"g,omitempty"`
 	// Versions lists the versions of all services, in the slot of that name only.
 	Versions []origin.Origin `msgpack:"v,omitempty"`
+	// Bases lists the versions that mixed services had alone before, beside Versions.
+	Bases []base `msgpack:"b,omitempty"`
+	// Era is the era of the log in which Versions and Bases hold. Earlier releases, which
+	// wrote no bases, do not name it.
+	Era *int64 `msgpack:"e,omitempty"`
+}
+
+// basesHold reports whether the log has lost nothing since the batch was written.
+func (b *batch) basesHold(era int64) bool { return b.Era == nil || *b.Era == era }
+
+// base is an origin.Base in the log.
+type base struct {
+	Service fleet.Service `msgpack:"s"`
+	Version string        `msgpack:"v"`
+	// MixedMS is the Unix time in milliseconds at which the service got mixed.
+	MixedMS int64 `msgpack:"m"`
+}
+
+// encodeBases returns bases as in the log.
+func encodeBases(bases []origin.Base) []base {
+	var out []base
+	for _, b := range bases {
+		out = append(out, base{Service: b.Origin.Service, Version: b.Origin.Version, MixedMS: b.MixedAt.UnixMilli()})
+	}
+	return out
+}
+
+// decodeBases returns the bases of a batch.
+func decodeBases(bases []base) []origin.Base {
+	var out []origin.Base
+	for _, b := range bases {
+		out = append(out, origin.Base{Origin: origin.Origin{Service: b.Service, Version: b.Version}, MixedAt: time.UnixMilli(b.MixedMS)})
+	}
+	return out
 }
 
 // query tells origins to a recorder, or asks it for one.
--- a/internal/service/origins/find.go
+++ b/internal/service/origins/find.go
@@ -17,14 +17,14 @@
 	// which there is no other.
 	readTimeout = 500 * time.Millisecond
 	readRetry   = time.Second
-	// askTimeout limits the answer of a recorder, which may read the log.
-	askTimeout = 600 * time.Millisecond
+	// askTimeout limits the answer of a recorder, which may read the log, and askAgainTimeout
+	// that of the next one.
+	askTimeout      = 600 * time.Millisecond
+	askAgainTimeout = 250 * time.Millisecond
 	// witnessTimeout limits the answer of a router that is asked what it knows.
 	witnessTimeout = 200 * time.Millisecond
-	// maxAsked is the number of recorders that are asked for one stream.
-	maxAsked = 2
 	// lookupTimeout limits a whole lookup.
-	lookupTimeout = time.Second
+	lookupTimeout = 1500 * time.Millisecond
 )
 
 // Find returns the origin of the stream that an attempt began.
@@ -43,12 +43,12 @@
 	if o, verdict := s.decide(id, service); verdict == origin.Known {
 		return o, verdict
 	}
-	for range maxAsked {
+	for _, timeout := range [...]time.Duration{askTimeout, askAgainTimeout} {
 		recorder := s.recorderOf(id)
 		if recorder == s.self {
 			break
 		}
-		o, verdict, err := s.ask(ctx, recorder, id, service)
+		o, verdict, err := s.ask(ctx, recorder, id, service, timeout)
 		if err == nil && verdict != origin.Unaware {
 			return o, verdict
 		}
@@ -64,8 +64,8 @@
 }
 
 // ask asks a recorder.
-func (s *Service) ask(ctx context.Context, recorder fleet.VM, id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict, error) {
-	answer, err := s.query(ctx, recorder, &query{Asks: true, Stream: uint64(id), Service: service}, askTimeout)
+func (s *Service) ask(ctx context.Context, recorder fleet.VM, id origin.Stream, service fleet.Service, timeout time.Duration) (origin.Origin, origin.Verdict, error) {
+	answer, err := s.query(ctx, recorder, &query{Asks: true, Stream: uint64(id), Service: service}, timeout)
 	if err != nil {
 		return origin.Origin{}, origin.Unaware, err
 	}
@@ -81,25 +81,48 @@
 // cut off may not know the target at which the stream began, however little time has passed.
 func (s *Service) findHere(ctx context.Context, id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict) {
 	o, verdict := s.decide(id, service)
-	if verdict == origin.Unaware || verdict == origin.Unknown {
-		s.readLog(ctx)
-		o, verdict = s.decide(id, service)
+	if !isCertain(verdict) {
+		o, verdict = s.findInLog(ctx, id, service)
 	}
 	if verdict != origin.Uniform {
 		return o, verdict
 	}
-	if s.site.Refresh(ctx) == nil {
-		return s.decide(id, service)
+	if s.site.Refresh(ctx) != nil {
+		if s.isCutOff() {
+			return origin.Origin{}, origin.Unaware
+		}
+		return s.askWitnesses(ctx, id, service, o)
 	}
-	if s.isCutOff() {
+	if o, verdict = s.decide(id, service); isCertain(verdict) {
+		return o, verdict
+	}
+	return s.findInLog(ctx, id, service)
+}
+
+// isCertain reports whether a verdict does not depend on what the log says.
+func isCertain(v origin.Verdict) bool { return v == origin.Known || v == origin.Uniform }
+
+// findInLog decides by what this router knows and by the log. That a stream was not recorded
+// holds only for a log that could be read now.
+func (s *Service) findInLog(ctx context.Context, id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict) {
+	read := s.readLog(ctx)
+	o, verdict := s.decide(id, service)
+	switch {
+	case verdict == origin.Inferred && read:
+		return o, origin.Known
+	case verdict == origin.Inferred, verdict == origin.Unknown && !read:
 		return origin.Origin{}, origin.Unaware
 	}
-	return s.askWitnesses(ctx, id, service, o)
+	return o, verdict
 }
 
 // findKnown returns what this router knows, for one that can't read the log.
 func (s *Service) findKnown(_ context.Context, id origin.Stream, service fleet.Service) (origin.Origin, origin.Verdict) {
-	return s.decide(id, service)
+	o, verdict := s.decide(id, service)
+	if verdict == origin.Inferred {
+		return origin.Origin{}, origin.Unknown
+	}
+	return o, verdict
 }
 
 // witnesses is the number of other routers that must know a service as uniform when the log
@@ -168,6 +191,16 @@
 	return err == nil
 }
 
+// readHistory reads the log until that has succeeded once, so that this router knows which
+// versions there were before it started.
+func (s *Service) readHistory(ctx context.Context) {
+	for !s.readLog(ctx) {
+		if s.clock.Sleep(ctx, readRetry) != nil {
+			return
+		}
+	}
+}
+
 // logRead takes what was read from the log.
 func (s *Service) logRead(batches [][]byte, next Position, err error) {
 	s.mu.Lock()
@@ -189,6 +222,9 @@
 			continue
 		}
 		s.tracker.Heard(now, b.Versions)
+		if b.basesHold(next.Era) {
+			s.tracker.HeardBases(now, b.Versions, decodeBases(b.Bases))
+		}
 		at := time.UnixMilli(b.AtMS)
 		if at.After(now) {
 			at = now // another VM's clock is ahead
--- a/internal/service/origins/record.go
+++ b/internal/service/origins/record.go
@@ -19,6 +19,9 @@
 	// recordTimeout is the longest time that the first event of a stream waits until its
 	// origin is recorded.
 	recordTimeout = 150 * time.Millisecond
+	// mustRecordTimeout is that of a stream which would be taken for one of another version.
+	// The first recorder may just have been lost.
+	mustRecordTimeout = 700 * time.Millisecond
 	// sendDelay is the time in which origins are collected before they are sent to a
 	// recorder, sendTimeout limits its answer, and sendRetry is the wait after one that did
 	// not answer. maxSending is the number of messages that are under way.
@@ -52,7 +55,11 @@
 func (s *Service) Began(ctx context.Context, attempt string, o origin.Origin) {
 	id := streamOf(attempt)
 	s.mu.Lock()
-	recorded := s.tracker.Began(s.clock.Now(), id, o)
+	now, timeout := s.clock.Now(), recordTimeout
+	recorded := s.tracker.Began(now, id, o)
+	if s.tracker.MustRecord(now, o) {
+		timeout = mustRecordTimeout
+	}
 	if !recorded {
 		s.mu.Unlock()
 		return
@@ -63,7 +70,7 @@
 	wake(s.sendWake)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stop := s.clock.AfterFunc(recordTimeout, cancel)
+	stop := s.clock.AfterFunc(timeout, cancel)
 	defer stop()
 	select {
 	case <-done:
@@ -304,7 +311,8 @@
 // versionsDue reports whether this router is to write the versions of services. The caller
 // holds the lock.
 func (s *Service) versionsDue(now time.Time) bool {
-	return s.recorders()[0] == s.self && now.Sub(s.startedAt) >= settleTime && !slices.Equal(s.versions, s.tracker.Versions(now))
+	return s.recorders()[0] == s.self && now.Sub(s.startedAt) >= settleTime &&
+		(!slices.Equal(s.versions, s.tracker.Versions(now)) || !slices.Equal(s.bases, s.tracker.Bases(now)))
 }
 
 // writeVersions writes the versions of services if they have changed. What other routers
@@ -319,15 +327,16 @@
 	}
 	s.mu.Lock()
 	now := s.clock.Now()
-	versions := s.tracker.Versions(now)
+	versions, bases, era := s.tracker.Versions(now), s.tracker.Bases(now), s.position.Era
 	s.mu.Unlock()
-	if err := s.write(ctx, versionsSlot, &batch{AtMS: now.UnixMilli(), Versions: versions}); err != nil {
+	b := &batch{AtMS: now.UnixMilli(), Versions: versions, Bases: encodeBases(bases), Era: &era}
+	if err := s.write(ctx, versionsSlot, b); err != nil {
 		s.logger.WithError(err).Warn("Cannot write versions of targets to the log.")
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.versions = versions
+	s.versions, s.bases = versions, bases
 }
 
 // writeBatch writes one batch to the slot of the present time, and reports whether there
--- a/internal/service/origins/service.go
+++ b/internal/service/origins/service.go
@@ -73,8 +73,9 @@
 	position     Position
 	readFailedAt time.Time
 	random       *rand.Rand
-	// versions are those that this router has written to the log, nil before.
+	// versions and bases are those that this router has written to the log, nil before.
 	versions []origin.Origin
+	bases    []origin.Base
 	// startedAt is the start of the process.
 	startedAt time.Time
 }
@@ -132,6 +133,7 @@
 func (s *Service) Start(ctx context.Context) error {
 	go s.sendLoop(ctx)
 	go s.writeLoop(ctx)
+	go s.readHistory(ctx)
 	go kernel.Every(ctx, s.clock, tellPeriod, func(time.Time) { s.tellHolder(ctx) })
 	go kernel.Every(ctx, s.clock, expirePeriod, func(now time.Time) {
 		s.mu.Lock()
@@ -164,6 +166,7 @@
 	}
 	if changes.Restored {
 		s.queue.Add(s.tracker.Recorded())
+		s.tracker.ForgetBases()
 		s.versions = nil
 	}
 	// A service may have become mixed, or have other versions.
