Suspect every part of a prompt, however long it is

What callers saw: with chats of 256 turns or more, a first part that crashes engines was never quarantined: 30 of 36 crashes came more than 3 s after the fifth. Cause: a crash counted against the last 255 parts of its prompt only, as one byte of a digest holds their number. Change: a crash counts against up to 8,192 parts, more than a header can hold. A digest names those before the last 255 in a field of its own, which routers of earlier releases skip, and holds 128 KiB of parts; crashes beyond wait for the next one. Records make room in bulk, and a response looks at them only if its process is accused. Tests: TestFirstPartOfALongChatIsNotSentOn failed before with 256 and 1,500 turns (30 and 31 late), passes now; so do 256, 1,000 and 4,095 parts in TestFirstPartOfALongPromptIsQuarantined. TestDigestsHoldFewCrashesOfLongPrompts bounds a digest.

--- a/internal/app/site_quarantine_test.go
+++ b/internal/app/site_quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -187,3 +188,39 @@
 		must.Eq(t, before, b.crashes())
 	})
 }
+
+// TestFirstPartOfALongChatIsNotSentOn lets the first part of chats of many turns crash each
+// engine. No two chats share a turn, and their headers are as long as they may be.
+func TestFirstPartOfALongChatIsNotSentOn(t *testing.T) {
+	for _, turns := range []int{18, 256, 1500} {
+		t.Run(fmt.Sprint(turns, " turns"), func(t *testing.T) {
+			onSite(t, func(t *testing.T, b *siteBed) {
+				b.crashingEngines("dead", false)
+				var fifth time.Time
+				for i := range 60 {
+					parts := []string{"dead"}
+					for turn := range turns {
+						parts = append(parts, strconv.FormatInt(int64(0x100000+i*2048+turn), 36))
+					}
+					go b.callOn(fmt.Sprint(i%3+1), "chat", append(parts, fmt.Sprint("z", i))...)
+					for range 5 {
+						b.wait(100 * time.Millisecond)
+						go b.callOn(fmt.Sprint(i%3+1), "chat", "aa", fmt.Sprint("y", i))
+					}
+					if fifth.IsZero() && b.crashes() >= 5 {
+						fifth = time.Now()
+					}
+				}
+				late := 0
+				for _, at := range b.sendsWith("dead") {
+					if !fifth.IsZero() && at.Sub(fifth) > spreadWindow {
+						late++
+					}
+				}
+				must.LessEq(t, 3, late, must.Sprintf("%d crashes", b.crashes()))
+				must.Greater(t, 2, b.crashes())
+				must.Eq(t, 200, b.callOn("1", "chat", "aa", "bb").status)
+			})
+		})
+	}
+}
--- a/internal/core/quarantine/down.go
+++ b/internal/core/quarantine/down.go
@@ -18,13 +18,20 @@
 	born   uint32
 }
 
+// key returns what identifies the process.
+func (e Engine) key() processKey { return processKey{e.Target, e.Born} }
+
 // EngineDown records that the process of an engine was found to be down, here or at another
 // router, and lets each crash of it in the last maxCrashAge count. It reports whether there
 // was one, so that other routers are told.
 func (t *Tracker) EngineDown(now time.Time, e Engine) (changes []Change, crashed bool) {
-	t.down[processKey{e.Target, e.Born}] = now
+	t.down[e.key()] = now
+	if !t.accused[e.key()] {
+		return nil, false
+	}
 	for _, r := range t.records {
-		crashed = crashed || slices.ContainsFunc(append(r.crashes, r.together...), func(n noted) bool { return n.engine.is(e) })
+		isOf := func(n noted) bool { return n.engine.is(e) }
+		crashed = crashed || slices.ContainsFunc(r.crashes, isOf) || slices.ContainsFunc(r.together, isOf)
 		if r.familiar || r.quarantined {
 			continue
 		}
@@ -36,7 +43,7 @@
 		r.together = slices.Delete(r.together, i, i+1)
 		r.crashes = append(r.crashes, n)
 		if len(r.crashes) >= r.enough() {
-			changes = append(changes, t.judge(now, n.parts, n.engine.Service)...)
+			changes = append(changes, t.judge(now, n.request.ordered, n.engine.Service)...)
 		}
 	}
 	return changes, crashed
@@ -44,7 +51,7 @@
 
 // isDown reports whether the process of an engine was found to be down lately.
 func (t *Tracker) isDown(now time.Time, e Engine) bool {
-	at, ok := t.down[processKey{e.Target, e.Born}]
+	at, ok := t.down[e.key()]
 	return ok && now.Sub(at) <= maxCrashAge
 }
 
--- a/internal/core/quarantine/evidence.go
+++ b/internal/core/quarantine/evidence.go
@@ -11,28 +11,53 @@
 func (t *Tracker) Served(now time.Time, parts []uint64, engine Engine, sentAt time.Time) []Change {
 	outage := t.outage(engine.Service)
 	outage.servedAt = now
+	if t.held > 0 || t.accused[engine.key()] {
+		t.acquit(outage, engine, sentAt)
+	}
+	var changes []Change
+	for _, part := range parts {
+		if t.records[part] != nil {
+			tell(&t.notices.Cleared, part)
+		}
+		changes = append(changes, t.clear(now, part)...)
+	}
+	return changes
+}
+
+// acquit drops the crashes of an engine that did not happen, and ends an outage.
+func (t *Tracker) acquit(outage *outage, engine Engine, sentAt time.Time) {
+	accused := false
 	for part, r := range t.records {
 		if r.quarantined {
 			continue
 		}
 		if r.held == outage {
 			// The outage has ended. More crashes show whether it was the part.
-			r.held = nil
+			t.hold(r, nil)
 			r.crashes = r.crashes[:r.enough()-crashesAfterOutage]
 		}
 		r.crashes = slices.DeleteFunc(r.crashes, func(n noted) bool { return n.engine.is(engine) && n.at.Before(sentAt) })
 		if len(r.crashes) == 0 {
 			t.remove(part)
+			continue
 		}
+		accused = accused || slices.ContainsFunc(r.crashes, func(n noted) bool { return n.engine.is(engine) })
 	}
-	var changes []Change
-	for _, part := range parts {
-		if t.records[part] != nil {
-			tell(&t.notices.Cleared, part)
+	if !accused {
+		delete(t.accused, engine.key())
+	}
+}
+
+// expireAccused forgets processes whose crashes count against no part any more.
+func (t *Tracker) expireAccused() {
+	clear(t.accused)
+	for _, r := range t.records {
+		for _, list := range [...][]noted{r.crashes, r.together} {
+			for _, n := range list {
+				t.accused[n.engine.key()] = true
+			}
 		}
-		changes = append(changes, t.clear(now, part)...)
 	}
-	return changes
 }
 
 // ServedElsewhere records that another router has served a part.
@@ -143,6 +168,9 @@
 	t.expiredAt = now
 	t.served.expire(now)
 	t.expireDown(now)
+	if len(t.accused) > maxAccused {
+		t.expireAccused()
+	}
 	var changes []Change
 	for part, r := range t.records {
 		ttl := suspectTTL
--- a/internal/core/quarantine/long_prompt_test.go
+++ b/internal/core/quarantine/long_prompt_test.go
@@ -13,7 +13,7 @@
 // TestFirstPartOfALongPromptIsQuarantined covers a part that crashes engines and stands
 // before many others that are each request's own.
 func TestFirstPartOfALongPromptIsQuarantined(t *testing.T) {
-	for _, length := range []int{2, 17, 40, 250} {
+	for _, length := range []int{2, 17, 40, 250, 256, 1000, 4095} {
 		tracker := quarantine.New()
 		now := time.Unix(1_700_000_000, 0)
 		const deadly = uint64(7)
--- a/internal/core/quarantine/memory.go
+++ b/internal/core/quarantine/memory.go
@@ -74,8 +74,8 @@
 }
 
 type brokenSend struct {
-	at    time.Time
-	parts []uint64
+	at      time.Time
+	request *partSet
 }
 
 // broke records a send that broke off.
@@ -83,7 +83,7 @@
 	if len(o.breaks) >= maxBreaks {
 		o.breaks = slices.Delete(o.breaks, 0, 1)
 	}
-	o.breaks = append(o.breaks, brokenSend{at: now, parts: parts})
+	o.breaks = append(o.breaks, brokenSend{at: now, request: newPartSet(parts)})
 }
 
 // explains reports whether an outage explains the crashes of a part since a given time:
@@ -94,7 +94,7 @@
 		return false
 	}
 	return familiar || !content && slices.ContainsFunc(o.breaks, func(b brokenSend) bool {
-		return !b.at.Before(since) && !slices.Contains(b.parts, part)
+		return !b.at.Before(since) && !b.request.has(part)
 	})
 }
 
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -39,6 +39,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -76,15 +77,22 @@
 	announcePeriod = 10 * time.Second
 	// expirePeriod is the interval of checks for what has expired.
 	expirePeriod = time.Second
-	// maxParts is the number of parts of one request that a crash counts against, as many
-	// as a notice holds; the last ones are the most specific.
-	maxParts = 255
-	// maxRecords bounds the parts that are suspected or quarantined, maxEngines the
-	// engine processes that are kept for each, and maxNotices the notices of one kind
-	// between two digests.
-	maxRecords = 8192
+	// maxParts is the number of parts of one request that a crash counts against, more than
+	// the header of a request has room for. Any of them may be the one to blame.
+	maxParts = 8192
+	// maxRecords bounds the parts that are suspected or quarantined. Several requests of
+	// maxParts must fit, as the part to blame is found among those of three. recordsDropped
+	// is the number that makes room at a time.
+	maxRecords     = 4 * maxParts
+	recordsDropped = maxRecords / 4
+	// maxEngines bounds the engine processes that are kept for each part, and maxNotices the
+	// notices of one kind between two digests.
 	maxEngines = 8
 	maxNotices = 64
+	// maxAccused is the number of processes from which those that no record names are dropped.
+	maxAccused = 1024
+	// maxNoticeParts is the number of parts in the crashes of one digest, 128 KiB.
+	maxNoticeParts = 16 << 10
 )
 
 // Engine identifies a process of an engine.
@@ -134,6 +142,18 @@
 	return slices.Clone(parts[max(0, len(parts)-maxParts):])
 }
 
+// TakeCrashes returns the first crashes of a list with maxNoticeParts parts at most, but for
+// a single one, and the others.
+func TakeCrashes(list []Crash) (taken, rest []Crash) {
+	parts := 0
+	for i := range list {
+		if parts += len(list[i].Parts); i > 0 && parts > maxNoticeParts {
+			return list[:i], list[i:]
+		}
+	}
+	return list, nil
+}
+
 // Notices are the evidence that routers exchange.
 type Notices struct {
 	Crashes []Crash
@@ -192,8 +212,12 @@
 	notices Notices
 	// down holds when processes were found to be down.
 	down map[processKey]time.Time
-	// quarantined is the number of records in quarantine.
+	// accused holds the processes whose crashes count against a part, or may do so.
+	accused map[processKey]bool
+	// quarantined is the number of records in quarantine, and held that of those that may
+	// be due to an outage.
 	quarantined int
+	held        int
 	expiredAt   time.Time
 }
 
@@ -223,15 +247,31 @@
 type noted struct {
 	at     time.Time
 	engine Engine
-	// parts are all parts of the request.
-	parts []uint64
+	// request holds all parts of the request.
+	request *partSet
+}
+
+// partSet is the parts of one request.
+type partSet struct{ ordered, sorted []uint64 }
+
+// newPartSet returns a set of parts, which it keeps.
+func newPartSet(parts []uint64) *partSet {
+	sorted := slices.Clone(parts)
+	slices.Sort(sorted)
+	return &partSet{ordered: parts, sorted: sorted}
+}
+
+// has reports whether the request has a part.
+func (s *partSet) has(part uint64) bool {
+	_, ok := slices.BinarySearch(s.sorted, part)
+	return ok
 }
 
 // New returns a tracker without evidence.
 func New() *Tracker {
 	return &Tracker{
 		records: make(map[uint64]*record), served: newMemory(), outages: make(map[fleet.Service]*outage),
-		down: make(map[processKey]time.Time),
+		down: make(map[processKey]time.Time), accused: make(map[processKey]bool),
 	}
 }
 
@@ -248,10 +288,12 @@
 // Count returns the number of parts in quarantine.
 func (t *Tracker) Count() int { return t.quarantined }
 
-// TakeNotices returns the notices for the other routers since the last call.
+// TakeNotices returns the notices for the other routers since the last call. Crashes for which
+// a digest has no room wait for the next one.
 func (t *Tracker) TakeNotices() Notices {
 	n := t.notices
 	t.notices = Notices{}
+	n.Crashes, t.notices.Crashes = TakeCrashes(n.Crashes)
 	return n
 }
 
@@ -346,10 +388,15 @@
 func (t *Tracker) crashed(now time.Time, c Crash) []Change {
 	var changes []Change
 	hashes := c.hashes()
+	if len(hashes) == 0 {
+		return nil
+	}
+	request, down := newPartSet(hashes), t.isDown(now, c.Engine)
+	t.accused[c.Engine.key()] = true
 	for _, hash := range hashes {
 		r := t.record(now, hash)
 		r.content = r.content || hash == c.Content
-		if r.note(&c, hashes, t.isDown(now, c.Engine)) && len(r.crashes) == isolateCrashes {
+		if r.note(&c, request, down) && len(r.crashes) == isolateCrashes {
 			changes = append(changes, Change{Part: hash, State: Suspected, Crashes: len(r.crashes)})
 		}
 	}
@@ -365,7 +412,7 @@
 	}
 	r := t.records[part]
 	if outage := t.outage(service); outage.explains(part, r.familiar, r.content, r.crashes[0].at) {
-		r.held = outage
+		t.hold(r, outage)
 		return changes
 	}
 	t.quarantine(now, r)
@@ -374,41 +421,66 @@
 	return append(changes, t.explain(part, r)...)
 }
 
-// record returns the record of a part, and creates it on first use. If there are too
-// many, the one that changed longest ago makes room, a quarantined one only if there is
-// no other.
+// hold records the outage for which a part is not quarantined, or nil.
+func (t *Tracker) hold(r *record, o *outage) {
+	if r.held != nil {
+		t.held--
+	}
+	if r.held = o; o != nil {
+		t.held++
+	}
+}
+
+// record returns the record of a part, and creates it on first use.
 func (t *Tracker) record(now time.Time, part uint64) *record {
 	if r, ok := t.records[part]; ok {
 		return r
 	}
 	if len(t.records) >= maxRecords {
-		var oldest uint64
-		var found *record
-		for p, r := range t.records {
-			if found == nil || found.quarantined && !r.quarantined || found.quarantined == r.quarantined && r.changedAt.Before(found.changedAt) {
-				oldest, found = p, r
-			}
-		}
-		t.remove(oldest)
+		t.makeRoom()
 	}
 	r := &record{familiar: t.served.has(part), changedAt: now}
 	t.records[part] = r
 	return r
 }
 
+// makeRoom drops the records that changed longest ago, quarantined ones only if there are no
+// others.
+func (t *Tracker) makeRoom() {
+	parts := slices.Collect(maps.Keys(t.records))
+	slices.SortFunc(parts, func(a, b uint64) int {
+		x, y := t.records[a], t.records[b]
+		if x.quarantined != y.quarantined {
+			if x.quarantined {
+				return 1
+			}
+			return -1
+		}
+		return x.changedAt.Compare(y.changedAt)
+	})
+	for _, part := range parts[:recordsDropped] {
+		t.remove(part)
+	}
+}
+
 // remove drops the record of a part.
 func (t *Tracker) remove(part uint64) {
-	if t.inQuarantine(part) {
+	r, ok := t.records[part]
+	if !ok {
+		return
+	}
+	if r.quarantined {
 		t.quarantined--
 	}
+	t.hold(r, nil)
 	delete(t.records, part)
 }
 
 // note adds a crash of a request with these parts, and reports whether it counts. Requests
 // with the same content that break off together still have only that in common, and so
 // do those with a part that was never served, if their engines are down.
-func (r *record) note(c *Crash, parts []uint64, down bool) bool {
-	n := noted{at: c.At, engine: c.Engine, parts: parts}
+func (r *record) note(c *Crash, request *partSet, down bool) bool {
+	n := noted{at: c.At, engine: c.Engine, request: request}
 	if len(r.crashes) >= maxEngines || slices.ContainsFunc(r.crashes, func(other noted) bool { return other.engine.is(c.Engine) }) {
 		return false
 	}
@@ -485,7 +557,7 @@
 		if len(r.crashes) == 0 || len(r.crashes) >= len(by.crashes) {
 			continue
 		}
-		left := slices.DeleteFunc(slices.Clone(r.crashes), func(n noted) bool { return slices.Contains(n.parts, part) })
+		left := slices.DeleteFunc(slices.Clone(r.crashes), func(n noted) bool { return n.request.has(part) })
 		switch {
 		case len(left) == 0:
 			if r.quarantined {
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -39,6 +39,9 @@
 	// in 2, the number of parts in 1 and the hash of each part in 8, all little endian.
 	// Cleared, Familiar and Quarantined hold the hashes of parts.
 	Crashes []byte `msgpack:"c,omitempty"`
+	// Earlier holds the parts of crashes that stand before those for which Crashes has room.
+	// Routers of earlier releases neither send nor read it.
+	Earlier []earlierParts `msgpack:"e,omitempty"`
 	// Contents holds the hash of the content of the request of each crash. Routers of
 	// earlier releases neither send nor read it.
 	Contents    []uint64 `msgpack:"t,omitempty"`
@@ -58,6 +61,14 @@
 	Down []uint32 `msgpack:"d,omitempty"`
 }
 
+// earlierParts are parts of a long prompt.
+type earlierParts struct {
+	// Crash is the number of the entry of Crashes, from zero.
+	Crash int `msgpack:"n"`
+	// Parts holds the hash of each part in 8 bytes, little endian.
+	Parts []byte `msgpack:"p"`
+}
+
 // placementSize is the length in bytes of one entry of Prompts.
 const placementSize = 10
 
@@ -122,12 +133,13 @@
 const (
 	maxPlacements = 4096
 	maxReports    = 1024
-	// maxCrashes is lower, since a crash may hold 2 KiB of parts.
+	// maxCrashes is lower, since a crash may hold 64 KiB of parts.
 	maxCrashes = 64
 )
 
 // take returns the collected updates and empties u. Of more than a digest may hold it
-// returns the newest, and the number of those that are left out.
+// returns the newest, and the number of those that are left out. Crashes with many parts wait
+// for the next digest.
 func (u *updates) take() (out updates, dropped int) {
 	out = *u
 	*u = updates{}
@@ -136,7 +148,7 @@
 	out.limits = newest(out.limits, maxReports, &dropped)
 	out.brittle = newest(out.brittle, maxReports, &dropped)
 	out.down = newest(out.down, maxReports, &dropped)
-	out.parts.Crashes = newest(out.parts.Crashes, maxCrashes, &dropped)
+	out.parts.Crashes, u.parts.Crashes = quarantine.TakeCrashes(newest(out.parts.Crashes, maxCrashes, &dropped))
 	out.parts.Cleared = newest(out.parts.Cleared, maxReports, &dropped)
 	out.parts.Familiar = newest(out.parts.Familiar, maxReports, &dropped)
 	out.parts.Quarantined = newest(out.parts.Quarantined, maxReports, &dropped)
@@ -169,7 +181,7 @@
 	d.Leaving, d.Down = appendProcesses(enc, u.leaving), appendProcesses(enc, u.down)
 	for _, c := range u.parts.Crashes {
 		if index, ok := enc.Index(c.Engine.Target); ok {
-			d.Crashes = appendCrash(d.Crashes, index, now.Sub(c.At), c)
+			d.appendCrash(index, now.Sub(c.At), c)
 			d.Contents = append(d.Contents, c.Content)
 		}
 	}
@@ -231,19 +243,46 @@
 	return out
 }
 
-// appendCrash appends an entry of Crashes.
-func appendCrash(out []byte, index uint16, age time.Duration, c quarantine.Crash) []byte {
-	parts := c.Parts[:min(len(c.Parts), math.MaxUint8)]
-	out = binary.LittleEndian.AppendUint16(out, index)
+// appendCrash appends an entry of Crashes with its last parts, and the others to Earlier.
+func (d *digest) appendCrash(index uint16, age time.Duration, c quarantine.Crash) {
+	earlier := max(len(c.Parts)-math.MaxUint8, 0)
+	if earlier > 0 {
+		d.Earlier = append(d.Earlier, earlierParts{Crash: len(d.Contents), Parts: appendParts(nil, c.Parts[:earlier])})
+	}
+	out := binary.LittleEndian.AppendUint16(d.Crashes, index)
 	out = binary.LittleEndian.AppendUint32(out, c.Engine.Born)
 	out = binary.LittleEndian.AppendUint16(out, uint16(min(max(age.Milliseconds(), 0), math.MaxUint16)))
-	out = append(out, uint8(len(parts)))
+	out = append(out, uint8(len(c.Parts)-earlier))
+	d.Crashes = appendParts(out, c.Parts[earlier:])
+}
+
+// appendParts appends the hashes of parts.
+func appendParts(out []byte, parts []uint64) []byte {
 	for _, part := range parts {
 		out = binary.LittleEndian.AppendUint64(out, part)
 	}
 	return out
 }
 
+// decodeParts decodes the hashes of parts. An incomplete one at the end is ignored.
+func decodeParts(data []byte) []uint64 {
+	var out []uint64
+	for ; len(data) >= partSize; data = data[partSize:] {
+		out = append(out, binary.LittleEndian.Uint64(data))
+	}
+	return out
+}
+
+// earlierParts returns the parts of a crash that Crashes has no room for.
+func (d *digest) earlierParts(number int) []uint64 {
+	for _, e := range d.Earlier {
+		if e.Crash == number {
+			return decodeParts(e.Parts)
+		}
+	}
+	return nil
+}
+
 // parts decodes the notices of parts, given the targets of the table by index.
 // Crashes of unknown targets are ignored, as are those from an incomplete one on.
 func (d *digest) parts(now time.Time, refs []fleet.Ref) quarantine.Notices {
@@ -260,10 +299,8 @@
 		if len(rest) < count*partSize {
 			break
 		}
-		for ; count > 0; count-- {
-			c.Parts = append(c.Parts, binary.LittleEndian.Uint64(rest))
-			rest = rest[partSize:]
-		}
+		c.Parts = append(d.earlierParts(number), decodeParts(rest[:count*partSize])...)
+		rest = rest[count*partSize:]
 		if index < len(refs) {
 			c.Engine.Target = refs[index]
 			n.Crashes = append(n.Crashes, c)
--- a/internal/service/forward/quarantine_test.go
+++ b/internal/service/forward/quarantine_test.go
@@ -22,12 +22,12 @@
 var start = time.Unix(1_700_000_000, 0)
 
 func drawNotices(t *rapid.T) quarantine.Notices {
-	parts := rapid.SliceOfN(rapid.Uint64(), 1, 20)
+	parts, long := rapid.SliceOfN(rapid.Uint64(), 1, 20), rapid.SliceOfN(rapid.Uint64(), 1, 600)
 	n := quarantine.Notices{Cleared: parts.Draw(t, "cleared"), Familiar: parts.Draw(t, "familiar"), Quarantined: parts.Draw(t, "quarantined")}
 	for range rapid.IntRange(2, 20).Draw(t, "crashes") {
 		e := quarantine.Engine{Target: fleet.Ref(rapid.Uint32().Draw(t, "target")), Born: rapid.Uint32().Draw(t, "born")}
 		age := time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond
-		n.Crashes = append(n.Crashes, quarantine.Crash{At: start.Add(-age), Engine: e, Parts: parts.Draw(t, "parts"), Content: rapid.Uint64().Draw(t, "content")})
+		n.Crashes = append(n.Crashes, quarantine.Crash{At: start.Add(-age), Engine: e, Parts: long.Draw(t, "parts"), Content: rapid.Uint64().Draw(t, "content")})
 	}
 	return n
 }
@@ -54,6 +54,34 @@
 	})
 }
 
+// TestDigestsHoldFewCrashesOfLongPrompts checks that crashes for which a digest has no room come
+// with the next one.
+func TestDigestsHoldFewCrashesOfLongPrompts(t *testing.T) {
+	tracker := quarantine.New()
+	tracker.Served(start, []uint64{1 << 40}, quarantine.Engine{Target: 99}, start) // no outage
+	for i := range 10 {
+		parts := make([]uint64, 4095)
+		for j := range parts {
+			parts[j] = uint64(i*5000 + j + 1)
+		}
+		tracker.Crashed(start, quarantine.Crash{Engine: quarantine.Engine{Target: fleet.Ref(i + 1)}, Parts: parts})
+	}
+	var relayed updates
+	told, passedOn := 0, 0
+	for range 4 {
+		n := tracker.TakeNotices()
+		told += len(n.Crashes)
+		relayed.merge(updates{parts: n})
+		u, _ := relayed.take()
+		passedOn += len(u.parts.Crashes)
+		payload, err := wire.Marshal(newDigest(start, loadtable.NewEncoder(1), nil, u))
+		must.NoError(t, err)
+		must.Less(t, 140<<10, len(payload))
+	}
+	must.Eq(t, 10, told)
+	must.Eq(t, 10, passedOn)
+}
+
 // digestBefore is the digest of the last release.
 type digestBefore struct {
 	Total    bool              `msgpack:"s,omitempty"`
