Know a request that crashes targets by its path, account and body

What callers saw: a request that crashes each worker that runs it, and comes again with another query each time, went on to reach workers: 18 of 21 sends came more than 3 s after the third crash, with a body and without one. Cause: the hash by which such a request is known takes in its method and whole URI. Its identity is path, account and body; a query may differ, as a request ID does. Change: a crash also counts against the resource of its request, which is host, path, account and body. With a body that is as specific as the content. Digests name resources in a field of their own, and the hash of the content is as before, so that routers of earlier releases agree on it. Tests: TestRequestThatCrashesTargetsIsKnownWithAnyQuery failed before (18 late, 3 allowed). TestQueriesOfOnePathAreToldApart, a guard, passes before and after: one query of a path crashes targets, nine tenths of the sound ones with other queries are served.

--- a/internal/app/site_crash_request_test.go
+++ b/internal/app/site_crash_request_test.go
@@ -96,6 +96,74 @@
 	})
 }
 
+// TestRequestThatCrashesTargetsIsKnownWithAnyQuery plays a request that crashes each target
+// that runs it, and comes with another query each time, with a body or without one. Requests
+// with its path and caller and another body are served, and without a body those that come
+// while it does not.
+func TestRequestThatCrashesTargetsIsKnownWithAnyQuery(t *testing.T) {
+	for _, body := range []string{deadlyBody, ""} {
+		t.Run(fmt.Sprintf("body %q", body), func(t *testing.T) {
+			onSite(t, func(t *testing.T, b *siteBed) {
+				b.crashingWorkers("plain", []string{"p1", "p2", "p3"}, workerd.Options{
+					Slots: 64, Work: 20 * time.Millisecond, CrashBodies: []string{body},
+				})
+				var third time.Time
+				served := 0
+				for i := range 60 {
+					request := b.request("order")
+					request.Body, request.Query = body, fmt.Sprint("try=", i)
+					go b.do(fmt.Sprint(i%3+1), request)
+					b.wait(500 * time.Millisecond)
+					if third.IsZero() && b.crashes() >= 3 {
+						third = time.Now()
+					}
+					if b.callBody(fmt.Sprint(i%3+1), "order", "").status == 200 {
+						served++
+					}
+				}
+				late := 0
+				for _, at := range b.sendsOf(body) {
+					if !third.IsZero() && at.Sub(third) > spreadWindow {
+						late++
+					}
+				}
+				must.LessEq(t, 3, late, must.Sprintf("%d crashes", b.crashes()))
+				must.Greater(t, 40, served)
+			})
+		})
+	}
+}
+
+// TestQueriesOfOnePathAreToldApart lets one query of a path crash targets, among sound requests
+// with its path and caller that have no body either.
+func TestQueriesOfOnePathAreToldApart(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.crashingWorkers("plain", []string{"p1", "p2", "p3"}, workerd.Options{
+			Slots: 64, Work: 20 * time.Millisecond, CrashQueries: []string{"id=666"},
+		})
+		call := func(i int, query string) answer {
+			request := b.request("status")
+			request.Body, request.Query = "", query
+			return b.do(fmt.Sprint(i%3+1), request)
+		}
+		served, sound := 0, 0
+		for i := range 60 {
+			go call(i, "id=666")
+			for j := range 5 {
+				b.wait(100 * time.Millisecond)
+				if a := call(i+j, fmt.Sprint("id=", i)); i >= 20 {
+					sound++
+					if a.status == 200 {
+						served++
+					}
+				}
+			}
+		}
+		must.LessEq(t, 6, b.crashes())
+		must.Greater(t, sound*9/10, served, must.Sprintf("of %d sound requests", sound))
+	})
+}
+
 // TestQuarantinedRequestOutlastsAllRouters ends all routers at once after a request was
 // quarantined.
 func TestQuarantinedRequestOutlastsAllRouters(t *testing.T) {
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -12,7 +12,8 @@
 //
 // What is said of parts below holds for the content of a request too, which is all that
 // it holds but its ID. Content is more specific: a request is known by it wherever it
-// comes again, and requests that differ say nothing of it.
+// comes again, and requests that differ say nothing of it. So is its resource, which is its
+// path, account and body, where a caller tells its retries apart by the rest.
 //
 // A part goes through these states:
 //
@@ -115,22 +116,33 @@
 	// Parts are the hashes of the shared parts of the prompt in their order. There are none
 	// once the response had begun, or for a service without prompts.
 	Parts []uint64
-	// Content is the hash of all that the request holds, zero if it is not known.
-	Content uint64
+	// Resource is the hash of path, account and body of the request, zero if it is not known
+	// or one that requests share, and Content that of all that it holds.
+	Resource uint64
+	Content  uint64
 }
 
-// hashes returns the parts and the content that the crash counts against.
+// hashes returns the parts, the resource and the content that the crash counts against, the
+// most specific last.
 func (c *Crash) hashes() []uint64 {
 	out := lastParts(c.Parts)
-	if c.Content != 0 {
-		out = append(out, c.Content)
+	for _, hash := range [...]uint64{c.Resource, c.Content} {
+		if hash != 0 {
+			out = append(out, hash)
+		}
 	}
 	return out
 }
 
-// without returns the crash with the parts and the content that do not match.
+// isContent reports whether a hash is that of the content or the resource.
+func (c *Crash) isContent(hash uint64) bool { return hash == c.Content || hash == c.Resource }
+
+// without returns the crash with the hashes that do not match.
 func (c Crash) without(match func(hash uint64) bool) Crash {
 	c.Parts = slices.DeleteFunc(lastParts(c.Parts), match)
+	if match(c.Resource) {
+		c.Resource = 0
+	}
 	if match(c.Content) {
 		c.Content = 0
 	}
@@ -231,7 +243,7 @@
 	// by a notice, at another router. toldFamiliar is true once this router has told so.
 	familiar     bool
 	toldFamiliar bool
-	// content is true if the record is of the content of requests.
+	// content is true if the record is of the content or the resource of requests.
 	content bool
 	// held is the outage for which the part was not quarantined, nil if there is none.
 	held        *outage
@@ -319,7 +331,7 @@
 		return nil // explained by that part
 	}
 	reported := c.without(func(hash uint64) bool {
-		return outage.lasts(now, hash, t.served.has(hash), hash == c.Content)
+		return outage.lasts(now, hash, t.served.has(hash), c.isContent(hash))
 	})
 	if len(reported.hashes()) > 0 && len(t.notices.Crashes) < maxNotices {
 		t.notices.Crashes = append(t.notices.Crashes, reported)
@@ -395,7 +407,7 @@
 	t.accused[c.Engine.key()] = true
 	for _, hash := range hashes {
 		r := t.record(now, hash)
-		r.content = r.content || hash == c.Content
+		r.content = r.content || c.isContent(hash)
 		if r.note(&c, request, down) && len(r.crashes) == isolateCrashes {
 			changes = append(changes, Change{Part: hash, State: Suspected, Crashes: len(r.crashes)})
 		}
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -42,9 +42,10 @@
 	// Earlier holds the parts of crashes that stand before those for which Crashes has room.
 	// Routers of earlier releases neither send nor read it.
 	Earlier []earlierParts `msgpack:"e,omitempty"`
-	// Contents holds the hash of the content of the request of each crash. Routers of
-	// earlier releases neither send nor read it.
+	// Contents and Resources hold the hashes of the content and the resource of the request
+	// of each crash. Routers of earlier releases may neither send nor read them.
 	Contents    []uint64 `msgpack:"t,omitempty"`
+	Resources   []uint64 `msgpack:"u,omitempty"`
 	Cleared     []uint64 `msgpack:"f,omitempty"`
 	Familiar    []uint64 `msgpack:"k,omitempty"`
 	Quarantined []uint64 `msgpack:"q,omitempty"`
@@ -183,6 +184,7 @@
 		if index, ok := enc.Index(c.Engine.Target); ok {
 			d.appendCrash(index, now.Sub(c.At), c)
 			d.Contents = append(d.Contents, c.Content)
+			d.Resources = append(d.Resources, c.Resource)
 		}
 	}
 	d.Limits = appendLimits(now, enc, u.limits)
@@ -295,6 +297,9 @@
 		if number < len(d.Contents) {
 			c.Content = d.Contents[number]
 		}
+		if number < len(d.Resources) {
+			c.Resource = d.Resources[number]
+		}
 		rest = rest[crashHeadSize:]
 		if len(rest) < count*partSize {
 			break
--- a/internal/service/forward/quarantine.go
+++ b/internal/service/forward/quarantine.go
@@ -35,8 +35,26 @@
 	return r.Prefixes
 }
 
-// parts returns the hashes of what may crash targets: prompt parts and the content.
-func (r *request) parts() []uint64 { return append(slices.Clip(r.promptParts()), r.content) }
+// sharedParts returns the hashes of what sound requests may have too: prompt parts, or the
+// resource of a request with neither prompt nor body.
+func (r *request) sharedParts() []uint64 {
+	if !r.service.Engine && len(r.Body) == 0 {
+		return []uint64{r.resource}
+	}
+	return r.promptParts()
+}
+
+// contents returns the hashes of what identifies the request: its resource, if that includes a
+// body, and its content.
+func (r *request) contents() []uint64 {
+	if len(r.Body) > 0 {
+		return []uint64{r.resource, r.content}
+	}
+	return []uint64{r.content}
+}
+
+// parts returns the hashes of what may crash targets.
+func (r *request) parts() []uint64 { return append(slices.Clip(r.sharedParts()), r.contents()...) }
 
 // targetProcess returns the process that a send went to.
 func (s *send) targetProcess() quarantine.Engine {
@@ -78,13 +96,13 @@
 		return
 	}
 	s.responded = true
-	if parts := r.promptParts(); len(parts) > 0 {
+	if parts := r.sharedParts(); len(parts) > 0 {
 		r.served(s, parts)
 	}
 }
 
 // contentServed clears the content of the request once its response is complete.
-func (r *request) contentServed(s *send) { r.served(s, []uint64{r.content}) }
+func (r *request) contentServed(s *send) { r.served(s, r.contents()) }
 
 // served records that a target has not crashed on these parts.
 func (r *request) served(s *send, parts []uint64) {
@@ -101,8 +119,11 @@
 		return
 	}
 	crash := quarantine.Crash{Engine: s.targetProcess(), Content: r.content}
+	if len(r.Body) > 0 {
+		crash.Resource = r.resource
+	}
 	if !s.responded {
-		crash.Parts = r.promptParts()
+		crash.Parts = r.sharedParts()
 	}
 	r.s.metrics.engineCrashes.Inc(1)
 	r.s.mu.Lock()
--- a/internal/service/forward/quarantine_test.go
+++ b/internal/service/forward/quarantine_test.go
@@ -27,7 +27,7 @@
 	for range rapid.IntRange(2, 20).Draw(t, "crashes") {
 		e := quarantine.Engine{Target: fleet.Ref(rapid.Uint32().Draw(t, "target")), Born: rapid.Uint32().Draw(t, "born")}
 		age := time.Duration(rapid.IntRange(0, 9000).Draw(t, "age")) * time.Millisecond
-		n.Crashes = append(n.Crashes, quarantine.Crash{At: start.Add(-age), Engine: e, Parts: long.Draw(t, "parts"), Content: rapid.Uint64().Draw(t, "content")})
+		n.Crashes = append(n.Crashes, quarantine.Crash{At: start.Add(-age), Engine: e, Parts: long.Draw(t, "parts"), Resource: rapid.Uint64().Draw(t, "resource"), Content: rapid.Uint64().Draw(t, "content")})
 	}
 	return n
 }
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -37,6 +37,8 @@
 	verdict string
 	// content identifies requests that are the same but for their ID.
 	content uint64
+	// resource identifies those with the same path, account and body.
+	resource uint64
 	// deadline is the time by which the caller gets its final response.
 	deadline time.Time
 	// cur is the current send, and next the one whose response takes over from it.
@@ -128,7 +130,7 @@
 	if r.s.stopped.Load() {
 		return Refusal{Status: http.StatusServiceUnavailable, RetryAfter: drainingRetryAfter, Message: "router stops"}, false
 	}
-	r.content = r.hashContent()
+	r.content, r.resource = r.hashContent(), r.hashResource()
 	r.service = table.Service(route.PickService(r.s.randomFloat()))
 	if r.service == nil {
 		return Refusal{Status: http.StatusServiceUnavailable, RetryAfter: noTargetRetryAfter, Message: "no service"}, false
--- a/internal/standin/siteclient/siteclient.go
+++ b/internal/standin/siteclient/siteclient.go
@@ -24,6 +24,8 @@
 	// Prompt is the parts of a prompt; empty for a plain request.
 	Prompt []string
 	Body   string
+	// Query is the query of the URI without its question mark.
+	Query string
 	// LastEvent is the id of the last event of the stream that the client has; empty at
 	// the beginning.
 	LastEvent string
@@ -41,6 +43,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("build request: %w", err)
 	}
+	out.URL.RawQuery = r.Query
 	out.ContentLength = int64(len(r.Body))
 	out.Host = r.Host
 	out.Header.Set("X-Request-Id", r.ID)
--- a/internal/standin/workerd/crash.go
+++ b/internal/standin/workerd/crash.go
@@ -53,7 +53,7 @@
 // request is one that does. All its connections are closed, and it is back after
 // Options.Restart.
 func (s *Server) crashOn(w http.ResponseWriter, r *http.Request, run *Run, events int) {
-	if !s.crashesOnPart(run, events) && !s.crashesOnBody(run, events) {
+	if !s.crashesOnPart(run, events) && !s.crashesOnRequest(run, events) {
 		return
 	}
 	if s.opt.CrashHead {
@@ -76,10 +76,12 @@
 	})
 }
 
-// crashesOnBody reports whether the body is one of Options.CrashBodies, and as many events
-// were sent as such a request gets, or all of a plain response.
-func (s *Server) crashesOnBody(run *Run, events int) bool {
-	return (events == s.opt.CrashAfter || run.Prompt == "") && slices.Contains(s.opt.CrashBodies, run.Body)
+// crashesOnRequest reports whether the body or the query is one of Options.CrashBodies and
+// Options.CrashQueries, and as many events were sent as such a request gets, or all of a plain
+// response.
+func (s *Server) crashesOnRequest(run *Run, events int) bool {
+	return (events == s.opt.CrashAfter || run.Prompt == "") &&
+		(slices.Contains(s.opt.CrashBodies, run.Body) || slices.Contains(s.opt.CrashQueries, run.Query))
 }
 
 // crash ends the process of the worker, and starts another one after Options.Restart.
--- a/internal/standin/workerd/options.go
+++ b/internal/standin/workerd/options.go
@@ -30,6 +30,8 @@
 	// stream after CrashAfter events.
 	CrashBodies []string
 	CrashAfter  int
+	// CrashQueries are the queries of requests that crash the worker in the same way.
+	CrashQueries []string
 	// Restart is the time until the worker is back after a crash. Crashed and Restarted
 	// are called at these times, if they are set.
 	Restart   time.Duration
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -70,6 +70,7 @@
 	Request   string `json:"request"`
 	Path      string `json:"path"`
 	Body      string `json:"body"`
+	Query     string `json:"query,omitempty"`
 	Account   string `json:"account"`
 	Key       string `json:"key"`
 	LastEvent string `json:"last_event"`
@@ -248,6 +249,7 @@
 		Request:   r.Header.Get("X-Request-Id"),
 		Path:      r.RequestURI,
 		Body:      body,
+		Query:     r.URL.RawQuery,
 		Account:   r.Header.Get("X-Tenant"),
 		Key:       r.Header.Get("Authorization"),
 		LastEvent: r.Header.Get("Last-Event-Id"),
