Write a quarantine until the log has it

Cause: whether the log knows of a quarantine hung on five tries of one router. Once these had failed, or that router was lost first, or the store came back from a copy without the record, nobody wrote it again. Change: a router writes what it has to until that succeeds, one call in 4 s at most while it fails. When the routers change, the one that has to write now does so if it has not seen the part in the log; a log that has lost records gets all of them again. The bound of 64 waiting writes is gone: a part waits once, with its last state. Tests, which failed before (502 for the request instead of 503 after the loss): TestQuarantineDuringAnOutageOutlastsAllRouters in both forms, TestQuarantineOutlastsTheRouterThatWritesIt for the router that writes, and TestQuarantineOutlastsARestoredLog.

--- a/internal/app/site_crash_request_test.go
+++ b/internal/app/site_crash_request_test.go
@@ -234,3 +234,86 @@
 		b.store.Set(keyedlog.Faults{})
 	})
 }
+
+// TestQuarantineDuringAnOutageOutlastsAllRouters quarantines a request while the store fails
+// for long, and ends all routers some time after it is back.
+func TestQuarantineDuringAnOutageOutlastsAllRouters(t *testing.T) {
+	for name, faults := range map[string]keyedlog.Faults{"no answer": {Silent: true}, "answers 503": {Status: 503}} {
+		t.Run(name, func(t *testing.T) {
+			onSite(t, func(t *testing.T, b *siteBed) {
+				b.crashingSite(0)
+				b.store.Set(faults)
+				for i := range 20 {
+					go b.callBody(fmt.Sprint(i%3+1), "order", deadlyBody)
+					b.wait(500 * time.Millisecond)
+				}
+				b.wait(20 * time.Second)
+				b.store.Set(keyedlog.Faults{})
+				b.wait(5 * time.Second)
+				b.checkQuarantineAfterLoss()
+			})
+		})
+	}
+}
+
+// TestQuarantineOutlastsTheRouterThatWritesIt ends each router in turn after a request was
+// quarantined, before it can write that, and later the others.
+func TestQuarantineOutlastsTheRouterThatWritesIt(t *testing.T) {
+	for _, lost := range []string{"1", "2", "3"} {
+		t.Run("router "+lost, func(t *testing.T) {
+			onSite(t, func(t *testing.T, b *siteBed) {
+				b.crashingSite(0)
+				b.store.Set(keyedlog.Faults{Status: 503})
+				for i := range 8 {
+					go b.callBody(fmt.Sprint(i%3+1), "order", deadlyBody)
+					b.wait(500 * time.Millisecond)
+				}
+				b.stop(lost)
+				b.store.Set(keyedlog.Faults{})
+				b.wait(15 * time.Second)
+				for _, name := range []string{"1", "2", "3"} {
+					if name != lost {
+						b.stop(name)
+					}
+				}
+				b.checkQuarantineAtStart()
+			})
+		})
+	}
+}
+
+// TestQuarantineOutlastsARestoredLog lets the store come back from a copy that lacks what was
+// written of a quarantine, and then ends all routers.
+func TestQuarantineOutlastsARestoredLog(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.crashingSite(0)
+		b.store.Copy()
+		for i := range 20 {
+			go b.callBody(fmt.Sprint(i%3+1), "order", deadlyBody)
+			b.wait(500 * time.Millisecond)
+		}
+		b.store.Restore()
+		b.wait(10 * time.Second)
+		b.checkQuarantineAfterLoss()
+	})
+}
+
+// checkQuarantineAfterLoss ends all routers at once, and checks that those that start again
+// know the quarantine.
+func (b *siteBed) checkQuarantineAfterLoss() {
+	b.t.Helper()
+	must.Between(b.t, 3, b.crashes(), 6)
+	b.stopAll()
+	b.checkQuarantineAtStart()
+}
+
+// checkQuarantineAtStart starts all routers and checks that they refuse the request that
+// crashes workers.
+func (b *siteBed) checkQuarantineAtStart() {
+	b.t.Helper()
+	b.startAll()
+	for _, name := range []string{"1", "2", "3"} {
+		must.Eq(b.t, 503, b.callBody(name, "order", deadlyBody).status)
+		must.Eq(b.t, 200, b.callBody(name, "order", "").status)
+	}
+}
--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -311,14 +311,20 @@
 
 // Snapshot returns the notices for a router that has just started. Suspicions are not
 // among them: the crashes that it sees are reported to the others, and count there.
-func (t *Tracker) Snapshot() Notices {
-	var n Notices
+func (t *Tracker) Snapshot() Notices { return Notices{Quarantined: t.Parts()} }
+
+// Parts returns the parts in quarantine.
+func (t *Tracker) Parts() []uint64 {
+	if t.quarantined == 0 {
+		return nil
+	}
+	var out []uint64
 	for part, r := range t.records {
 		if r.quarantined {
-			n.Quarantined = append(n.Quarantined, part)
+			out = append(out, part)
 		}
 	}
-	return n
+	return out
 }
 
 // Crashed records a crash that this router has seen.
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -53,10 +53,9 @@
 type Service struct {
 	settings Settings
 	site     site.View
-	// quarantineLog keeps the parts in quarantine, and partWrites the changes of it that
-	// are due.
+	// quarantineLog keeps the parts in quarantine, and partLog what is to be written there.
 	quarantineLog QuarantineLog
-	partWrites    chan partWrite
+	partLog       partLog
 	targets       TargetClient
 	origins       origins.Origins
 	peers         peer.Peers
@@ -189,7 +188,7 @@
 	s.metrics = newRequestMetrics(c.Metrics)
 	s.provisionDecisions(c, id)
 	s.provisionDigests(id)
-	s.partWrites = make(chan partWrite, maxPartWrites)
+	s.partLog = newPartLog()
 	s.routers = 1
 	s.handledJoins = make(map[fleet.VM]fleet.Incarnation)
 	s.site.Watch(s.siteChanged)
@@ -269,6 +268,9 @@
 	s.brittle.Expire(s.clock.Now())
 	s.slots.Expire(s.clock.Now())
 	s.slotAsker.Expire(s.clock.Now())
+	if changes.Restored {
+		s.rewriteParts()
+	}
 	for _, r := range changes.Targets {
 		id := fleet.Target(r.Key)
 		if r.Gone {
@@ -323,6 +325,7 @@
 	for _, b := range s.budgets {
 		b.SetRouters(s.routers)
 	}
+	s.writeMissingParts()
 }
 
 // retryBudget returns the retry budget of a service. The caller holds the lock.
