Tell routers that missed a quarantine of it within a second

What callers saw: nothing yet; found by going through what a router learns of a deadly part by. A router that could not be reached while a part was quarantined sent requests with it, each of which crashes a worker, for up to ten seconds after it was back in touch. Cause: a quarantine is announced once and then each 10 s while requests come, longer than the 3 s after which a router counts as in touch again. And a digest of which a part of the table of targets is missing, for up to 4 s, was dropped whole, though a quarantine names no target. Change: it is announced each second while requests with the part come, by one router as each one that hears it waits. What names no target is taken from a digest without its table, and passed on by hubs. Tests: TestRouterThatMissedAQuarantineLearnsOfIt and TestQuarantineNeedsNoTable failed before.

--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -74,8 +74,9 @@
 	familiarProbeWait = time.Minute
 	maxProbeWait      = 4 * time.Hour
 	// announcePeriod is the interval at which a quarantine is announced again while
-	// requests with the part come.
-	announcePeriod = 10 * time.Second
+	// requests with the part come: routers that could not be reached must know of it soon
+	// after they can.
+	announcePeriod = time.Second
 	// expirePeriod is the interval of checks for what has expired.
 	expirePeriod = time.Second
 	// maxParts is the number of parts of one request that a crash counts against, more than
--- a/internal/core/quarantine/quarantine_test.go
+++ b/internal/core/quarantine/quarantine_test.go
@@ -297,3 +297,28 @@
 		must.False(t, refuses(other, 42, part), must.Sprint(part))
 	}
 }
+
+// TestRouterThatMissedAQuarantineLearnsOfIt cuts a router off from another one while that one
+// quarantines a part. Once they reach each other again, it must know of the part before it
+// counts as in touch, while requests with the part come to the other one only.
+func TestRouterThatMissedAQuarantineLearnsOfIt(t *testing.T) {
+	const inTouch = 3.0
+	for _, healed := range []float64{5, 6.5, 9, 14, 31} {
+		q, missed := quarantine.New(), quarantine.New()
+		crashes(q, 1, 3, 7)
+		q.TakeNotices()
+		known := 0.0
+		for s := 5.0; s < healed+inTouch && known == 0; s += 0.25 {
+			refuses(q, s, 7)
+			n := q.TakeNotices()
+			if s < healed {
+				continue
+			}
+			for _, part := range n.Quarantined {
+				missed.QuarantinedElsewhere(at(s), part)
+				known = s
+			}
+		}
+		must.Positive(t, known, must.Sprintf("reached again at %.1f s", healed))
+	}
+}
--- a/internal/service/forward/digest_exchange.go
+++ b/internal/service/forward/digest_exchange.go
@@ -177,7 +177,8 @@
 	refs, ok := s.decoder.Targets(&d.Loads)
 	loads, complete := d.Loads.Loads(refs)
 	if !ok || !complete {
-		s.logger.WithField("peer", from).Debug("Load digest dropped: part of its target table is missing.")
+		s.logger.WithField("peer", from).Debug("Load digest without its targets: part of its target table is missing.")
+		s.relayUpdates(tree, from, &d, updates{parts: s.applyNotices(now, from, d.parts(now, nil))})
 		return
 	}
 	if d.Total {
@@ -200,6 +201,12 @@
 			s.logger.WithField("target", s.targetNames[id]).WithField("from", from).Info("Target ejected after failures.")
 		}
 	}
+	s.relayUpdates(tree, from, &d, u)
+}
+
+// relayUpdates collects the updates of a digest for the routers that a hub passes them on to.
+// The caller holds the lock.
+func (s *Service) relayUpdates(tree *hubs.Tree, from fleet.VM, d *digest, u updates) {
 	relay := tree.Relay(from, d.scope())
 	if relay.Members {
 		s.toMembers.merge(u)
--- a/internal/service/forward/digest_relay_test.go
+++ b/internal/service/forward/digest_relay_test.go
@@ -150,3 +150,25 @@
 		must.LessEq(t, 1000, d.largest, must.Sprint("bytes of the largest digest"))
 	})
 }
+
+// TestQuarantineNeedsNoTable lets a router miss a digest, and with it a part of the sender's table
+// of targets. The next digest tells it of a quarantine, and it passes that on.
+func TestQuarantineNeedsNoTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := &digestSite{routers: make(map[fleet.VM]*Service), seen: make(map[fleet.VM]int)}
+		for _, vm := range []fleet.VM{"a1", "a2", "c1"} {
+			d.join(vm, routersOfView())
+		}
+		sender := d.routers["a2"]
+		sender.encoders.own.Begin()
+		sender.encoders.own.Encode([]balance.Load{{Target: seenTarget, Running: 1}})
+		payload, err := wire.Marshal(newDigest(time.Now(), sender.encoders.own, []balance.Load{{Target: seenTarget, Running: 2}}, updates{
+			parts: quarantine.Notices{Quarantined: []uint64{666}},
+		}))
+		must.NoError(t, err)
+		d.routers["a1"].handleDigest("a2", payload)
+		must.Eq(t, []uint64{666}, d.routers["a1"].quarantine.Parts())
+		d.run(time.Second)
+		must.Eq(t, []uint64{666}, d.routers["c1"].quarantine.Parts(), must.Sprint("another data centre"))
+	})
+}
