Keep errors of targets out of streams that have begun

Callers got the text of the error in the middle of their stream, or, if it was empty, a stream that looked complete after half of its events. Cause: only responses from status 500 on, or without a stamp, counted as failures. Any other response on a stream route was passed on as a stream, whatever its status and type, by a hedge as well. To callers that take a stream up, an error whose text has no blank line came as 502, and one with a blank line broke off. Change: a stream that has begun goes on only with status 200 and the content type of a stream; another target is asked, or the response is cut. A hedge must be a stream too. Before the head, any status but 200 is passed on whole, with its stamp.

--- a/internal/lab/soak/bed.go
+++ b/internal/lab/soak/bed.go
@@ -140,6 +140,15 @@
 	return p, err
 }
 
+// resumeStatus and resumeError are the answers of workers that do not go on with a stream, and
+// headStep times a worker's number is the length of the heads that it cuts.
+var (
+	resumeStatus = []int{http.StatusNotFound, http.StatusNoContent, http.StatusConflict}
+	resumeError  = []string{"id: 3\ndata: no such stream\n\n", "", "no such stream\n"}
+)
+
+const headStep = 17
+
 func (b *bed) addWorker(i int, service string) error {
 	w := &worker{id: fmt.Sprintf("w%d", i), service: service, dc: fmt.Sprintf("dc%d", i%2+1), version: versionOf(i)}
 	worker := workerd.Options{
@@ -147,6 +156,7 @@
 		Work: 15 * time.Millisecond, Gap: eventGap,
 		Silence: silenceLeast + time.Duration(i%silenceSteps)*silenceStep,
 	}
+	worker.Status, worker.ErrorBody, worker.HeadBytes = resumeStatus[i%len(resumeStatus)], resumeError[i%len(resumeError)], headStep*(i+1)
 	b.crashOptions(w, &worker)
 	worker.Born = func() int64 { return w.entry().Born }
 	w.Server = workerd.New(worker)
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -26,7 +26,7 @@
 	workerd.FaultFail, workerd.FaultRefuse, workerd.FaultMute, workerd.FaultLose, workerd.FaultCut,
 	workerd.FaultCrossed, workerd.FaultExtra, workerd.FaultForged,
 	workerd.FaultUnframed, workerd.FaultUnframedCut, workerd.FaultUnframedReset, workerd.FaultUnframedEmpty,
-	workerd.FaultCutLong, workerd.FaultPause, workerd.FaultEndlessHead, workerd.FaultEndlessBody, workerd.FaultEndlessRefusal,
+	workerd.FaultCutLong, workerd.FaultHeadCut, workerd.FaultResumeError, workerd.FaultPause, workerd.FaultEndlessHead, workerd.FaultEndlessBody, workerd.FaultEndlessRefusal,
 }
 
 // storeFaults are what the store does wrong.
@@ -55,6 +55,7 @@
 		{"return of the store from a copy", 2, restoreStore},
 		{"worker", 4, breakWorker(workerFaults...)},
 		{"worker falls silent", 4, breakWorker(workerd.FaultSilent, workerd.FaultSilentHead)},
+		{"streams break off and are not resumed", 3, refuseToResume},
 		{"worker says that it leaves", 2, leaveWorker},
 		{"worker leaves and comes back", 2, bounceWorker},
 		{"worker names a limit, or none any more", 3, toggleLimit},
@@ -223,6 +224,19 @@
 	}
 }
 
+// refuseToResume lets half of the engines break streams off, and the others answer requests for
+// the rest of a stream with an error.
+func refuseToResume(b *bed, _ *rand.Rand) (string, func()) {
+	for i, w := range b.workers {
+		w.Set([]workerd.Fault{workerd.FaultCut, workerd.FaultResumeError}[i/2%2])
+	}
+	return "", func() {
+		for _, w := range b.workers {
+			w.Set(workerd.FaultNone)
+		}
+	}
+}
+
 func bounceWorker(b *bed, random *rand.Rand) (string, func()) {
 	w := pick(random, b.workers)
 	b.setLeaving(w, true)
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -214,7 +214,7 @@
 		r.discardRefusal(s)
 		result, outcome, observed = notRunOutcome(s)
 		err = errNotUsable(resp)
-	case resp.Status >= http.StatusInternalServerError || !resp.Stamped:
+	case resp.Status >= http.StatusInternalServerError, !resp.Stamped, r.route.Kind == routing.Stream && !isEventStream(resp):
 		_ = resp.Body.Close()
 		err = errNotUsable(resp)
 	default:
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/attempt"
@@ -34,13 +35,38 @@
 // next.
 func (r *request) forwardResponse(s *send, timer *silenceTimer) attempt.Action {
 	defer s.resp.Body.Close()
-	if s.resp.Status >= http.StatusInternalServerError || !s.resp.Stamped {
+	switch {
+	case s.resp.Status >= http.StatusInternalServerError || !s.resp.Stamped:
 		return r.forwardFailure(s)
-	}
-	if r.route.Kind == routing.Stream {
+	case r.route.Kind != routing.Stream:
+		return r.forwardBuffered(s, timer)
+	case r.headSent && !isEventStream(s.resp):
+		return r.refusedToGoOn(s)
+	case s.resp.Status != http.StatusOK:
+		return r.forwardBuffered(s, timer)
+	default:
 		return r.forwardStream(s, timer)
 	}
-	return r.forwardBuffered(s, timer)
+}
+
+// isEventStream reports whether a response is a stream, or the rest of one, and no error.
+func isEventStream(resp *Response) bool {
+	contentType, _, _ := strings.Cut(resp.Header.Get("Content-Type"), ";")
+	contentType = strings.TrimSpace(contentType)
+	return resp.Status == http.StatusOK && (contentType == "" || strings.EqualFold(contentType, "text/event-stream"))
+}
+
+// errNotResumed is the error of a response that is not the rest of a stream.
+var errNotResumed = errors.New("target did not go on with the stream")
+
+// refusedToGoOn handles the response of a target that has an error in place of the rest of a
+// stream. The caller is in the middle of the stream and must not see any of it.
+func (r *request) refusedToGoOn(s *send) attempt.Action {
+	r.lastErr = fmt.Errorf("%w: status %d, content type %q", errNotResumed, s.resp.Status, s.resp.Header.Get("Content-Type"))
+	r.discardRefusal(s)
+	now := r.s.clock.Now()
+	r.s.sendEnded(now, s, outlier.OK, false)
+	return r.nextAction(s, now, attempt.Broken)
 }
 
 // errNoStamp is the error of a response without the stamp of a target, which comes
--- a/internal/standin/workerd/options.go
+++ b/internal/standin/workerd/options.go
@@ -23,6 +23,11 @@
 	// Silence is the length of a silence with FaultSilent, FaultSilentHead and
 	// FaultSilentLong.
 	Silence time.Duration
+	// Status and ErrorBody are the answer of FaultResumeError.
+	Status    int
+	ErrorBody string
+	// HeadBytes is the number of bytes that FaultHeadCut sends.
+	HeadBytes int
 	// CrashParts are the ids of prompt parts that crash the worker when it begins to
 	// write an answer on them.
 	CrashParts []string
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -314,6 +314,9 @@
 	if fault == FaultSilentHead {
 		wait(r, s.opt.Silence)
 	}
+	if s.breaks(w, r, fault) {
+		return
+	}
 	if fault.unframed() {
 		s.unframed(w, r, fault, run)
 		return
