Test that late requests of a planned stop are not taken

Cause: other operators reported that requests which came late in the grace of a planned stop were passed on and cut at its end. The tests had streams on new connections only, and no router that passes on requests of a peer. Change: tests only. TestLateRequestsOfAPlannedStopAreNotTaken sends orders, status requests and streams on kept and new connections until the router has ended; TestStoppingRouterCutsNothingThatItRelays stops each of two routers by which one that reaches no worker sends all kinds of requests. They are guards.

--- a/internal/app/site_conns_test.go
+++ b/internal/app/site_conns_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -186,3 +187,85 @@
 		must.NoError(t, <-drained)
 	})
 }
+
+// TestLateRequestsOfAPlannedStopAreNotTaken stops a router while callers go on to send orders, on
+// the connections that they have kept and on new ones, until the router has ended. Each order
+// lasts as long as it may. It must be answered whole, be refused as not run, or never reach a
+// worker.
+func TestLateRequestsOfAPlannedStopAreNotTaken(t *testing.T) {
+	for _, route := range []string{"order", "status", "draft", "chat"} {
+		t.Run(route, func(t *testing.T) {
+			onSite(t, func(t *testing.T, b *siteBed) {
+				opt := workerd.Options{Slots: 64, Events: 6, Work: 2800 * time.Millisecond}
+				if route != "order" {
+					opt.Work, opt.Gap = 200*time.Millisecond, 500*time.Millisecond
+				}
+				b.replaceWorkers(opt)
+				ended := make(chan struct{})
+				done := make(chan []string)
+				for caller := range 8 {
+					go func() { done <- b.sendUntil(ended, route, caller) }()
+				}
+				b.wait(4 * time.Second)
+				drained := b.drain("3")
+				must.NoError(t, <-drained)
+				b.wait(500 * time.Millisecond)
+				close(ended)
+				unanswered := make(map[string]bool)
+				for range 8 {
+					for _, id := range <-done {
+						unanswered[id] = true
+					}
+				}
+				must.Greater(t, 16, b.runs(), must.Sprint("it serves on while callers have not heard"))
+				for _, w := range b.workers {
+					for _, run := range w.Runs() {
+						must.False(t, unanswered[run.Request], must.Sprintf("%s reached a worker and got no answer", run.Request))
+					}
+				}
+				b.ranOnce()
+			})
+		})
+	}
+}
+
+// sendUntil sends requests to router 3 one after the other until ended is closed, each on the
+// connection of the one before if that is kept. It returns those that got neither an answer nor
+// a refusal.
+func (b *siteBed) sendUntil(ended <-chan struct{}, route string, caller int) (unanswered []string) {
+	var conn *callerConn
+	for i := 0; ; i++ {
+		select {
+		case <-ended:
+			return unanswered
+		case <-time.After(10 * time.Millisecond):
+		}
+		if conn == nil {
+			raw, err := b.network.DialContext(b.t.Context(), "tcp", "10.0.0.3:80")
+			if err != nil {
+				continue // the router takes no connections any more
+			}
+			conn = &callerConn{Conn: raw, reader: bufio.NewReader(raw)}
+		}
+		request := b.request(route)
+		if route == "chat" || route == "draft" {
+			request = b.request(route, "aa", "bb")
+		}
+		request.ID = fmt.Sprintf("late-%d-%d", caller, i)
+		r, err := request.HTTP(b.t.Context(), "10.0.0.3:80")
+		if err == nil {
+			err = r.Write(conn)
+		}
+		a := answer{err: err}
+		if err == nil {
+			a = conn.receive()
+		}
+		if a.err != nil || a.status != 200 && a.status != 503 {
+			unanswered = append(unanswered, request.ID)
+		}
+		if a.err != nil || a.header.Get("Connection") == "close" {
+			_ = conn.Close()
+			conn = nil
+		}
+	}
+}
--- a/internal/app/site_cut_off_test.go
+++ b/internal/app/site_cut_off_test.go
@@ -185,3 +185,54 @@
 		b.ranOnce()
 	})
 }
+
+// TestStoppingRouterCutsNothingThatItRelays stops each of two routers that pass on requests of one
+// that reaches no worker. All requests, those that may not be repeated among them, must be
+// answered whole, or be refused as not run.
+func TestStoppingRouterCutsNothingThatItRelays(t *testing.T) {
+	// The longest requests last almost until the deadline. A safe one would be hedged.
+	for route, opt := range map[string]workerd.Options{
+		"order": {Work: 2700 * time.Millisecond}, "status": {Work: 250 * time.Millisecond},
+		"draft": {Work: 100 * time.Millisecond, Gap: 550 * time.Millisecond}, "chat": {Work: 100 * time.Millisecond, Gap: 550 * time.Millisecond},
+	} {
+		for _, stopped := range []string{"2", "3"} {
+			t.Run(route+" by "+stopped, func(t *testing.T) { stopRelay(t, route, stopped, opt) })
+		}
+	}
+}
+
+func stopRelay(t *testing.T, route, stopped string, opt workerd.Options) {
+	t.Helper()
+	onSite(t, func(t *testing.T, b *siteBed) {
+		opt.Slots, opt.Events = 64, 6
+		b.replaceWorkers(opt)
+		b.views["1"].Partition(kerneltest.CutRefuse, workerAddresses...)
+		b.warmRelays()
+		const sent = 40
+		answers := make(chan answer, sent)
+		var drained <-chan error
+		for i := range sent {
+			go func() { answers <- b.call("1", route) }()
+			b.wait(100 * time.Millisecond)
+			if i == 20 {
+				drained = b.drain(stopped)
+			}
+		}
+		whole := 0
+		for range sent {
+			a := <-answers
+			if a.status == 503 && a.header.Get("Retry-After") != "" {
+				continue
+			}
+			must.NoError(t, a.err)
+			must.Eq(t, 200, a.status, must.Sprintf("%s: %q", route, a.body))
+			if route == "draft" || route == "chat" {
+				must.Eq(t, wholeStream(6), a.body)
+			}
+			whole++
+		}
+		must.Greater(t, sent/2, whole)
+		must.NoError(t, <-drained)
+		b.ranOnce()
+	})
+}
