Send a router all records where a listing hides what was removed

Cause: a router that has just started lists the platform's topics, and a listing has no record of what was removed. It brought routers up to date that had missed some of the log, with the changes that it knew, and said that these were all. The same holds for drain marks and rows of the VM list. Change: a topic remembers the end of its last listing. From before that on, another router is sent all records, which replace what it knows, as for a log of another era. Tests: TestListingOfARestartedRouterTellsWhatIsGone failed before (a target that was gone stayed available); TestRoutersConvergeInAnyOrder and the tests of eras pass.

--- a/internal/core/sitestate/collection.go
+++ b/internal/core/sitestate/collection.go
@@ -31,6 +31,9 @@
 	records map[string]*entry[T]
 	// end is the offset below which all records are known.
 	end int64
+	// listedAt is the end of the last listing after records that are not known. What was
+	// removed before is not known either.
+	listedAt int64
 }
 
 // entry is a record with the offset of the last change of its key.
@@ -65,7 +68,7 @@
 // Restart keeps all records but forgets their offsets, because the log was
 // restored from a copy and gives out its offsets again.
 func (c *Collection[T]) Restart() {
-	c.end = 0
+	c.end, c.listedAt = 0, 0
 	for _, e := range c.records {
 		e.Offset, e.changed = beforeLog, beforeLog
 	}
@@ -117,6 +120,9 @@
 		}
 	}
 	changes := c.putAll(records, true)
+	if end > c.end {
+		c.listedAt = end
+	}
 	c.end = end
 	return changes
 }
@@ -145,6 +151,10 @@
 	return r, isChange
 }
 
+// KnowsSince reports whether all changes at or after an offset are known. If not, only all
+// records together bring another router up to date.
+func (c *Collection[T]) KnowsSince(from int64) bool { return from >= c.listedAt }
+
 // Since returns the newest records of the keys that changed at or after an
 // offset, by offset.
 func (c *Collection[T]) Since(from int64) []Record[T] {
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -266,8 +266,8 @@
 	}
 }
 
-// Since returns an update with all changes from the given offsets on, or with all
-// records if the offsets are those of another era.
+// Since returns an update with all changes from the given offsets on. Of a topic of which it
+// does not know all of them, or if the offsets are those of another era, it has all records.
 func (s *State) Since(now time.Time, from Positions) *Update {
 	age, known := s.Age(now)
 	if !known {
@@ -279,6 +279,9 @@
 		u.WholeOperator, u.WholeTargets, u.WholeVMs = true, true, true
 		from = Positions{}
 	}
+	from.Operator, u.WholeOperator = wholeUnlessKnown(s.drains, from.Operator, u.WholeOperator)
+	from.Targets, u.WholeTargets = wholeUnlessKnown(s.targets, from.Targets, u.WholeTargets)
+	from.VMs, u.WholeVMs = wholeUnlessKnown(s.vms, from.VMs, u.WholeVMs)
 	if s.table != nil && (s.configUnlisted || s.config.Offset >= from.Operator) {
 		u.Config = []Record[Config]{s.config}
 	}
@@ -288,6 +291,15 @@
 	return u
 }
 
+// wholeUnlessKnown returns the offset from which records of a topic are told, and whether that
+// is all of them.
+func wholeUnlessKnown[T Value[T]](c *Collection[T], from int64, whole bool) (int64, bool) {
+	if whole || !c.KnowsSince(from) {
+		return 0, true
+	}
+	return from, false
+}
+
 // VMsIncomplete reports whether rows of the VM list may be missing.
 func (s *State) VMsIncomplete() bool { return s.vms.HasGap() }
 
--- a/internal/core/sitestate/state_test.go
+++ b/internal/core/sitestate/state_test.go
@@ -238,3 +238,36 @@
 		must.Eq(t, a.Positions(), b.Positions())
 	})
 }
+
+// TestListingOfARestartedRouterTellsWhatIsGone lets a router that has just read the whole log bring
+// another one up to date that has missed some of it. The listing lacks what was removed
+// meanwhile, and what came and went.
+func TestListingOfARestartedRouterTellsWhatIsGone(t *testing.T) {
+	behind := sitestate.New()
+	behind.Apply(start, &sitestate.Update{
+		WholeOperator: true, WholeTargets: true, WholeVMs: true, End: sitestate.Positions{Operator: 2, Targets: 2, VMs: 1, Era: 1},
+		Targets: []sitestate.Record[sitestate.Target]{target("a", 0, ready(0)), target("b", 1, ready(0))},
+		Drains:  []sitestate.Record[sitestate.Drain]{{Key: "dc2", Offset: 1}},
+	})
+	restarted := sitestate.New()
+	restarted.Apply(start, &sitestate.Update{
+		WholeOperator: true, WholeTargets: true, WholeVMs: true, End: sitestate.Positions{Operator: 5, Targets: 9, VMs: 1, Era: 1},
+		Targets: []sitestate.Record[sitestate.Target]{target("b", 1, ready(0)), target("c", 8, ready(0))},
+		Config:  config(3, 4),
+	})
+	update := restarted.Since(start, behind.Positions())
+	behind.Apply(start, update)
+	must.Eq(t, []string{"b", "c"}, names(behind, start))
+	must.False(t, behind.Drained(start, "dc2"), must.Sprint("taken back"))
+	must.Eq(t, restarted.Positions(), behind.Positions())
+
+	// What follows the listing is told as changes.
+	late := targets(9, 10, gone("c", 9))
+	late.From.Operator, late.End.Operator, late.From.VMs, late.End.VMs, late.From.Era, late.End.Era = 5, 5, 1, 1, 1, 1
+	restarted.Apply(start, late)
+	update = restarted.Since(start, behind.Positions())
+	must.False(t, update.WholeTargets)
+	must.Len(t, 1, update.Targets)
+	behind.Apply(start, update)
+	must.Eq(t, []string{"b"}, names(behind, start))
+}
