Record a run after a repeated refusal as that of a faulty worker

Cause: a stand-in worker that writes a refusal twice answers the next request on that connection with plain text, a stream too. If the fault had ended meanwhile, the run was recorded as that of a sound worker, so that a soak would blame the router for the broken stream. Change: the run keeps the fault of its connection. Test: TestRunAfterARepeatedRefusalIsNoSoundOne failed before.

--- a/internal/standin/workerd/refusal.go
+++ b/internal/standin/workerd/refusal.go
@@ -31,6 +31,9 @@
 	s.repeated++
 	s.mu.Unlock()
 	run := s.note(next, string(body))
+	s.mu.Lock()
+	run.Fault = FaultRefusedTwice // it may have ended meanwhile, but not on this connection
+	s.mu.Unlock()
 	defer s.end(run)
 	if _, err := io.WriteString(conn, refusal); err != nil {
 		return
