--- a/internal/app/site_crash_request_test.go
+++ b/internal/app/site_crash_request_test.go
@@ -240,7 +240,7 @@
 func TestQuarantineDuringAnOutageOutlastsAllRouters(t *testing.T) {
 	for name, faults := range map[string]keyedlog.Faults{"no answer": {Silent: true}, "answers 503": {Status: 503}} {
 		t.Run(name, func(t *testing.T) {
-			onSite(t, func(t *testing.T, b *siteBed) {
+			onSite(t, func(_ *testing.T, b *siteBed) {
 				b.crashingSite(0)
 				b.store.Set(faults)
 				for i := range 20 {
@@ -261,7 +261,7 @@
 func TestQuarantineOutlastsTheRouterThatWritesIt(t *testing.T) {
 	for _, lost := range []string{"1", "2", "3"} {
 		t.Run("router "+lost, func(t *testing.T) {
-			onSite(t, func(t *testing.T, b *siteBed) {
+			onSite(t, func(_ *testing.T, b *siteBed) {
 				b.crashingSite(0)
 				b.store.Set(keyedlog.Faults{Status: 503})
 				for i := range 8 {
@@ -285,7 +285,7 @@
 // TestQuarantineOutlastsARestoredLog lets the store come back from a copy that lacks what was
 // written of a quarantine, and then ends all routers.
 func TestQuarantineOutlastsARestoredLog(t *testing.T) {
-	onSite(t, func(t *testing.T, b *siteBed) {
+	onSite(t, func(_ *testing.T, b *siteBed) {
 		b.crashingSite(0)
 		b.store.Copy()
 		for i := range 20 {
