Write a quarantine within three seconds of the store's return

What callers would have seen: a quarantine that was decided in an outage could reach the log 5.5 s after the store was back: a call of up to 1.5 s, then a wait of up to 4 s. Cause: the wait after a failed call doubled up to 4 s, longer than the 3 s after an outage in which routers count as in touch again. The test waited 5 s, not those 3 s. Change: the wait is 1 s. The test now ends all routers 3 s after the store's return.

--- a/internal/app/site_crash_request_test.go
+++ b/internal/app/site_crash_request_test.go
@@ -249,7 +249,7 @@
 				}
 				b.wait(20 * time.Second)
 				b.store.Set(keyedlog.Faults{})
-				b.wait(5 * time.Second)
+				b.wait(3 * time.Second)
 				b.checkQuarantineAfterLoss()
 			})
 		})
--- a/internal/service/forward/quarantine_log.go
+++ b/internal/service/forward/quarantine_log.go
@@ -20,11 +20,11 @@
 }
 
 const (
-	// quarantineLogTimeout limits one call to the log. After a failed one the wait begins with
-	// quarantineLogWait, and doubles up to maxQuarantineLogWait.
+	// quarantineLogTimeout limits one call to the log, and quarantineLogWait is the wait after
+	// a failed one. Together they are less than the three seconds after an outage in which
+	// routers count as in touch again.
 	quarantineLogTimeout = 1500 * time.Millisecond
 	quarantineLogWait    = time.Second
-	maxQuarantineLogWait = 4 * time.Second
 	// quarantineReadSpread is the time over which routers that start together read the log.
 	quarantineReadSpread = time.Second
 )
@@ -139,7 +139,7 @@
 // withLog makes a call to the log, and repeats it until it succeeds. It returns false if ctx
 // ends before.
 func (s *Service) withLog(ctx context.Context, step string, call func(context.Context) error) bool {
-	for wait := quarantineLogWait; ; wait = min(2*wait, maxQuarantineLogWait) {
+	for {
 		callCtx, cancel := context.WithCancel(ctx)
 		stop := s.clock.AfterFunc(quarantineLogTimeout, cancel)
 		err := call(callCtx)
@@ -152,7 +152,7 @@
 			return false
 		}
 		s.logger.WithError(err).WithField("step", step).Warn("Cannot use the log of quarantined requests and prompt parts.")
-		if s.clock.Sleep(ctx, wait) != nil {
+		if s.clock.Sleep(ctx, quarantineLogWait) != nil {
 			return false
 		}
 	}
