Log what breaks a relayed response off

Cause: the log of a request says that it was answered, and by way of which router, but not whether that router sent the whole response or was lost. Change: `Relayed response broke off` with request, target, router and error, for a response whose head has come; the outcome `lost` of forward.relayed; `unframed` in `Request ended`. Nothing else reads them.

--- a/internal/service/forward/relay.go
+++ b/internal/service/forward/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
@@ -136,6 +137,9 @@
 		err := s.peers.Call(ctx, vm, peer.KindRelay, &call.Request{
 			ID: call.ID(c.ID), Attempt: 1, Deadline: s.clock.Now().Add(req.Timeout), Body: body, TraceParent: req.Trace,
 		}, sink)
+		if err != nil && sink.headed && ctx.Err() == nil {
+			s.relayBroke(vm, req, err)
+		}
 		_ = writer.CloseWithError(relayedBodyError(err))
 		ended <- err
 	}()
@@ -155,6 +159,13 @@
 	}
 }
 
+// relayBroke logs and counts a response that broke off on its way through another router.
+func (s *Service) relayBroke(vm fleet.VM, req *TargetRequest, err error) {
+	s.metrics.relayed("lost")
+	s.logger.WithError(err).WithFields(logrus.Fields{"request": req.Call.ID, "target": req.Target.ID, "peer": vm}).
+		Info("Relayed response broke off.")
+}
+
 // relayBody is the body of a relayed response. Closing it stops the target.
 type relayBody struct {
 	*io.PipeReader
@@ -169,8 +180,9 @@
 
 // relaySink takes a relayed response.
 type relaySink struct {
-	head chan *Response
-	body *io.PipeWriter
+	head   chan *Response
+	headed bool
+	body   *io.PipeWriter
 }
 
 // Head takes the head of the response.
@@ -183,6 +195,7 @@
 	if header == nil {
 		header = make(http.Header)
 	}
+	k.headed = true
 	k.head <- &Response{
 		Status: h.Status, Header: header, Length: more.Length, Unframed: more.Unframed, NotRun: more.NotRun,
 		Misdirected: more.Misdirected, Stamped: more.Stamped, Leaving: more.Leaving, RetryAfter: more.RetryAfter,
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -264,6 +264,9 @@
 	if r.lastErr != nil {
 		entry = entry.WithError(r.lastErr)
 	}
+	if r.cur.resp != nil && r.cur.resp.Unframed {
+		entry = entry.WithField("unframed", true)
+	}
 	entry.Info("Request ended.")
 }
 
