--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -57,8 +57,10 @@
 	// FaultSilentHead before its first byte. The worker is sound and goes on.
 	FaultSilent     Fault = "silent"
 	FaultSilentHead Fault = "silent_head"
-	// FaultSilentLong falls silent in the middle of a long answer.
-	FaultSilentLong Fault = "silent_long"
+	// FaultSilentLong falls silent in the middle of a long answer, FaultSilentChunked in the
+	// middle of one that has chunks and no length.
+	FaultSilentLong    Fault = "silent_long"
+	FaultSilentChunked Fault = "silent_chunked"
 	// FaultSilentEvent sends the head of a stream and falls silent before its first event.
 	FaultSilentEvent Fault = "silent_event"
 	// FaultSilentCut falls silent in the middle of a stream and then breaks it off.
@@ -423,15 +425,17 @@
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	case FaultCutLong:
-		w.Header().Set("Content-Length", strconv.Itoa(longBytes))
-		_, _ = io.WriteString(w, strings.Repeat("x", longBytes/2))
+		w.Header().Set("Content-Length", strconv.Itoa(LongBytes))
+		_, _ = io.WriteString(w, strings.Repeat("x", LongBytes/2))
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
-	case FaultSilent, FaultSilentLong:
-		if fault == FaultSilentLong {
-			content = strings.Repeat("x", longBytes)
+	case FaultSilent, FaultSilentLong, FaultSilentChunked:
+		if fault != FaultSilent {
+			content = strings.Repeat("x", LongBytes)
+		}
+		if fault != FaultSilentChunked {
+			w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 		}
-		w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 		_, _ = io.WriteString(w, content[:len(content)/2])
 		_ = http.NewResponseController(w).Flush()
 		wait(r, s.opt.Silence)
@@ -444,8 +448,8 @@
 	_, _ = io.WriteString(w, content)
 }
 
-// longBytes is the length of a long answer.
-const longBytes = 1 << 20
+// LongBytes is the length of a long answer.
+const LongBytes = 1 << 20
 
 // raw writes an answer in a form that net/http would not.
 func (s *Server) raw(w http.ResponseWriter, r *http.Request, fault Fault, content string) {
