End a response only where its target ended it

Cause: a connection whose process dies ends with io.EOF, which stands beneath the error of the call to the relaying router. Change: one function reads bodies and knows their end by io.EOF itself, as io.Reader has it; Response says so to whoever implements it.

--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -80,7 +80,8 @@
 }
 
 // Response holds the head of a target's response and its body, not yet read. Body
-// must be closed; closing it before its end stops the target.
+// must be closed; closing it before its end stops the target. Its Read returns io.EOF itself at
+// the end of the whole body, and no error that wraps it.
 type Response struct {
 	Status int
 	Header http.Header
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -277,14 +277,14 @@
 	var read []byte
 	buf := make([]byte, readBufferBytes)
 	for len(read) < maxBufferedBytes {
-		n, err := body.Read(buf)
+		n, ended, err := readBody(body, buf)
 		read = append(read, buf[:n]...)
 		switch {
 		case stream && bytes.Contains(read, eventDelimiter):
 			return read, nil
-		case errors.Is(err, io.EOF) && stream && len(bytes.TrimSpace(read)) > 0:
+		case ended && stream && len(bytes.TrimSpace(read)) > 0:
 			return nil, io.ErrUnexpectedEOF
-		case errors.Is(err, io.EOF):
+		case ended:
 			return read, nil
 		case err != nil:
 			return nil, err
--- a/internal/service/forward/relay.go
+++ b/internal/service/forward/relay.go
@@ -336,7 +336,7 @@
 	buf := make([]byte, readBufferBytes)
 	length := uint64(0)
 	for {
-		n, err := resp.Body.Read(buf)
+		n, ended, err := readBody(resp.Body, buf)
 		if n > 0 {
 			_, _ = digest.Write(buf[:n]) // never fails
 			if err := sink.Chunk(call.Chunk{Attempt: 1, Offset: length, Data: buf[:n]}); err != nil {
@@ -345,7 +345,7 @@
 			length += uint64(n)
 		}
 		switch {
-		case errors.Is(err, io.EOF):
+		case ended:
 			return sink.End(call.End{Attempt: 1, Length: length, Digest: digest.Sum64()})
 		case err != nil && closedByTarget(err):
 			return relayFailure(from, call.CodeCut, call.RunUnknown, err)
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -145,14 +145,14 @@
 	err := r.reply.Write(head)
 	buf := make([]byte, readBufferBytes)
 	for length := len(head); err == nil; {
-		n, readErr := s.resp.Body.Read(buf)
+		n, ended, readErr := readBody(s.resp.Body, buf)
 		if n > 0 {
 			err = r.reply.Write(buf[:n])
 		}
 		if length += n; length > maxResponseBytes {
 			return r.responseBroken(s, errTooLong, attempt.Broken)
 		}
-		if errors.Is(readErr, io.EOF) {
+		if ended {
 			return r.responseComplete(s, err)
 		}
 		if readErr != nil {
@@ -213,7 +213,7 @@
 	buf := make([]byte, readBufferBytes)
 	var pending []byte
 	for {
-		n, err := s.resp.Body.Read(buf)
+		n, ended, err := readBody(s.resp.Body, buf)
 		if n > 0 {
 			pending = append(pending, buf[:n]...)
 			complete := bytes.LastIndex(pending, eventDelimiter) + len(eventDelimiter)
@@ -233,7 +233,7 @@
 				return r.responseBroken(s, errTooLong, attempt.Broken)
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if ended {
 			return r.streamEnded(s, pending)
 		}
 		if err != nil {
