Take only a target's own word for its crash

Cause: closedByTarget looked for EOF, a reset or a broken pipe anywhere beneath an error. The loss of a relaying router has one of these beneath it, so each request that it relayed counted as a crash of its target: two suspected it, three quarantined it, and it wasn't sent again. Calls between routers no longer unwrap to errors of their socket.

--- a/internal/app/site_lost_relay_test.go
+++ b/internal/app/site_lost_relay_test.go
@@ -128,3 +128,73 @@
 		})
 	}
 }
+
+// loseRelays kills the routers that relay for router 1, one after the other, each while streams
+// with the same prompt part, one of them repeated by its caller, and orders are at sound workers,
+// some time after they were sent.
+func (b *siteBed) loseRelays(after time.Duration) {
+	opt := workerd.Options{Slots: 64, Events: 6, Work: 300 * time.Millisecond, Gap: 200 * time.Millisecond}
+	b.replaceWorkers(opt)
+	for _, id := range []string{"e3", "e4"} {
+		b.worker(id, "llm", opt)
+	}
+	b.wait(2 * time.Second)
+	b.views["1"].Partition(kerneltest.CutReset, append([]string{"10.1.0.e3:80", "10.1.0.e4:80"}, workerAddresses...)...)
+	b.warmRelays()
+	repeated := b.request("chat", "aa", "bb")
+	for i := range 6 {
+		lost := []string{"2", "3"}[i%2]
+		streams, orders := b.callAll("chat", 12), b.callAll("order", 4)
+		for n := range 4 {
+			again := *repeated
+			again.ID = fmt.Sprintf("again-%d-%d", i, n)
+			go b.do("1", &again)
+		}
+		b.wait(after)
+		b.stop(lost)
+		for range 12 {
+			<-streams
+		}
+		for range 4 {
+			<-orders
+		}
+		b.router(lost)
+		b.wait(3 * time.Second)
+	}
+}
+
+// relayLosses are the times between requests and the loss of their relaying router: before the
+// first event of a stream, and after it.
+var relayLosses = []time.Duration{100 * time.Millisecond, 700 * time.Millisecond}
+
+// TestLostRelayIsNoCrashOfATarget checks that requests whose relaying routers were lost are not
+// suspected of crashing targets, nor parts of their prompts, and no send counts as broken off by
+// its target.
+func TestLostRelayIsNoCrashOfATarget(t *testing.T) {
+	for _, after := range relayLosses {
+		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
+			onSite(t, func(t *testing.T, b *siteBed) {
+				b.loseRelays(after)
+				for _, router := range []string{"1", "2", "3"} {
+					must.Eq(t, 0, b.lines.of(router, "Request content or prompt part suspected of crashing targets."), must.Sprint("router ", router))
+				}
+				must.StrContains(t, b.get("10.0.0.1:83", "/metrics").body, "forward_engine_crashes_total 0\n")
+			})
+		})
+	}
+}
+
+// TestLostRelayEjectsNoTarget checks that no router ejects a target for responses whose relaying
+// routers were lost.
+func TestLostRelayEjectsNoTarget(t *testing.T) {
+	for _, after := range relayLosses {
+		t.Run(fmt.Sprint("after ", after), func(t *testing.T) {
+			onSite(t, func(t *testing.T, b *siteBed) {
+				b.loseRelays(after)
+				for _, router := range []string{"1", "2", "3"} {
+					must.Eq(t, 0, b.lines.of(router, "Target ejected after failures."), must.Sprint("router ", router))
+				}
+			})
+		})
+	}
+}
--- a/internal/service/forward/body.go
+++ b/internal/service/forward/body.go
@@ -1,10 +1,11 @@
 package forward
 
-import "io"
+import (
+	"errors"
+	"io"
+)
 
 // readBody reads a part of a response's body and reports whether the body ended there.
-// Only io.EOF itself is the end. An error that wraps it is of a connection on the way, which
-// says nothing of the body.
 func readBody(body io.Reader, buf []byte) (n int, ended bool, err error) {
 	n, err = body.Read(buf)
 	if err == io.EOF {
@@ -12,3 +13,26 @@
 	}
 	return n, false, err
 }
+
+// Errors of streams that end, but not after their last event.
+var (
+	errNoEvents = &BodyError{Closed: true, Err: errors.New("connection closed before the first event of the stream")}
+	errMidEvent = &BodyError{Closed: true, Err: errors.New("stream ended within an event")}
+)
+
+// closedByTarget reports whether a send failed since the target closed or reset an open
+// connection.
+func closedByTarget(err error) bool {
+	var (
+		failure *SendError
+		broken  *BodyError
+	)
+	switch {
+	case errors.As(err, &failure):
+		return failure.Closed
+	case errors.As(err, &broken):
+		return broken.Closed
+	default:
+		return false
+	}
+}
--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -81,7 +81,7 @@
 
 // Response holds the head of a target's response and its body, not yet read. Body
 // must be closed; closing it before its end stops the target. Its Read returns io.EOF itself at
-// the end of the whole body, and no error that wraps it.
+// the end of the whole body, and a *BodyError for one that breaks off.
 type Response struct {
 	Status int
 	Header http.Header
@@ -132,13 +132,17 @@
 	CachedPrefixes(ctx context.Context, t sitestate.Target) ([]uint64, error)
 }
 
-// SendError is the error of a send that got no response.
+// SendError is the error of a send that got no response. Its fields tell what failed: a send
+// crosses several connections, and the errors of one say nothing of who is behind the next. So
+// it does not unwrap.
 type SendError struct {
 	Target fleet.Target
 	// Sent is true when bytes of the request may have reached the target.
 	Sent bool
 	// Unreachable is true when no connection opened.
 	Unreachable bool
+	// Closed is true when the target closed or reset its connection after bytes were sent.
+	Closed bool
 	// PathFailed is true when the way to the target failed and not the target.
 	PathFailed bool
 	Err        error
@@ -149,8 +153,18 @@
 	return "send to target " + string(e.Target) + ": " + e.Err.Error()
 }
 
-// Unwrap returns the cause.
-func (e *SendError) Unwrap() error { return e.Err }
+// BodyError is the error of a response whose body breaks off. Like SendError it does not
+// unwrap.
+type BodyError struct {
+	// Closed is true when the target closed or reset its connection.
+	Closed bool
+	// PathFailed is true when the way to the target failed and not the target.
+	PathFailed bool
+	Err        error
+}
+
+// Error returns the cause.
+func (e *BodyError) Error() string { return e.Err.Error() }
 
 // ResponseWriter writes the response to the caller. Either Refuse is called, or
 // WriteHead, any number of Writes, and then End or Cut.
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -283,7 +283,7 @@
 		case stream && bytes.Contains(read, eventDelimiter):
 			return read, nil
 		case ended && stream && len(bytes.TrimSpace(read)) > 0:
-			return nil, io.ErrUnexpectedEOF
+			return nil, errMidEvent
 		case ended:
 			return read, nil
 		case err != nil:
--- a/internal/service/forward/quarantine.go
+++ b/internal/service/forward/quarantine.go
@@ -1,11 +1,8 @@
 package forward
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -137,21 +134,6 @@
 	}
 }
 
-// closedByTarget reports whether a send failed since the target closed or reset an open
-// connection.
-func closedByTarget(err error) bool {
-	var failure *SendError
-	if errors.As(err, &failure) && (failure.Unreachable || !failure.Sent) {
-		return false
-	}
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
-		if errors.Is(err, cause) {
-			return true
-		}
-	}
-	return false
-}
-
 // applyNotices records what another router reports of prompt parts, and returns what a
 // hub passes on. The caller holds the lock.
 func (s *Service) applyNotices(now time.Time, from fleet.VM, n quarantine.Notices) quarantine.Notices {
--- a/internal/service/forward/quarantine_test.go
+++ b/internal/service/forward/quarantine_test.go
@@ -12,9 +12,11 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/core/loadtable"
 	"github.com/zinniafork/zinniafork/internal/core/quarantine"
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
@@ -123,14 +125,30 @@
 		err  error
 		want bool
 	}{
-		{io.ErrUnexpectedEOF, true},
-		{&SendError{Sent: true, Err: fmt.Errorf("read response: %w", io.EOF)}, true},
-		{&SendError{Sent: true, Err: &net.OpError{Op: "read", Err: syscall.ECONNRESET}}, true},
+		{&BodyError{Closed: true, Err: io.ErrUnexpectedEOF}, true},
+		{errNoEvents, true},
+		{errMidEvent, true},
+		{&SendError{Sent: true, Closed: true, Err: fmt.Errorf("read response: %w", io.EOF)}, true},
+		{relayedError("e1", sendFailure("vm-2", &SendError{Sent: true, Closed: true, Err: io.EOF})), true},
+		{relayedBodyError(relayFailure("vm-2", call.CodeCut, call.RunUnknown, io.EOF)), true},
 		{&SendError{Sent: false, Err: io.EOF}, false},
 		{&SendError{Unreachable: true, Err: syscall.ECONNREFUSED}, false},
 		{errTooLong, false},
 		{&SendError{Sent: true, Err: errors.New("malformed response")}, false},
+		{io.ErrUnexpectedEOF, false},
+		{&net.OpError{Op: "read", Err: syscall.ECONNRESET}, false},
+		{&BodyError{PathFailed: true, Err: io.ErrUnexpectedEOF}, false},
+		{relayedError("e1", lostLink(call.CodeUnavailable, io.EOF)), false},
+		{relayedError("e1", lostLink(call.CodeCut, syscall.ECONNRESET)), false},
+		{relayedBodyError(lostLink(call.CodeUnavailable, io.EOF)), false},
+		{relayedBodyError(lostLink(call.CodeCut, io.ErrUnexpectedEOF)), false},
+		{relayedBodyError(nil), false},
 	} {
 		must.Eq(t, c.want, closedByTarget(c.err), must.Sprint(c.err))
 	}
 }
+
+// lostLink is the error of a call whose connection to the other router failed.
+func lostLink(code call.Code, cause error) error {
+	return &call.Error{Code: code, Step: peer.Name, Run: call.RunUnknown, Cause: cause}
+}
--- a/internal/service/forward/relay.go
+++ b/internal/service/forward/relay.go
@@ -140,7 +140,7 @@
 		if err != nil && sink.headed && ctx.Err() == nil {
 			s.relayBroke(vm, req, err)
 		}
-		_ = writer.CloseWithError(relayedBodyError(err))
+		_ = writer.CloseWithError(relayedBodyError(err)) // a body that has ended stays ended
 		ended <- err
 	}()
 	select {
@@ -229,20 +229,22 @@
 	case failure.Run == call.RunNot:
 		return &relayUnable{unsupported: failure.Code == call.CodeNotFound, cause: err}
 	default:
-		return &SendError{Target: target, Sent: true, PathFailed: failure.Code != call.CodeCut, Err: relayedBodyError(err)}
+		broken := relayedBodyError(err)
+		return &SendError{Target: target, Sent: true, Closed: broken.Closed, PathFailed: failure.Code != call.CodeCut, Err: broken}
 	}
 }
 
-// relayedBodyError translates the error that ends the body of a relayed response.
-func relayedBodyError(err error) error {
+// relayedBodyError translates the error that ends a relayed response. Only the router that
+// relays knows what the target did: the loss of that router tells nothing of the target.
+func relayedBodyError(err error) *BodyError {
 	var failure *call.Error
 	switch {
 	case err == nil:
-		return nil
+		return &BodyError{PathFailed: true, Err: errors.New("relayed response has no end")}
 	case errors.As(err, &failure) && failure.Code == call.CodeCut && failure.Step == Name:
-		return fmt.Errorf("%w: %w", io.ErrUnexpectedEOF, err)
+		return &BodyError{Closed: true, Err: err}
 	default:
-		return fmt.Errorf("%w: %w", errRelayLost, err)
+		return &BodyError{PathFailed: true, Err: fmt.Errorf("%w: %w", errRelayLost, err)}
 	}
 }
 
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -272,7 +272,7 @@
 // incomplete.
 func (r *request) streamEnded(s *send, rest []byte) attempt.Action {
 	if len(bytes.TrimSpace(rest)) > 0 {
-		return r.responseBroken(s, io.ErrUnexpectedEOF, attempt.Broken)
+		return r.responseBroken(s, errMidEvent, attempt.Broken)
 	}
 	if r.lacksEvents(s) {
 		r.mu.Lock()
--- a/internal/service/forward/stream_end.go
+++ b/internal/service/forward/stream_end.go
@@ -1,13 +1,5 @@
 package forward
 
-import (
-	"fmt"
-	"io"
-)
-
-// errNoEvents is the error of a stream that ends with its connection before any event.
-var errNoEvents = fmt.Errorf("connection closed before the first event of the stream: %w", io.ErrUnexpectedEOF)
-
 // lacksEvents reports whether a stream ended with its connection before any event, which
 // is what a target that crashes after the head does too. No event is a complete stream
 // only for a caller that asked for the rest of one, and only once two targets say so.
--- a/internal/service/peer/closing.go
+++ b/internal/service/peer/closing.go
@@ -103,7 +103,7 @@
 	close(c.done)
 	_ = c.raw.Close()
 	for _, s := range serving {
-		s.cancel(errorf("connection to the caller's router ended: %w", err))
+		s.cancel(errorf("connection to the caller's router ended: %w", linkError{err}))
 	}
 	c.host.links.closed(c)
 }
--- a/internal/service/peer/errors.go
+++ b/internal/service/peer/errors.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 const step = "peer"
@@ -21,6 +23,22 @@
 	errWindow       = errors.New("answer overruns its window")
 )
 
+// shown are the errors that the causes of calls unwrap to.
+var shown = []error{ErrNotConnected, ErrQueueFull, errSilent, errReplaced, errStopping, errWindow, wire.ErrMalformed, wire.ErrTooLarge}
+
+// linkError is the failure of a connection, as the cause of the calls on it. The errors of the
+// socket don't show through: the end of a connection is not the end of what a call carried,
+// which is often the connection of somebody else.
+type linkError struct{ err error }
+
+// Error describes the failure.
+func (e linkError) Error() string { return e.err.Error() }
+
+// Is reports whether the failure is one of the package's own errors.
+func (e linkError) Is(target error) bool {
+	return slices.Contains(shown, target) && errors.Is(e.err, target)
+}
+
 // unsent is the error of a call of which no byte was sent.
 func unsent(to fleet.VM, cause error) *call.Error {
 	return &call.Error{
@@ -29,7 +47,7 @@
 		Step:    step,
 		Peer:    string(to),
 		Run:     call.RunNot,
-		Cause:   cause,
+		Cause:   linkError{cause},
 	}
 }
 
@@ -41,7 +59,7 @@
 		Step:    step,
 		Peer:    string(to),
 		Run:     call.RunUnknown,
-		Cause:   cause,
+		Cause:   linkError{cause},
 	}
 }
 
--- a/internal/service/peer/fault_test.go
+++ b/internal/service/peer/fault_test.go
@@ -5,8 +5,11 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -67,6 +70,31 @@
 	must.Eq(t, call.RunNot, e.Run, must.Sprint("nothing can be sent to a router that is gone"))
 }
 
+// TestLostRouterIsNoErrorOfASocket loses the other router in the middle of an answer. The error
+// must not pass for that of a connection which the other router had to somebody else.
+func TestLostRouterIsNoErrorOfASocket(t *testing.T) {
+	for name, cause := range map[string]error{
+		"end": io.EOF, "end in a frame": io.ErrUnexpectedEOF, "reset": syscall.ECONNRESET, "broken pipe": syscall.EPIPE,
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := startRouter(t, "a", kernel.SystemNetwork{}, "", nil)
+			b := startRouter(t, "b", kernel.SystemNetwork{}, "", func(s *Service) {
+				s.HandleCall(KindRun, blockUntilCanceled(make(chan error, 1), call.RunUnknown))
+			})
+			introduceAll(t, a, b)
+			out := &recorded{onGet: func() {
+				for _, c := range a.links.all() {
+					c.close(fmt.Errorf("read frame: %w", cause))
+				}
+			}}
+			err := a.Call(t.Context(), "b", KindRun, &call.Request{ID: "r", Attempt: 1}, out)
+			must.StrContains(t, err.Error(), cause.Error())
+			must.False(t, errors.Is(err, cause), must.Sprint(err))
+			must.Eq(t, call.RunUnknown, call.AsError(err).Run)
+		})
+	}
+}
+
 func TestWrongAnswersAreCutOff(t *testing.T) {
 	head := func(req *call.Request, sink call.Sink) error {
 		return sink.Head(call.Head{Attempt: req.Attempt, Status: 200})
