Hold a lost relay against no target

Callers would have seen: sound targets out of use for a while after a router that relayed was killed, at the router that had asked it and, by its reports, at the others. Cause: an error without a head said that the path had failed; a body that broke off on the way said nothing, and counted as a failure of its target. Change: the error of a body tells whether the path failed, and responses and hedges that break off keep it as sends without a response do. TestStreamsOfALostRelayGoOn stays red.

--- a/internal/service/forward/body.go
+++ b/internal/service/forward/body.go
@@ -36,3 +36,19 @@
 		return false
 	}
 }
+
+// pathFailed reports whether a send failed on the way to its target, and not by the target.
+func pathFailed(err error) bool {
+	var (
+		failure *SendError
+		broken  *BodyError
+	)
+	switch {
+	case errors.As(err, &failure):
+		return failure.PathFailed
+	case errors.As(err, &broken):
+		return broken.PathFailed
+	default:
+		return false
+	}
+}
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -255,6 +255,7 @@
 	}
 	if err != nil {
 		now := r.s.clock.Now()
+		s.pathFailed = pathFailed(err)
 		r.sendBroke(s, now, err)
 		_ = body.Close()
 		r.s.sendEnded(now, s, outlier.Failed, !canceled(s.ctx))
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -194,6 +194,7 @@
 func (r *request) responseBroken(s *send, err error, outcome attempt.Outcome) attempt.Action {
 	now := r.s.clock.Now()
 	r.lastErr = err
+	s.pathFailed = pathFailed(err)
 	if canceled(s.ctx) {
 		timedOut := errors.Is(context.Cause(s.ctx), errDeadline)
 		r.s.sendEnded(now, s, outlier.Failed, timedOut && !r.headSent)
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -212,8 +212,7 @@
 	s.resp, s.via = resp, via
 	r.mu.Unlock()
 	if err != nil {
-		var failure *SendError
-		s.pathFailed = errors.As(err, &failure) && failure.PathFailed
+		s.pathFailed = pathFailed(err)
 		return nil, err
 	}
 	r.s.takeReport(r.ID, &s.choice.Target, resp, s.startedAt)
