Tell damage between routers from a target that broke off

Callers would have seen: a sound target ejected after answers that were damaged on the connection between two routers (a part missing, another digest). Cause: an answer that its target broke off and one that was damaged on the way from the relaying router have the same code, answer_cut; for a send without a response only the code was asked, and not the step that reports it. Change: the error of the send has what the error of the body says, which asks for both.

--- a/internal/service/forward/relay.go
+++ b/internal/service/forward/relay.go
@@ -230,7 +230,7 @@
 		return &relayUnable{unsupported: failure.Code == call.CodeNotFound, cause: err}
 	default:
 		broken := relayedBodyError(err)
-		return &SendError{Target: target, Sent: true, Closed: broken.Closed, PathFailed: failure.Code != call.CodeCut, Err: broken}
+		return &SendError{Target: target, Sent: true, Closed: broken.Closed, PathFailed: broken.PathFailed, Err: broken}
 	}
 }
 
