Take only io.EOF itself for the end of a target's answer

Callers would have seen: an answer that breaks off, ended as complete. Not seen on a target so far: net/http gives io.EOF or io.ErrUnexpectedEOF. Cause: HTTPRun.copyAnswer looked for io.EOF anywhere beneath the error of a body. A transport that reports the end of a connection on the way wraps it. Change: the comparison is by identity; any other error is an answer that was cut off.

--- a/internal/target/httprun.go
+++ b/internal/target/httprun.go
@@ -126,7 +126,8 @@
 			}
 			h.Offset += uint64(n)
 		}
-		if errors.Is(err, io.EOF) {
+		// An error that wraps io.EOF is of a connection on the way.
+		if err == io.EOF {
 			progress.stop()
 			return h.end(sink)
 		}
--- a/internal/target/httprun_test.go
+++ b/internal/target/httprun_test.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 
 	"github.com/shoenig/test/must"
 
@@ -94,3 +98,54 @@
 	hits.Add(1)
 	_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
 }
+
+// brokenBody is a body that breaks off with an error that has io.EOF beneath it, as the end of a
+// connection on the way has.
+type brokenBody struct{ io.Reader }
+
+func (b brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err != nil {
+		err = fmt.Errorf("connection of the tunnel ended: %w", err)
+	}
+	return n, err
+}
+
+func (brokenBody) Close() error { return nil }
+
+// answerWith is a transport that answers each request with one body.
+type answerWith struct{ body io.ReadCloser }
+
+func (a answerWith) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: a.body, ContentLength: -1}, nil
+}
+
+// TestOnlyEOFItselfEndsAnAnswer checks that an error that wraps io.EOF is not taken for the end of
+// the answer.
+func TestOnlyEOFItselfEndsAnAnswer(t *testing.T) {
+	sent := func() io.Reader { return strings.NewReader("data: once\n\n") }
+	for _, c := range []struct {
+		name string
+		body io.ReadCloser
+		code call.Code
+	}{
+		{"whole", io.NopCloser(sent()), ""},
+		{"broken between two reads", brokenBody{sent()}, call.CodeCut},
+		{"broken with the last bytes", brokenBody{iotest.DataErrReader(sent())}, call.CodeCut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run := &target.HTTPRun{Client: &http.Client{Transport: answerWith{c.body}}, Target: "t1", Attempt: 1}
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://t1", http.NoBody)
+			must.NoError(t, err)
+			answer := new(standintest.Answer)
+			err = run.Do(t.Context(), r, answer)
+			must.Eq(t, "data: once\n\n", answer.Body())
+			_, ended := answer.Ended()
+			must.Eq(t, c.code == "", ended)
+			if c.code != "" {
+				must.Eq(t, c.code, call.AsError(err).Code)
+				must.Eq(t, call.RunUnknown, call.AsError(err).Run)
+			}
+		})
+	}
+}
