Claim "not run" only if no attempt of a request may have run

Callers would have seen: an error that says "not_run" for a chat that an engine may have run, or whose first tokens they had already received. Cause: the error of the last attempt went to the caller as that of the whole request. After the loss of an owner router, or of a target, a repeatable request is sent again; that attempt may be refused with "not run", which is the word of the second party about its own attempt alone. Change: the route service remembers that an attempt may have run, and the caller interface that a response has begun; both then state the outcome as unknown. Code, step and time to retry stay those of the last attempt.

--- a/internal/call/error.go
+++ b/internal/call/error.go
@@ -84,6 +84,17 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// WithoutNotRun returns the error for a call of which an earlier attempt may have run. It does not
+// claim RunNot, which e states of the last attempt alone.
+func (e *Error) WithoutNotRun() *Error {
+	if e.Run != RunNot {
+		return e
+	}
+	out := *e
+	out.Run = RunUnknown
+	return &out
+}
+
 // AsError returns err as an *Error. An error of another type becomes an
 // internal one whose outcome is unknown.
 func AsError(err error) *Error {
--- a/internal/service/callerapi/run.go
+++ b/internal/service/callerapi/run.go
@@ -19,15 +19,23 @@
 // run runs the request until its response is complete or it fails. If a streamed
 // response is cut, run continues it after the last complete event: the target that
 // has the response resumes it, or the request runs again and the events that the
-// caller has are skipped.
+// caller has are skipped. A response that has begun has run, whatever becomes of later
+// attempts.
 func (s *Service) run(ctx context.Context, x *exchange, out *callerSink) error {
 	ctx, span := s.tracer.Start(ctx, "entry")
 	defer span.End()
 	x.req.TraceParent = tracing.Parent(ctx)
 	for {
 		err := s.runOnce(ctx, x, out)
-		if err == nil || !s.shouldResume(ctx, x, out, call.AsError(err)) {
-			return err
+		if err == nil {
+			return nil
+		}
+		e := call.AsError(err)
+		if !s.shouldResume(ctx, x, out, e) {
+			if out.started {
+				return e.WithoutNotRun()
+			}
+			return e
 		}
 		s.metrics.resumed.Inc(1)
 		from := out.position()
--- a/internal/service/route/failover_test.go
+++ b/internal/service/route/failover_test.go
@@ -206,3 +206,26 @@
 		}
 	}
 }
+
+// TestLaterRefusalIsNotCalledNotRun lets the owner or the target of a request be lost after the
+// request was sent, and the next attempt be refused. The error must not say that the request did
+// not run.
+func TestLaterRefusalIsNotCalledNotRun(t *testing.T) {
+	for _, first := range []*call.Error{
+		{Code: call.CodeUnavailable, Step: "peer", Run: call.RunUnknown},
+		{Code: call.CodeUnavailable, Step: stepTarget, Run: call.RunUnknown},
+		{Code: call.CodeCut, Step: stepTarget, Run: call.RunUnknown},
+	} {
+		for _, refusal := range []*call.Error{
+			{Code: call.CodeDeadline, Step: "admission", Run: call.RunNot},
+			{Code: call.CodeBadRequest, Step: stepTarget, Run: call.RunNot},
+		} {
+			s, peers := newScriptedService(t, []scriptedCall{{"a", 0, body, 0, first}, {"b", 0, body, 0, refusal}})
+			req := &call.Request{ID: "r", Attempt: 1, Kind: call.KindChat, Model: "m", Repeatable: true, Deadline: time.Now().Add(time.Minute)}
+			err := call.AsError(s.Run(t.Context(), req, &checkedResponse{}))
+			must.Len(t, 0, peers.calls)
+			must.Eq(t, refusal.Code, err.Code)
+			must.Eq(t, call.RunUnknown, err.Run, must.Sprint(err))
+		}
+	}
+}
--- a/internal/service/route/run.go
+++ b/internal/service/route/run.go
@@ -81,6 +81,8 @@
 	// ownerMisses counts the attempts at the current target that found no owner.
 	ownerMisses int
 	lastErr     *call.Error
+	// mayHaveRun is true once an attempt has failed that may have run.
+	mayHaveRun bool
 	// resumeDeadline ends the attempts to resume a response that broke off. It is
 	// zero if no response is being resumed.
 	resumeDeadline time.Time
@@ -100,12 +102,21 @@
 			return nil
 		}
 		d.lastErr = err
+		d.mayHaveRun = d.mayHaveRun || err.Run != call.RunNot
 		if !d.prepareNext(ctx, err) {
-			return d.lastErr
+			return d.finalError()
 		}
 	}
 }
 
+// finalError returns the error of the last attempt as that of the whole request.
+func (d *dispatch) finalError() *call.Error {
+	if d.mayHaveRun {
+		return d.lastErr.WithoutNotRun()
+	}
+	return d.lastErr
+}
+
 // start ranks the targets and chooses the first. It reports false if there is
 // none.
 func (d *dispatch) start() bool {
