Call the state of an order unknown if its router can't be reached

Callers would have seen: GET /v1/orders/KEY answered with an error that says "not_run" of an order that had run, from the loss of the router that knows it until its partition has another owner, or for good for a ticket of a lost router while the log is unavailable. A caller that trusts it orders again with another key. Cause: Status returned the error of its question as it was. A question that finds no connection did not run, which says nothing of the order. Change: the error of a router that was asked states the order as unknown and has the status link.

--- a/internal/service/journal/query.go
+++ b/internal/service/journal/query.go
@@ -126,11 +126,19 @@
 		last = err
 	}
 	if last != nil {
-		return Order{}, last
+		return Order{}, statusError(parsed.Key, last)
 	}
 	return Order{}, s.noOwnerError(ctx, parsed.Key)
 }
 
+// statusError returns the error of a router that was asked for an order. "Not run" is
+// true of the question then, and says nothing of the order.
+func statusError(k orders.Key, err error) *call.Error {
+	e := *call.AsError(err)
+	e.Run, e.StatusLink = call.RunUnknown, statusLink(k)
+	return &e
+}
+
 // candidateRouters returns the routers that may know an order: the one that
 // minted its ticket, and the owner of its partition.
 func (s *Service) candidateRouters(key orders.ParsedKey, n int) []fleet.VM {
