Run a request again at its target if only the owner router was lost

Callers saw: streams and long responses of the only target of a kind refused with 503, when their connection between two routers broke before the first byte, be it for a moment. The target was sound, and responses that had begun went on. Cause: prepareNext held the target to have failed for "unavailable" of any step, the loss of the owner (step "peer") included. A failed target isn't waited for, and without another one the request was given up. Change: the loss of an owner to which the request was sent is not a failure of its target. A router that can't be reached at all still counts as unavailable: no request can wait at it. Ruled out: a change where there are other targets; such a request goes there at once, as before. The bed's kill now ends all of a process at one moment: before, the router that died could still tell of its own broken connections to targets.

--- a/internal/app/fleet_bed_test.go
+++ b/internal/app/fleet_bed_test.go
@@ -232,6 +232,14 @@
 	}
 }
 
+// isDead reports whether the process was killed. It writes no more then, also to connections
+// that are about to be closed.
+func (n *mortalNetwork) isDead() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead
+}
+
 // cutLinks resets the connections to other routers, while the process lives on.
 func (n *mortalNetwork) cutLinks() {
 	n.mu.Lock()
@@ -305,7 +313,7 @@
 func (c *mortalConn) Write(p []byte) (int, error) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if c.ended {
+	if c.ended || c.network.isDead() {
 		return 0, errProcessEnded
 	}
 	return c.Conn.Write(p)
--- a/internal/app/fleet_lost_owner_test.go
+++ b/internal/app/fleet_lost_owner_test.go
@@ -95,7 +95,8 @@
 	}
 }
 
-func loseOwner(t *testing.T, b *fleetBed, k fleetRequest, framing, how string, after time.Duration) {
+// loseOwner plays one case and returns the number of responses that are whole.
+func loseOwner(t *testing.T, b *fleetBed, k fleetRequest, framing, how string, after time.Duration) (whole int) {
 	t.Helper()
 	const requests = 8
 	b.targets.setFraming(framing)
@@ -114,7 +115,6 @@
 	} else {
 		b.kill(lost, how)
 	}
-	whole := 0
 	for range requests {
 		a := <-answers
 		if a.looksComplete() {
@@ -126,7 +126,6 @@
 			must.Eq(t, 0, b.targets.runs(a.header.Get(target.HeaderRequestID)), must.Sprint(a.body))
 		}
 	}
-	t.Logf("%d of %d are whole", whole, requests)
 	for _, key := range keys {
 		must.LessEq(t, 1, b.targets.runs(string(key)))
 	}
@@ -136,4 +135,21 @@
 	for _, report := range o.Targets() {
 		must.Eq(t, owner.TargetWarm, report.State, must.Sprint(report.Target))
 	}
+	return whole
+}
+
+// TestRequestsOfALostOwnerAreServed loses the owner of the only target before and after the first
+// byte of responses that may run again. The target has not failed: its next owner serves them.
+func TestRequestsOfALostOwnerAreServed(t *testing.T) {
+	for _, k := range fleetRequests[:2] {
+		for _, how := range []string{"EOF", "reset", "links"} {
+			for _, after := range []time.Duration{50 * time.Millisecond, 1100 * time.Millisecond} {
+				t.Run(fmt.Sprint(k.name, " ", how, " after ", after), func(t *testing.T) {
+					onFleet(t, func(t *testing.T, b *fleetBed) {
+						must.Eq(t, 8, loseOwner(t, b, k, "chunked", how, after))
+					})
+				})
+			}
+		}
+	}
 }
--- a/internal/service/route/failover.go
+++ b/internal/service/route/failover.go
@@ -18,7 +18,9 @@
 // retryRun prepares the retry of a request that may have run. Only repeatable
 // requests are retried, within the attempt limit and the retry budgets. A
 // response that has started is resumed at its target, or restarted at another
-// target if the target itself failed. It reports whether there is a retry.
+// target if the target itself failed. One that has not started runs at another
+// target, or at the same one if only its owner was lost and there is no other. It
+// reports whether there is a retry.
 func (d *dispatch) retryRun(e *call.Error) bool {
 	c := d.service.config.Current()
 	if !d.req.Repeatable || d.sink.failure != nil || int(d.req.Attempt) >= c.Retry.MaxAttempts {
@@ -30,6 +32,9 @@
 	d.service.meters.retried.Inc(1)
 	d.req.Attempt++
 	if !d.sink.started {
+		if e.Step == stepPeer && !d.hasOtherTarget() {
+			return d.resume()
+		}
 		return d.nextTarget()
 	}
 	if e.Step == stepTarget || d.sink.joiner.Delivered() == 0 {
@@ -38,8 +43,16 @@
 	return d.resume()
 }
 
+// hasOtherTarget reports whether there is a target in service that was not tried,
+// besides the current one.
+func (d *dispatch) hasOtherTarget() bool {
+	d.tried[d.req.Target] = true
+	d.ranking = d.service.rank(&d.req)
+	return d.ranking.shortestWait(d.tried) >= 0
+}
+
 // resume prepares to fetch the rest of the response from the same target, through
-// the target's next owner.
+// the target's next owner. The rest is all of it if none has come.
 func (d *dispatch) resume() bool {
 	d.service.meters.resumed.Inc(1)
 	d.sink.joiner.NextRun()
--- a/internal/service/route/failover_test.go
+++ b/internal/service/route/failover_test.go
@@ -132,7 +132,7 @@
 // caller must get one complete response, resumed or joined with that of another
 // run, or an error that tells why it was cut.
 func TestResponseFailover(t *testing.T) {
-	ownerLost := &call.Error{Code: call.CodeUnavailable, Step: "peer", Run: call.RunUnknown}
+	ownerLost := &call.Error{Code: call.CodeUnavailable, Step: stepPeer, Run: call.RunUnknown}
 	targetLost := &call.Error{Code: call.CodeCut, Step: stepTarget, Run: call.RunUnknown}
 	noOwner := &call.Error{Code: call.CodeNotOwner, Step: "owner", Run: call.RunNot}
 	noResponse := &call.Error{Code: call.CodeResumeImpossible, Step: stepTarget, Run: call.RunNot}
@@ -193,7 +193,7 @@
 // the request may have reached it.
 func TestNonRepeatableSentOnce(t *testing.T) {
 	for _, e := range []*call.Error{
-		{Code: call.CodeUnavailable, Step: "peer", Run: call.RunUnknown},
+		{Code: call.CodeUnavailable, Step: stepPeer, Run: call.RunUnknown},
 		{Code: call.CodeUnavailable, Step: stepTarget, Run: call.RunUnknown},
 		{Code: call.CodeCut, Step: stepTarget, Run: call.RunUnknown},
 	} {
@@ -212,7 +212,7 @@
 // not run.
 func TestLaterRefusalIsNotCalledNotRun(t *testing.T) {
 	for _, first := range []*call.Error{
-		{Code: call.CodeUnavailable, Step: "peer", Run: call.RunUnknown},
+		{Code: call.CodeUnavailable, Step: stepPeer, Run: call.RunUnknown},
 		{Code: call.CodeUnavailable, Step: stepTarget, Run: call.RunUnknown},
 		{Code: call.CodeCut, Step: stepTarget, Run: call.RunUnknown},
 	} {
--- a/internal/service/route/run.go
+++ b/internal/service/route/run.go
@@ -25,8 +25,10 @@
 	// defaultRetryAfter is the time after which a caller may retry if no better
 	// estimate is known.
 	defaultRetryAfter = time.Second
-	// stepTarget is the call.Error step of failures at a target.
+	// stepTarget is the call.Error step of failures at a target, and stepPeer that of
+	// failures on the way to its owner.
 	stepTarget = "target"
+	stepPeer   = "peer"
 )
 
 // Run implements Router.
@@ -169,7 +171,8 @@
 	if ctx.Err() != nil || d.moves >= maxMoves {
 		return false
 	}
-	if e.Step == stepTarget || e.Code == call.CodeUnavailable {
+	if e.Step == stepTarget || e.Code == call.CodeUnavailable && e.Run == call.RunNot {
+		// A lost owner says nothing of its target, which may have another one soon.
 		d.failed[d.req.Target] = true
 	}
 	if e.Run != call.RunNot {
