Take no retries of a target for the loss of its owner router

Callers saw: of 30 streams or long responses of 30 accounts at one target, 16 to 20 cut off or refused when the owner router was killed, though the target was sound and its next owner could go on with them. Cause: each retry takes from the budget of the account and from that of the target that failed. The loss of the owner counted as a failure of the target, whose ten retries were then used up for all accounts, and for failures of its own. Change: a retry after the loss of an owner takes from the account's budget alone. The number of attempts stays bounded, as does each account's share of retries. The tests of route and TestRequestsOfALostOwnerAreServed pass.

--- a/internal/app/fleet_lost_owner_test.go
+++ b/internal/app/fleet_lost_owner_test.go
@@ -87,7 +87,7 @@
 			for _, how := range []string{"EOF", "reset", "mid-frame", "links"} {
 				for _, after := range []time.Duration{50 * time.Millisecond, 1100 * time.Millisecond} {
 					t.Run(fmt.Sprint(k.name, " ", framing, " ", how, " after ", after), func(t *testing.T) {
-						onFleet(t, func(t *testing.T, b *fleetBed) { loseOwner(t, b, k, framing, how, after) })
+						onFleet(t, func(t *testing.T, b *fleetBed) { loseOwner(t, b, k, framing, how, after, 8) })
 					})
 				}
 			}
@@ -95,10 +95,10 @@
 	}
 }
 
-// loseOwner plays one case and returns the number of responses that are whole.
-func loseOwner(t *testing.T, b *fleetBed, k fleetRequest, framing, how string, after time.Duration) (whole int) {
+// loseOwner plays one case with a request of each of some accounts, and returns the number of
+// responses that are whole.
+func loseOwner(t *testing.T, b *fleetBed, k fleetRequest, framing, how string, after time.Duration, requests int) (whole int) {
 	t.Helper()
-	const requests = 8
 	b.targets.setFraming(framing)
 	key := func(i int) orders.Key { return orders.NewKey(time.Now(), [10]byte{9: byte(i)}) }
 	lost := b.ownerOf(k.resource(key(0)))
@@ -146,10 +146,24 @@
 			for _, after := range []time.Duration{50 * time.Millisecond, 1100 * time.Millisecond} {
 				t.Run(fmt.Sprint(k.name, " ", how, " after ", after), func(t *testing.T) {
 					onFleet(t, func(t *testing.T, b *fleetBed) {
-						must.Eq(t, 8, loseOwner(t, b, k, "chunked", how, after))
+						must.Eq(t, 8, loseOwner(t, b, k, "chunked", how, after, 8))
 					})
 				})
 			}
 		}
 	}
 }
+
+// TestLostOwnerTakesNoRetriesOfItsTargets loses an owner with the requests of 30 accounts at one
+// target, more than the retries that a target is allowed after failures of its own.
+func TestLostOwnerTakesNoRetriesOfItsTargets(t *testing.T) {
+	for _, k := range fleetRequests[:2] {
+		for _, after := range []time.Duration{50 * time.Millisecond, 1100 * time.Millisecond} {
+			t.Run(fmt.Sprint(k.name, " after ", after), func(t *testing.T) {
+				onFleet(t, func(t *testing.T, b *fleetBed) {
+					must.Eq(t, 30, loseOwner(t, b, k, "chunked", "EOF", after, 30))
+				})
+			})
+		}
+	}
+}
--- a/internal/service/route/budget.go
+++ b/internal/service/route/budget.go
@@ -30,15 +30,17 @@
 }
 
 // takeRetry takes a retry from the budgets of the request's account and of the
-// target that failed. It reports false and takes nothing if either is used up.
-func (s *Service) takeRetry(req *call.Request) bool {
+// target that failed. It reports false and takes nothing if either is used up. The
+// loss of the target's owner takes none of the target's: it would leave too few for
+// failures of the target itself, and cut off what the next owner can go on with.
+func (s *Service) takeRetry(req *call.Request, e *call.Error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	account, target := s.accountBudgets.For(req.Account), s.targetBudgets.For(req.Target)
 	if !account.Take() {
 		return false
 	}
-	if !target.Take() {
+	if e.Step != stepPeer && !target.Take() {
 		account.Refund()
 		return false
 	}
--- a/internal/service/route/failover.go
+++ b/internal/service/route/failover.go
@@ -26,7 +26,7 @@
 	if !d.req.Repeatable || d.sink.failure != nil || int(d.req.Attempt) >= c.Retry.MaxAttempts {
 		return false
 	}
-	if e.Code == call.CodeCanceled || e.Code == call.CodeDeadline || !d.service.takeRetry(&d.req) {
+	if e.Code == call.CodeCanceled || e.Code == call.CodeDeadline || !d.service.takeRetry(&d.req, e) {
 		return false
 	}
 	d.service.meters.retried.Inc(1)
--- a/internal/service/route/run.go
+++ b/internal/service/route/run.go
@@ -187,11 +187,11 @@
 		return d.waitForOwner(ctx)
 	case call.CodeOverloaded:
 		if e.Step == stepTarget {
-			return d.service.takeRetry(&d.req) && d.nextTarget()
+			return d.service.takeRetry(&d.req, e) && d.nextTarget()
 		}
 		return d.handleRefusal(e)
 	case call.CodeUnavailable, call.CodeDraining, call.CodeNoTarget:
-		if e.Step == stepTarget && !d.service.takeRetry(&d.req) {
+		if e.Step == stepTarget && !d.service.takeRetry(&d.req, e) {
 			return false
 		}
 		return d.nextTarget()
