Hold responses that broke off back like other failures of a path

Callers could see: requests crowded on few targets at routers that reach all of them, as these had ejected sound targets on the report of a router that had lost its paths. Cause: a failure without a response is held back from the other routers until another target of the service was reached, since it may be one of the path. A response that broke off was reported at once. When the connections of a router to all targets are reset in the middle of streams, each target counts as failing for the whole fleet, with the number of streams that ran there. Evidence: TestReportsOfAResetRouterEjectNoTarget, 2 of 4 cases failed (the streams after their first event): router 2, which reaches all engines, logged three ejections. Change: all failures that the target has not told of by itself (a status from 500 on, a refusal, a response without its stamp) are held back, whether or not a head had come.

--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
@@ -206,11 +207,17 @@
 	if s.outliers.Observe(now, id.Ref(), outcome) {
 		s.logger.WithField("target", id).Info("Target ejected after failures.")
 	}
-	if outcome != outlier.OK && ended.resp == nil && ended.via == "" {
+	if outcome != outlier.OK && ended.via == "" && !saysFailure(ended.resp) {
 		s.holdFailure(now, service, id)
 	}
 }
 
+// saysFailure reports whether a response is the word of a target, or of something at its address,
+// that it failed. Any other failure of a send may be one of the path to the target.
+func saysFailure(resp *Response) bool {
+	return resp != nil && (resp.NotRun || resp.Misdirected || !resp.Stamped || resp.Status >= http.StatusInternalServerError)
+}
+
 // inUse reports whether a target is neither ejected nor on trial, and has not asked
 // for a pause.
 func (s *Service) inUse(id fleet.Target, born int64) bool {
--- a/internal/service/forward/held.go
+++ b/internal/service/forward/held.go
@@ -8,13 +8,13 @@
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
-// maxHold is how long a failure without a response is held back from other routers. One
-// that is not shown to be the target's by then is not reported.
+// maxHold is how long a failure that the target has not told of is held back from other
+// routers. One that is not shown to be the target's by then is not reported.
 const maxHold = 3 * time.Second
 
-// heldFailure is a failure of a target without a response, which may be one of the path to
-// it. It is reported to other routers once this one has reached another target of the
-// service since.
+// heldFailure is a failure of a target without a response, or with one that broke off, which
+// may be one of the path to it. It is reported to other routers once this one has reached
+// another target of the service since.
 type heldFailure struct {
 	target  fleet.Target
 	service fleet.Service
