Keep a target in use that succeeds here when late reports arrive

Callers saw: room that was not used. A router ejected a sound target on its own success, for up to 4 s. Cause: three successes in a row outweigh what other routers report, but only while a report is taken. The next own success was judged with the reported failures, which may be older than the return of the target, and ejected it. Evidence: a trace of TestBrittleTargetsStayUp with 946 answers: two of three routers eject the target that did not fall over, with outcome OK, for 4 s (0.1 and 0.3 s after reports of failures). TestOwnSuccessOutweighsLateReports fails before. Change: evaluate keeps a trusted target in use, whoever saw the outcome. Reported failures beyond those that probation allows do not shorten it. Measured: the tests of core/outlier pass. This alone does not mend TestBrittleTargetsStayUp.

--- a/internal/core/outlier/outlier.go
+++ b/internal/core/outlier/outlier.go
@@ -184,7 +184,7 @@
 	t := d.get(id)
 	i := d.slotOf(now)
 	t.add(i, c)
-	if t.ejected(now) || t.trusted(now) {
+	if t.ejected(now) {
 		return false
 	}
 	return t.evaluate(now, i)
@@ -223,10 +223,14 @@
 //   - ejectConsecutive consecutive requests failed,
 //   - ejectFailureRatio of at least minOutcomes outcomes in the window failed, or
 //   - probationFailures requests failed while the target is on probation.
+//
+// A trusted target stays in use. Reports tell neither when a request failed nor whether the
+// target has returned since.
 func (t *target) evaluate(now time.Time, slot int64) bool {
 	relapsed := t.onProbation && t.sinceReturn.Failed >= probationFailures
-	if t.unreachable < ejectUnreachable && t.failed < ejectConsecutive && !t.total(slot).exceedsFailureRatio() && !relapsed {
-		if t.onProbation && t.sinceReturn.OK+t.sinceReturn.Failed >= probationOutcomes {
+	failing := t.unreachable >= ejectUnreachable || t.failed >= ejectConsecutive || t.total(slot).exceedsFailureRatio() || relapsed
+	if !failing || t.trusted(now) {
+		if t.onProbation && t.sinceReturn.passesProbation() {
 			t.onProbation, t.sinceReturn, t.backoff = false, Counts{}, 0
 		}
 		return false
@@ -244,6 +248,12 @@
 	return total >= minOutcomes && float64(c.Failed) >= ejectFailureRatio*float64(total)
 }
 
+// passesProbation reports whether there are enough outcomes since the return of a target.
+// More failures than are allowed then do not add to them.
+func (c Counts) passesProbation() bool {
+	return c.OK+min(c.Failed, probationFailures-1) >= probationOutcomes
+}
+
 // trialEnded takes the outcome of a trial request. After a success the target
 // is in use again, on probation; after a failure it stays ejected for twice the
 // time.
--- a/internal/core/outlier/outlier_test.go
+++ b/internal/core/outlier/outlier_test.go
@@ -139,3 +139,21 @@
 	d.Observe(now, id, outlier.OK)
 	must.Eq(t, outlier.InUse, d.State(now, id))
 }
+
+// TestOwnSuccessOutweighsLateReports guards against a success of this router that ejects its
+// target, since failures that other routers saw before the target returned were reported since.
+func TestOwnSuccessOutweighsLateReports(t *testing.T) {
+	d := outlier.New()
+	for range 4 {
+		d.Observe(start, id, outlier.Failed)
+	}
+	now := start.Add(time.Second)
+	d.StartTrial(id)
+	for range 4 {
+		must.False(t, d.Observe(now, id, outlier.OK))
+	}
+	must.False(t, d.ObserveRemote(now, id, outlier.Counts{OK: 3, Failed: 40}))
+	must.False(t, d.Observe(now, id, outlier.OK))
+	must.Eq(t, outlier.InUse, d.State(now, id))
+	must.True(t, d.Observe(now, id, outlier.Failed), must.Sprint("it fails here as well"))
+}
