End connections before a stopping router cancels the calls on them

Callers would have seen: a chat or long response cut off for good, or an order with an unknown outcome at once, as the owner router's grace ran out, where the next owner could have gone on. Cause: Stop canceled the calls that it served and then closed their connections, one after the other. Until its turn came, a call could still tell "canceled" to the router that asked, which took it for the cancel of its own caller: such a request is not tried again. Change: connections are closed first, which cancels the calls on them; the router that asked sees the loss of the owner. Ruled out: to retry "canceled" at the router that asked, which also stands for callers that take no more.

--- a/internal/app/fleet_bed_test.go
+++ b/internal/app/fleet_bed_test.go
@@ -156,6 +156,14 @@
 	_ = r.Stop(context.Background())
 }
 
+// stop stops a router whose grace is over: what it still runs is canceled.
+func (b *fleetBed) stop(vm fleet.VM) {
+	r := b.routers[vm]
+	delete(b.routers, vm)
+	_ = r.Stop(context.Background())
+	r.network.kill("EOF")
+}
+
 // ownerOf returns the router that owns a resource.
 func (b *fleetBed) ownerOf(r owner.Resource) fleet.VM {
 	b.t.Helper()
--- a/internal/app/fleet_lost_owner_test.go
+++ b/internal/app/fleet_lost_owner_test.go
@@ -84,7 +84,7 @@
 func TestLostOwnerEndsNoResponse(t *testing.T) {
 	for _, k := range fleetRequests {
 		for _, framing := range k.framings {
-			for _, how := range []string{"EOF", "reset", "mid-frame", "links"} {
+			for _, how := range []string{"EOF", "reset", "mid-frame", "links", "stop"} {
 				for _, after := range []time.Duration{50 * time.Millisecond, 1100 * time.Millisecond} {
 					t.Run(fmt.Sprint(k.name, " ", framing, " ", how, " after ", after), func(t *testing.T) {
 						onFleet(t, func(t *testing.T, b *fleetBed) { loseOwner(t, b, k, framing, how, after, 8) })
@@ -110,9 +110,12 @@
 		go func() { answers <- k.send(b, entry, i, keys[i]) }()
 	}
 	time.Sleep(after)
-	if how == "links" {
+	switch how {
+	case "links":
 		b.routers[lost].network.cutLinks()
-	} else {
+	case "stop":
+		b.stop(lost)
+	default:
 		b.kill(lost, how)
 	}
 	for range requests {
@@ -142,7 +145,7 @@
 // byte of responses that may run again. The target has not failed: its next owner serves them.
 func TestRequestsOfALostOwnerAreServed(t *testing.T) {
 	for _, k := range fleetRequests[:2] {
-		for _, how := range []string{"EOF", "reset", "links"} {
+		for _, how := range []string{"EOF", "reset", "links", "stop"} {
 			for _, after := range []time.Duration{50 * time.Millisecond, 1100 * time.Millisecond} {
 				t.Run(fmt.Sprint(k.name, " ", how, " after ", after), func(t *testing.T) {
 					onFleet(t, func(t *testing.T, b *fleetBed) {
--- a/internal/service/peer/service.go
+++ b/internal/service/peer/service.go
@@ -140,10 +140,12 @@
 func (s *Service) Stop(context.Context) error {
 	s.links.end()
 	err := s.listener.Close()
-	s.cancel()
+	// Connections end before the calls on them are canceled: the other routers must not take that
+	// for a cancel of their own.
 	for _, c := range s.links.all() {
 		c.close(errStopping)
 	}
+	s.cancel()
 	s.waitRunning()
 	if errors.Is(err, net.ErrClosed) {
 		return nil
