Tell of each change in zfctl that it may have been carried out if its router was lost

Operators would have seen: rollback, drain, return and orders settle that end with exit code 1, failed, when the router was lost after the change was sent; a script that takes it for a failure does it again, or goes on as if nothing had changed. Cause: only publish told a lost connection from the word of a router. Change: all commands that change something do, with exit code 3, outcome not known, and the next step. Dry runs, and changes that no router was reached for, still end with 1.

--- a/internal/zfctl/connect.go
+++ b/internal/zfctl/connect.go
@@ -150,3 +150,14 @@
 	var dial *net.OpError
 	return !errors.As(err, &dial) || dial.Op != "dial"
 }
+
+// outcomeUnknown adds what to do next to the error of a change that may have been carried out,
+// since the connection to the router was lost, and the exit code. The word of a router stays as it
+// is.
+func outcomeUnknown(err error, dryRun bool, next string) error {
+	var e *admin.Error
+	if dryRun || errors.As(err, &e) || !arrived(err) {
+		return err
+	}
+	return &codedError{fmt.Errorf("%w\n  next: %s", err, next), ExitPending}
+}
--- a/internal/zfctl/publish.go
+++ b/internal/zfctl/publish.go
@@ -81,12 +81,12 @@
 		}
 		return err
 	}
-	if c.DryRun || !arrived(err) {
-		return err
-	}
-	return &codedError{fmt.Errorf("%w\n  next: the change may have been published; run zfctl outcome %s", err, nonce), ExitPending}
+	return outcomeUnknown(err, c.DryRun, "the change may have been published; run zfctl outcome "+nonce)
 }
 
+// changeUnknown tells what to do when it isn't known whether a change was published.
+const changeUnknown = "the change may have been published; look for it with zfctl history"
+
 type rollbackCommand struct {
 	Version uint64 `arg:"" help:"Version to go back to, by its offset."`
 	Scope   string `help:"Document, when several differ." predictor:"scope"`
@@ -99,7 +99,7 @@
 		Version: c.Version, Scope: configstate.Scope(c.Scope), Comment: c.Message, Parent: c.Parent, DryRun: c.DryRun,
 	})
 	if err != nil {
-		return err
+		return outcomeUnknown(err, c.DryRun, changeUnknown)
 	}
 	return c.finish(ctx, g, out)
 }
@@ -125,7 +125,7 @@
 		Comment: c.Message, Parent: c.Parent, DryRun: c.DryRun,
 	})
 	if err != nil {
-		return err
+		return outcomeUnknown(err, c.DryRun, changeUnknown)
 	}
 	return c.finish(ctx, g, out)
 }
@@ -137,7 +137,7 @@
 		Force: c.Force, Comment: c.Message, DryRun: c.DryRun,
 	})
 	if err != nil {
-		return err
+		return outcomeUnknown(err, c.DryRun, "the drain may have been set or lifted; look at zfctl status")
 	}
 	return g.show(out, func() {
 		g.concerns(out.Affected)
--- a/internal/zfctl/state.go
+++ b/internal/zfctl/state.go
@@ -185,7 +185,7 @@
 	out, err := post[admin.Settled](ctx, g, admin.PathSettle,
 		admin.SettleRequest{Key: c.Key, Run: call.Run(c.Outcome), Comment: c.Message})
 	if err != nil {
-		return err
+		return outcomeUnknown(err, false, "the order may have been settled; run the command again")
 	}
 	return g.show(out, func() { g.printf("order %s is settled as %s\n", out.Key, out.Run) })
 }
