Tell in zfctl that a change is accepted if the router is lost while its spread is waited for

Operators would have seen: publish, rollback, drain and return that end with exit code 1, failed, and the bare error of a connection, after the change was accepted. Cause: the error of the question where a version is in force went out as that of the change. Change: it says that the version is accepted, and has exit code 3, as has a version that isn't in force in time. Measured: TestLostRouterIsNoFailedPublication failed before (1, want 3) and passes with the tests of zfctl.

--- a/internal/zfctl/lost_router_test.go
+++ b/internal/zfctl/lost_router_test.go
@@ -1,6 +1,7 @@
 package zfctl
 
 import (
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/zinniafork/zinniafork/internal/cli"
+	"github.com/zinniafork/zinniafork/internal/core/configstate"
 	"github.com/zinniafork/zinniafork/internal/service/admin"
 )
 
@@ -48,3 +50,18 @@
 		must.Eq(t, cli.ExitError, exitCode(err), must.Sprint("nothing was sent: ", c.args))
 	}
 }
+
+// TestLostRouterIsNoFailedPublication loses the router that has accepted a change, while its
+// spread is waited for. The change stays accepted.
+func TestLostRouterIsNoFailedPublication(t *testing.T) {
+	accepted := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != admin.PathPublish {
+			panic(http.ErrAbortHandler)
+		}
+		_ = json.NewEncoder(w).Encode(admin.Published{Version: configstate.Entry{Version: configstate.Version{Offset: 7, Hash: "h"}}})
+	}))
+	defer accepted.Close()
+	_, err := run(t, accepted.URL, "publish", "base", write(t, "base.toml", ""))
+	must.Eq(t, ExitPending, exitCode(err), must.Sprint(err))
+	must.ErrorContains(t, err, "version 7 is accepted")
+}
--- a/internal/zfctl/publish.go
+++ b/internal/zfctl/publish.go
@@ -230,7 +230,9 @@
 			return nil
 		}
 		if err != nil && ctx.Err() == nil {
-			return err
+			return &codedError{
+				fmt.Errorf("version %d is accepted, and where it is in force is not known: %w\n  next: see zfctl status", v.Offset, err), ExitPending,
+			}
 		}
 		if err == nil {
 			done, text := progress(spread, v)
