Take an unframed stream for whole only with its end mark

Callers would have seen: a chat that ends as complete after some of its events, when an engine that sends neither length nor chunks is lost between two of them. Cause: the end of the engine's connection was taken for the end of the stream. A killed process ends its connection just so. Change: a streamed chat whose end only the connection tells has to end with "data: [DONE]", as chat-completions streams do; otherwise it counts as cut off, and is resumed or run again. Streams with chunks or a length are taken as they are. Not mended: an unframed response of a plain worker, and an unframed chat that isn't streamed, have no mark to look for.

--- a/internal/target/engine/engine.go
+++ b/internal/target/engine/engine.go
@@ -91,6 +91,7 @@
 		Offset:  req.ResumeFrom,
 		Digest:  xxhash.New(),
 		Refused: c.refused,
+		EndMark: endMark,
 		Watch:   c.watch(req.ID),
 	}
 	err := c.try(ctx, run, req, sink)
@@ -105,6 +106,9 @@
 	return err
 }
 
+// endMark is the last line of a streamed chat.
+const endMark = "data: [DONE]"
+
 // mayResume reports whether an answer that failed with err has begun and can
 // go on.
 func (c *Client) mayResume(ctx context.Context, run *target.HTTPRun, err error) bool {
--- a/internal/target/httprun.go
+++ b/internal/target/httprun.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,11 +40,16 @@
 	// Refused turns a response that is not an answer into an error; nil takes
 	// every response as the answer.
 	Refused func(*http.Response) *call.Error
+	// EndMark is what ends a stream, line ends aside. One whose end only the connection tells is
+	// not whole without it, as that of a target that is lost. Empty takes any end.
+	EndMark string
 	// Watch notices a connection that has gone silent; nil waits for the end
 	// of the context.
 	Watch *Watch
 
 	headed bool
+	// tail holds the last bytes of the answer if its end mark is looked for.
+	tail []byte
 }
 
 // Watch is the rule for silent connections.
@@ -120,6 +126,7 @@
 		if n > 0 {
 			progress.note(n)
 			_, _ = h.Digest.Write(buf[:n])
+			h.keepTail(buf[:n])
 			chunk := call.Chunk{Attempt: h.Attempt, Offset: h.Offset, Data: buf[:n]}
 			if sinkErr := sink.Chunk(chunk); sinkErr != nil {
 				return h.unwanted(sinkErr)
@@ -128,6 +135,9 @@
 		}
 		// An error that wraps io.EOF is of a connection on the way.
 		if err == io.EOF {
+			if h.lacksEnd(resp) {
+				return h.broken(ctx, errNoEndMark)
+			}
 			progress.stop()
 			return h.end(sink)
 		}
@@ -137,6 +147,27 @@
 	}
 }
 
+// tailBytes is how much of an answer is kept to find its end mark.
+const tailBytes = 64
+
+// errNoEndMark is the cause if a stream ended with its connection and without its end mark.
+var errNoEndMark = errors.New("connection ended before the end mark of the stream")
+
+func (h *HTTPRun) keepTail(data []byte) {
+	if h.EndMark == "" {
+		return
+	}
+	h.tail = append(h.tail, data[max(0, len(data)-tailBytes):]...)
+	h.tail = h.tail[max(0, len(h.tail)-tailBytes):]
+}
+
+// lacksEnd reports whether a stream ended with its connection and without its end mark.
+func (h *HTTPRun) lacksEnd(resp *http.Response) bool {
+	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.ProtoMajor == 1
+	stream := strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream")
+	return h.EndMark != "" && unframed && stream && !bytes.HasSuffix(bytes.TrimSpace(h.tail), []byte(h.EndMark))
+}
+
 // end closes the answer, which has run whatever becomes of it.
 func (h *HTTPRun) end(sink call.Sink) error {
 	err := sink.End(call.End{Attempt: h.Attempt, Length: h.Offset, Digest: h.Digest.Sum64()})
