Reset the connection of a caller of HTTP/1.0 whose response is cut off

Such callers would have seen: part of a response without a length as a whole one, when the owner router or the target was lost. Cause: HTTP/1.0 has no chunks; the end of the connection is the end of the response, and a cut response ended its connection in the regular way. Change: a response that is cut off resets the connection of such a caller.

--- a/internal/service/callerapi/serve.go
+++ b/internal/service/callerapi/serve.go
@@ -12,6 +12,7 @@
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/core/answers"
+	"github.com/zinniafork/zinniafork/internal/httpserve"
 	"github.com/zinniafork/zinniafork/internal/service/figures"
 	"github.com/zinniafork/zinniafork/internal/target"
 	"github.com/zinniafork/zinniafork/internal/tracing"
@@ -72,7 +73,7 @@
 	}
 	s.recordEnd(x, e, out.firstByte, arrived)
 	if e != nil {
-		s.reportError(w, out, x, e)
+		s.reportError(w, r, out, x, e)
 	}
 }
 
@@ -91,7 +92,7 @@
 // started, it writes an error response. A stream that has started gets an error
 // event. Other responses have no room for an error, so reportError aborts the
 // connection and the caller sees an incomplete response.
-func (s *Service) reportError(w http.ResponseWriter, out *callerSink, x *exchange, e *call.Error) {
+func (s *Service) reportError(w http.ResponseWriter, r *http.Request, out *callerSink, x *exchange, e *call.Error) {
 	s.logger.WithError(e).
 		WithField("request", x.req.ID).
 		WithField("trace", tracing.ID(x.req.TraceParent)).
@@ -102,7 +103,7 @@
 	case out.events != nil:
 		out.writeErrorEvent(e)
 	default:
-		panic(http.ErrAbortHandler)
+		httpserve.Abort(w, r)
 	}
 }
 
