Count a target as crashed only while others can be reached

Callers could see: requests with a sound prompt part refused with 503 at every router, until a probe passes or ten minutes without them, after one router had lost its paths. Cause: sends with a part that was never served, which break off at several engines at the same moment, count once unless the engines are down afterwards. A router whose connections were reset and whose next ones were refused took the engines for down at once, before it knew whether its own path had failed, quarantined the part, and told the others both. Change: that no connection opens is held back, as failures are, until another target of the service was reached since, and dropped if the path counts as failed. That an engine crashed is also shown by the next process under its ID: a partition doesn't bring that about. Ruled out: that the outage guard covers it. It does at the router itself, if requests without the part break off too, and not at the others, which are served all the while. Each of both signs taken out fails a case. If most engines of a service crash at once and come back under other IDs, their crashes count once, as before in an outage.

--- a/internal/app/site_reset_paths_test.go
+++ b/internal/app/site_reset_paths_test.go
@@ -61,3 +61,21 @@
 		}
 	}
 }
+
+// TestResetsOfAPathQuarantineNoPart resets the connections of one router to all engines, while
+// requests with prompt parts that are new run there. No router may take the parts for deadly.
+func TestResetsOfAPathQuarantineNoPart(t *testing.T) {
+	for _, route := range []string{"chat", "draft"} {
+		for _, after := range resetTimes {
+			t.Run(fmt.Sprint(route, " after ", after), func(t *testing.T) {
+				onSite(t, func(t *testing.T, b *siteBed) {
+					b.resetPaths(route, after)
+					for _, router := range []string{"1", "2", "3"} {
+						must.Eq(t, 0, b.lines.of(router, "Request content or prompt part quarantined: it crashes targets."), must.Sprint("router ", router))
+					}
+					must.Eq(t, 200, b.callOn("2", "chat", "aa", "bb").status)
+				})
+			})
+		}
+	}
+}
--- a/internal/service/forward/held.go
+++ b/internal/service/forward/held.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/overload"
+	"github.com/zinniafork/zinniafork/internal/core/quarantine"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
@@ -14,11 +15,13 @@
 
 // heldFailure is a failure of a target without a response, or with one that broke off, which
 // may be one of the path to it. It is reported to other routers once this one has reached
-// another target of the service since.
+// another target of the service since. So is that a target can't be reached at all.
 type heldFailure struct {
 	target  fleet.Target
 	service fleet.Service
 	at      time.Time
+	// down is the process to which no connection could be opened, nil for a send that failed.
+	down *quarantine.Engine
 }
 
 // holdFailure holds the last failure of a target back. The caller holds the lock.
@@ -27,6 +30,14 @@
 	s.held = append(s.held, heldFailure{target: id, service: service, at: now})
 }
 
+// holdDown holds back that no connection to a target could be opened. The caller holds the lock.
+func (s *Service) holdDown(now time.Time, service fleet.Service, id fleet.Target) {
+	e := engineOf(id, s.born[id], service)
+	if !slices.ContainsFunc(s.held, func(h heldFailure) bool { return h.down != nil && *h.down == e }) {
+		s.held = append(s.held, heldFailure{target: id, service: service, at: now, down: &e})
+	}
+}
+
 // releaseHeld reports the failures that are known to be those of their targets, and drops
 // the others in time. The caller holds the lock.
 func (s *Service) releaseHeld(now time.Time) {
@@ -35,7 +46,11 @@
 		case s.paths.IsCut(h.service):
 			return true
 		case s.paths.ReachedSince(h.at, h.service, h.target):
-			s.outliers.Report(h.target.Ref())
+			if h.down != nil {
+				s.engineDown(now, *h.down)
+			} else {
+				s.outliers.Report(h.target.Ref())
+			}
 			return true
 		default:
 			return now.Sub(h.at) > maxHold
--- a/internal/service/forward/paths.go
+++ b/internal/service/forward/paths.go
@@ -69,7 +69,9 @@
 	}
 	s.mu.Lock()
 	s.doubt(id)
-	s.engineDown(s.clock.Now(), id)
+	if !s.paths.IsCut(service) {
+		s.holdDown(s.clock.Now(), service, id)
+	}
 	probe, cut := s.paths.Lost(s.clock.Now(), service, id, all)
 	var silent []*send
 	if cut {
--- a/internal/service/forward/quarantine.go
+++ b/internal/service/forward/quarantine.go
@@ -56,7 +56,12 @@
 // targetProcess returns the process that a send went to.
 func (s *send) targetProcess() quarantine.Engine {
 	t := &s.choice.Target
-	return quarantine.Engine{Target: t.ID.Ref(), Born: uint32(t.Born), Service: t.Service}
+	return engineOf(t.ID, t.Born, t.Service)
+}
+
+// engineOf returns the process of a target.
+func engineOf(id fleet.Target, born int64, service fleet.Service) quarantine.Engine {
+	return quarantine.Engine{Target: id.Ref(), Born: uint32(born), Service: service}
 }
 
 // checkQuarantine reports whether a part of the request is in quarantine, so that it must
@@ -184,10 +189,10 @@
 	gauge.Inc(int64(s.quarantine.Count()) - gauge.Count())
 }
 
-// engineDown records that a target can't be reached, which tells that its process has
-// crashed if it broke off requests before. The caller holds the lock.
-func (s *Service) engineDown(now time.Time, id fleet.Target) {
-	e := quarantine.Engine{Target: id.Ref(), Born: uint32(s.born[id]), Service: s.targetServices[id.Ref()]}
+// engineDown records that a process has ended: it has another one after it, or can't be reached
+// while others of its service can. It has crashed if it broke off requests before. The caller
+// holds the lock.
+func (s *Service) engineDown(now time.Time, e quarantine.Engine) {
 	changes, crashed := s.quarantine.EngineDown(now, e)
 	s.logParts(changes, s.self)
 	if crashed {
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -278,6 +278,7 @@
 			continue
 		}
 		if born, ok := s.born[id]; ok && born != r.Value.Born {
+			s.engineDown(s.clock.Now(), engineOf(id, born, s.targetServices[id.Ref()]))
 			s.balancer.ForgetCache(id)
 			s.outliers.Reset(id.Ref())
 			delete(s.doubted, id)
