Count only trials as trials of an ejected target

Callers saw: room that was not used. A target that fell over with requests in flight was left out for 4 s at once, and at all routers for 2 s after it was back. Cause: while a target is ejected, each failed request counted as a failed trial and doubled the ejection. Requests in flight when a target falls over, and those sent to ejected targets since too many are ejected, took it from 0.5 s to 4 s in one burst. Evidence: TestBrittleTargetsStayUp was flaky: 947, 945, 945 and 947 answers where 960 are asked, in 4 of 53 plays (-race, 1 of 23 with -cpu 1, 3 of 30 with -cpu 4). A trace of one with 946: only one of the two targets falls over in the first burst, at 7.0 s, when no router knows yet that it is brittle. It is back at 9.0 s, but ejected until 11.0, 11.1 and 12.1 s: five requests of each burst are missing from 9.0 to 11.0 s. When both fall over, as in the other plays that were traced, ejected targets are used and both return at once. TestRequestsInFlightAreNoTrials fails before. Change: the failure of a request that is no trial leaves the ejection as it is. A success of one still ends it. The bound is as it was; the test logs its figures.

--- a/internal/app/site_brittle_test.go
+++ b/internal/app/site_brittle_test.go
@@ -53,6 +53,7 @@
 		}
 		must.LessEq(t, 2, falls, must.Sprint("times that targets fell over"))
 		// Room is for half of a burst, and five of six slots are granted: 41 in 100.
+		t.Logf("%d answered, fell over %d times", answered, falls)
 		must.GreaterEq(t, sent*40/100, answered, must.Sprint("of ", sent, " requests"))
 
 		for _, id := range []string{"p1", "p2"} {
--- a/internal/core/outlier/outlier.go
+++ b/internal/core/outlier/outlier.go
@@ -123,7 +123,7 @@
 }
 
 // Observe records the outcome of a request that this router sent and reports
-// whether the target is ejected now.
+// whether it ejects the target.
 func (d *Detector) Observe(now time.Time, id fleet.Ref, o Outcome) (ejected bool) {
 	t := d.get(id)
 	c := Counts{}
@@ -146,8 +146,11 @@
 	}
 	t.local.OK += c.OK
 	t.local.Failed += c.Failed
-	if t.ejected(now) || t.trialPending {
+	switch {
+	case t.trialPending, t.ejected(now) && o == OK:
 		return t.trialEnded(now, o)
+	case t.ejected(now):
+		return false // no trial: sent before the ejection, or while too many targets were ejected
 	}
 	i := d.slotOf(now)
 	t.add(i, c)
--- a/internal/core/outlier/outlier_test.go
+++ b/internal/core/outlier/outlier_test.go
@@ -157,3 +157,21 @@
 	must.Eq(t, outlier.InUse, d.State(now, id))
 	must.True(t, d.Observe(now, id, outlier.Failed), must.Sprint("it fails here as well"))
 }
+
+// TestRequestsInFlightAreNoTrials guards against a crash with many requests in flight that ejects
+// its target for as long as a row of failed trials.
+func TestRequestsInFlightAreNoTrials(t *testing.T) {
+	d := outlier.New()
+	for range 12 {
+		d.Observe(start, id, outlier.Failed)
+	}
+	now := start.Add(500 * time.Millisecond)
+	must.Eq(t, outlier.Trial, d.State(now, id))
+	d.StartTrial(id)
+	must.True(t, d.Observe(now, id, outlier.Failed))
+	for range 12 {
+		must.False(t, d.Observe(now, id, outlier.Failed), must.Sprint("sent while too many targets were ejected"))
+	}
+	now = now.Add(time.Second)
+	must.Eq(t, outlier.Trial, d.State(now, id))
+}
