Hand on each end of a connection through the soak's proxy by itself

Callers of the proxies could have been misled, and so the soak: routers saw ends of answers that no worker had written. Cause: the proxy took the end of one direction of a connection for the end of both, closed the client's connection in order when its own dial to the server failed or when it refused, and handed ends on while it lost bytes. An answer without length and chunks ends with its connection, so that each of these may be read as the end of an answer. Change: each direction ends by itself; an end goes on only after all bytes, and not while bytes are lost; a server that isn't reached and a refusal reset the connection. TestLostBytesAreNotSteppedOver asks for the named end endLost in place of false, which also stood for a reset.

--- a/internal/lab/soak/proxy.go
+++ b/internal/lab/soak/proxy.go
@@ -23,7 +23,7 @@
 	CutUp   Mode = "cut_up"
 	CutDown Mode = "cut_down"
 	Silent  Mode = "silent"
-	// Refuse closes new connections at once.
+	// Refuse resets new connections at once.
 	Refuse Mode = "refuse"
 )
 
@@ -116,19 +116,28 @@
 func (p *proxy) serve(client net.Conn) {
 	defer p.track(client)()
 	if p.now() == Refuse {
+		resetOnClose(client)
 		return
 	}
 	server, err := net.DialTimeout("tcp", p.to, time.Second)
 	if err != nil {
+		resetOnClose(client) // the server has said nothing, not even an end
 		return
 	}
 	defer p.track(server)()
-	done := make(chan bool, 2)
+	done := make(chan end, 2)
 	go p.pump(server, client, CutUp, done)
 	go p.pump(client, server, CutDown, done)
-	if inOrder := <-done; !inOrder {
+	for range 2 {
+		e := <-done
+		if e == endInOrder {
+			continue
+		}
 		resetOnClose(server)
 		resetOnClose(client)
+		if e == endBroken {
+			return
+		}
 	}
 }
 
@@ -145,30 +154,56 @@
 	}
 }
 
-// pump hands bytes on in one direction, which is lost in mode cut. Once bytes
-// were lost, those that follow on the connection are lost too: TCP has no holes. It
-// reports whether all bytes came and were handed on: the other side may take nothing
-// else for the end of an answer.
-func (p *proxy) pump(to io.Writer, from io.Reader, cut Mode, done chan<- bool) {
-	lost, ended := false, false
-	defer func() { done <- ended && !lost }()
+// end tells how one direction of a connection ended.
+type end int
+
+const (
+	// endInOrder is an end after all bytes, which was handed on.
+	endInOrder end = iota
+	// endLost is an end that nobody hears of, since bytes are lost.
+	endLost
+	// endBroken is any other end.
+	endBroken
+)
+
+// pump hands bytes on in one direction, which is lost in mode cut. Once bytes were lost, those that
+// follow on the connection are lost too: TCP has no holes. The end of one direction is not that of
+// the other one, and it is handed on only after all bytes: the other side may take nothing else for
+// the end of an answer.
+func (p *proxy) pump(to io.Writer, from io.Reader, cut Mode, done chan<- end) {
+	lost := false
 	buf := make([]byte, proxyBuffer)
 	for {
 		n, err := from.Read(buf)
-		if err != nil {
-			ended = errors.Is(err, io.EOF)
-			return
-		}
 		mode := p.now()
 		lost = lost || mode == cut || mode == Silent
-		if lost {
+		switch {
+		case lost && err != nil:
+			done <- endLost
+			return
+		case lost:
 			continue
+		case errors.Is(err, io.EOF):
+			closeWrite(to)
+			done <- endInOrder
+			return
+		case err != nil:
+			done <- endBroken
+			return
 		}
 		if mode == Delay {
 			time.Sleep(delayTime)
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
+			done <- endBroken
 			return
 		}
 	}
 }
+
+// closeWrite hands on that no more bytes come.
+func closeWrite(to io.Writer) {
+	if c, ok := to.(interface{ CloseWrite() error }); ok {
+		_ = c.CloseWrite() // a connection that has gone needs none
+	}
+}
--- a/internal/lab/soak/proxy_test.go
+++ b/internal/lab/soak/proxy_test.go
@@ -15,7 +15,7 @@
 	p := &proxy{mode: Pass}
 	in, source := net.Pipe()
 	out, sink := net.Pipe()
-	done := make(chan bool, 1)
+	done := make(chan end, 1)
 	go p.pump(sink, in, CutDown, done)
 
 	write := func(s string) {
@@ -39,7 +39,7 @@
 	}()
 	write("d")
 	must.NoError(t, source.Close())
-	must.False(t, <-done, must.Sprint("the end is not that of all bytes"))
+	must.Eq(t, endLost, <-done, must.Sprint("the end is not that of all bytes"))
 	must.NoError(t, sink.Close())
 	must.Eq(t, "", <-read)
 }
@@ -78,3 +78,82 @@
 		})
 	}
 }
+
+// serverBehind starts a server behind a proxy, and returns the proxy and what accepts from it.
+func serverBehind(t *testing.T) (p *proxy, accept func() net.Conn) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	p, err = newProxy(t.Context(), "127.0.0.1:0", ln.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(p.close)
+	return p, func() net.Conn {
+		c, err := ln.Accept()
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+}
+
+// clientOf connects to a proxy from an address.
+func clientOf(t *testing.T, p *proxy, from string) net.Conn {
+	t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	c, err := d.Dial("tcp", p.listener.Addr().String())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// TestEndOfARequestIsNoEndOfItsAnswer ends one direction of a connection: the other one goes on.
+func TestEndOfARequestIsNoEndOfItsAnswer(t *testing.T) {
+	p, accept := serverBehind(t)
+	client := clientOf(t, p, "127.0.0.1")
+	_, err := io.WriteString(client, "request")
+	must.NoError(t, err)
+	must.NoError(t, client.(*net.TCPConn).CloseWrite())
+	server := accept()
+	request, err := io.ReadAll(server)
+	must.NoError(t, err)
+	must.Eq(t, "request", string(request))
+	_, err = io.WriteString(server, "answer")
+	must.NoError(t, err)
+	must.NoError(t, server.Close())
+	answer, err := io.ReadAll(client)
+	must.NoError(t, err)
+	must.Eq(t, "answer", string(answer))
+}
+
+// TestRefusalIsNoEndOfAnAnswer checks that a client sees no end in order from a server that was
+// not reached, since an answer may end with its connection.
+func TestRefusalIsNoEndOfAnAnswer(t *testing.T) {
+	for name, mode := range map[string]Mode{"refuse": Refuse, "no such server": Pass} {
+		t.Run(name, func(t *testing.T) {
+			p, err := newProxy(t.Context(), "127.0.0.1:0", "127.0.0.1:1")
+			must.NoError(t, err)
+			defer p.close()
+			p.set(mode)
+			client, err := net.Dial("tcp", p.listener.Addr().String())
+			if err == nil { // the reset may come before the client has looked
+				defer client.Close()
+				_, err = client.Read(make([]byte, 1))
+			}
+			must.ErrorIs(t, err, syscall.ECONNRESET)
+		})
+	}
+}
+
+// TestEndIsLostWithTheBytes closes a connection while bytes are lost: its end must be lost too.
+func TestEndIsLostWithTheBytes(t *testing.T) {
+	for _, mode := range []Mode{CutDown, Silent} {
+		p := &proxy{mode: mode}
+		in, source := net.Pipe()
+		out, sink := net.Pipe()
+		done := make(chan end, 1)
+		must.NoError(t, source.Close())
+		p.pump(sink, in, CutDown, done)
+		must.Eq(t, endLost, <-done, must.Sprint(mode))
+		must.NoError(t, out.Close())
+	}
+}
