Let the soak cut single routers off from workers

Change: the kernel asks the soak before a router process connects (seccomp_unotify, which needs no rights and no change of the program). New connections of a router that is cut off are refused or hang, open ones fall silent, are reset or live on; those of other routers pass. Each router's connections to workers come from its own address, and the proxies keep it, so that a run at a worker names the router that sent it (Run.From; the record of workerd moves to a file of its own). checkCuts takes this into account: it excuses a cut of the sender's own path, and a kill, a pause or a disturbed link of the router that relayed, each only while the request ran. checkLimits excuses a router's cut, as the rule of LIMIT does. The new fault is drawn with weight 3. Reports name each router's program, and violations that of the router that was called, so that those of routers of another build stand out.

--- a/internal/lab/soak/bed.go
+++ b/internal/lab/soak/bed.go
@@ -227,6 +227,9 @@
 	if err := r.write(dir, text); err != nil {
 		return err
 	}
+	if r.paths, err = newPaths(fmt.Sprintf("%s.%d", b.net, firstRouterHost+i), b.workers); err != nil {
+		return err
+	}
 	b.logs = append(b.logs, r.log)
 	b.routers = append(b.routers, r)
 	return r.start()
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -12,8 +12,9 @@
 type Call struct {
 	ID    string
 	Route string
-	// Router is the one that was called.
-	Router int
+	// Router is the one that was called, and Program the name of its program.
+	Router  int
+	Program string
 	// Status is zero when no answer came.
 	Status int
 	Body   string
@@ -57,7 +58,7 @@
 		c := &calls[i]
 		known[c.ID] = true
 		for _, broken := range c.check(byID[c.ID]) {
-			out = append(out, fmt.Sprintf("request %s (%s, router %d, status %d): %s", c.ID, c.Route, c.Router, c.Status, broken))
+			out = append(out, fmt.Sprintf("request %s (%s, %s, status %d): %s", c.ID, c.Route, routerName(c.Router, c.Program), c.Status, broken))
 		}
 	}
 	for id := range byID {
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -82,14 +82,14 @@
 	return addresses
 }
 
-// routerOf returns the router that has an address.
-func (c *clients) routerOf(address string) int {
+// routerOf returns the router that has an address, and its program.
+func (c *clients) routerOf(address string) (index int, program string) {
 	for _, r := range c.bed.routers {
 		if r.caller == address {
-			return r.index
+			return r.index, r.programName()
 		}
 	}
-	return -1
+	return -1, ""
 }
 
 // call sends one request and notes it. Requests to status are polls that are all alike.
@@ -113,7 +113,8 @@
 
 // do sends one request and notes it.
 func (c *clients) do(request *siteclient.Request, address string) Call {
-	out := Call{ID: request.ID, Route: request.Route, Router: c.routerOf(address), Resumes: request.Resumes}
+	out := Call{ID: request.ID, Route: request.Route, Resumes: request.Resumes}
+	out.Router, out.Program = c.routerOf(address)
 	out.After, _ = strconv.Atoi(request.LastEvent) // zero at the beginning
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), clientDeadline)
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -49,6 +49,7 @@
 		{"link to the store", 3, storeLink},
 		{"link between routers", 3, peerLink},
 		{"link to a worker", 3, workerLink},
+		{"routers are cut off from the workers", 3, cutOffRouters},
 		{"reset connections", 2, resetConnections},
 		{"store", 3, breakStore},
 		{"history of the store", 1, forgetHistory},
--- a/internal/lab/soak/limits.go
+++ b/internal/lab/soak/limits.go
@@ -48,8 +48,8 @@
 }
 
 // checkLimits returns where a worker got more requests than its limit allows from routers
-// that had passed on an answer with it. What a router sent around a kill or a pause of its
-// own doesn't count.
+// that had passed on an answer with it. What a router sent around a kill, a pause or a cut of
+// its own doesn't count.
 func checkLimits(calls []Call, disturbed map[int]*spans, w workerHistory) []string {
 	c := &limitChecker{calls: make(map[string]*Call, len(calls)), disturbed: disturbed}
 	for i := range calls {
--- a/internal/lab/soak/reports.go
+++ b/internal/lab/soak/reports.go
@@ -22,6 +22,7 @@
 // workerHistory is what one worker saw.
 type workerHistory struct {
 	id      string
+	service string
 	runs    []workerd.Run
 	refused []workerd.Refusal
 	// starts are the times at which the worker started, the first one included.
@@ -36,7 +37,7 @@
 func (w *worker) history() workerHistory {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return workerHistory{id: w.id, runs: w.Runs(), refused: w.Refused(), starts: slices.Clone(w.starts), crashes: w.CrashTimes(), link: &w.link.disturbed}
+	return workerHistory{id: w.id, service: w.service, runs: w.Runs(), refused: w.Refused(), starts: slices.Clone(w.starts), crashes: w.CrashTimes(), link: &w.link.disturbed}
 }
 
 // arrival is one request at a worker with the router that sent it. Began is the time
