Kill relaying routers in the soak, drawn and in a phase of each run

Change: a fault of weight 3 cuts some routers off from all workers and kills one or two of the others again and again. Each run also has a fixed phase, checkLostRelays: one or two routers are cut off, must serve by way of others within 5 s, and then the routers that relay most for them are killed in the middle of streams and long plain answers in chunks, one, two and three of them. What looks complete must be all of the body; check knows long answers now, and tells the length of a wrong one. No lost answer may count as a crash of a worker (forward_engine_crashes), no sound request, new or repeated, may be refused as one that crashes workers, and all routers serve all. Tests: four cases of TestCheckerFindsEachBrokenPromise, of short and long answers.

--- a/internal/lab/soak/bed.go
+++ b/internal/lab/soak/bed.go
@@ -213,7 +213,7 @@
 
 func (b *bed) addRouter(dir string, i int, binary, storeAddress string) error {
 	at := func(port int) string { return fmt.Sprintf("%s.%d:%d", b.net, firstRouterHost+i, port) }
-	r := &router{index: i, binary: binary, caller: at(7001), ready: at(7002), directory: at(7003)}
+	r := &router{index: i, binary: binary, caller: at(7001), ready: at(7002), directory: at(7003), metrics: at(7005)}
 	own, advertised, store := at(7004), at(peerPort), at(7016)
 	var err error
 	if r.peer, err = b.proxy(advertised, own); err != nil {
@@ -223,7 +223,7 @@
 		return err
 	}
 	text := fmt.Sprintf(settingsText, fmt.Sprintf("dc%d", i%2+1), advertised, r.caller, own,
-		fmt.Sprintf("%s.%d:%d", b.net, firstRouterHost, peerPort), store, r.ready, r.directory, at(7005))
+		fmt.Sprintf("%s.%d:%d", b.net, firstRouterHost, peerPort), store, r.ready, r.directory, r.metrics)
 	if err := r.write(dir, text); err != nil {
 		return err
 	}
--- a/internal/lab/soak/check.go
+++ b/internal/lab/soak/check.go
@@ -19,6 +19,8 @@
 	Status int
 	Body   string
 	Stamp  string
+	// RetryAfter is the header of that name.
+	RetryAfter string
 	// Whole is true when the answer ended as whole.
 	Whole bool
 	// Resumes is the attempt that began the stream that the call takes up, and After the
@@ -42,9 +44,11 @@
 func check(calls []Call, runs map[string][]workerd.Run) []string {
 	var out []string
 	byID := make(map[string]int)
+	long := make(map[string]bool)
 	for _, list := range runs {
 		for _, r := range list {
 			byID[r.Request]++
+			long[r.Request] = long[r.Request] || r.Fault == workerd.FaultSilentChunked
 			if r.Key != "" {
 				out = append(out, fmt.Sprintf("request %s: the key was passed to a worker", r.Request))
 			}
@@ -57,7 +61,7 @@
 	for i := range calls {
 		c := &calls[i]
 		known[c.ID] = true
-		for _, broken := range c.check(byID[c.ID]) {
+		for _, broken := range c.check(byID[c.ID], long[c.ID]) {
 			out = append(out, fmt.Sprintf("request %s (%s, %s, status %d): %s", c.ID, c.Route, routerName(c.Router, c.Program), c.Status, broken))
 		}
 	}
@@ -72,8 +76,11 @@
 // attempts is the most runs of a request by route.
 var attempts = map[string]int{"order": 1, "draft": 1, "status": 2, "chat": 2}
 
-// check returns what is wrong with one call that ran so many times.
-func (c *Call) check(ran int) []string {
+// maxShown is how much of a wrong answer is shown.
+const maxShown = 200
+
+// check returns what is wrong with one call that ran so many times, and may have a long answer.
+func (c *Call) check(ran int, long bool) []string {
 	var out []string
 	if most, ok := attempts[c.Route]; ok && ran > most {
 		out = append(out, fmt.Sprintf("ran %d times", ran))
@@ -81,8 +88,8 @@
 	if notRun[c.Status] && ran > 0 && attempts[c.Route] == 1 {
 		out = append(out, "was said not to have run, but ran")
 	}
-	if c.Status == 200 && c.Whole && !c.genuine() {
-		out = append(out, fmt.Sprintf("got another answer: %q", c.Body))
+	if c.Status == 200 && c.Whole && !c.genuine(long) {
+		out = append(out, fmt.Sprintf("got another answer of %d bytes: %q", len(c.Body), c.Body[:min(len(c.Body), maxShown)]))
 	}
 	if c.Calm && c.Read && c.Status == 0 {
 		out = append(out, "was cut off by a planned stop")
@@ -93,11 +100,17 @@
 	return out
 }
 
+// longBody is the long answer of workers.
+var longBody = strings.Repeat("x", workerd.LongBytes)
+
 // genuine reports whether the answer is that of the request, and all of it.
-func (c *Call) genuine() bool {
+func (c *Call) genuine(long bool) bool {
 	if c.Stamp == "" {
 		return false
 	}
+	if long && c.Body == longBody {
+		return true
+	}
 	if c.Route != "chat" && c.Route != "draft" {
 		return strings.HasPrefix(c.Body, "answer of ") && strings.HasSuffix(c.Body, " to "+c.ID)
 	}
--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -20,6 +20,9 @@
 		stream.Body += strings.ReplaceAll("id: N\ndata: piece N\n\n", "N", string(rune('0'+i)))
 	}
 	ran := workerd.Run{Request: "r1", Account: "acme"}
+	long := good
+	long.Body = strings.Repeat("x", workerd.LongBytes)
+	ranLong := workerd.Run{Request: "r1", Account: "acme", Fault: workerd.FaultSilentChunked}
 	for name, c := range map[string]struct {
 		call Call
 		runs []workerd.Run
@@ -35,6 +38,10 @@
 		"other answer":      {call: good, runs: []workerd.Run{ran}, edit: func(c *Call) { c.Body = "answer of w3 to r2" }, want: "another answer"},
 		"no stamp":          {call: good, runs: []workerd.Run{ran}, edit: func(c *Call) { c.Stamp = "" }, want: "another answer"},
 		"short stream":      {call: stream, runs: []workerd.Run{ran}, edit: func(c *Call) { c.Body = c.Body[:40] }, want: "another answer"},
+		"short answer":      {call: good, runs: []workerd.Run{ran}, edit: func(c *Call) { c.Body = c.Body[:12] }, want: "another answer"},
+		"good long answer":  {call: long, runs: []workerd.Run{ranLong}},
+		"short long answer": {call: long, runs: []workerd.Run{ranLong}, edit: func(c *Call) { c.Body = c.Body[:workerd.LongBytes/2] }, want: "another answer of 524288 bytes"},
+		"long, but not run": {call: long, runs: []workerd.Run{ran}, want: "another answer"},
 		"entry is named":    {call: stream, runs: []workerd.Run{ran}, edit: func(c *Call) { c.Router, c.Program, c.Body = 2, "zf-router", "" }, want: "router 2 of zf-router,"},
 		"repeated event":    {call: stream, runs: []workerd.Run{ran}, edit: func(c *Call) { c.Body += c.Body[:20] }, want: "another answer"},
 		"key passed on":     {call: good, runs: []workerd.Run{{Request: "r1", Account: "acme", Key: "k"}}, want: "key was passed"},
--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -149,6 +149,7 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	out.Status, out.Body, out.Stamp, out.Whole = resp.StatusCode, string(body), siteclient.Stamp(resp.Header), err == nil
+	out.RetryAfter = resp.Header.Get("Retry-After")
 }
 
 // history returns the calls so far.
--- a/internal/lab/soak/cuts.go
+++ b/internal/lab/soak/cuts.go
@@ -49,7 +49,7 @@
 // say that it leaves, or end an answer with its connection.
 var soundFaults = map[workerd.Fault]bool{
 	workerd.FaultNone: true, workerd.FaultSilent: true, workerd.FaultSilentHead: true,
-	workerd.FaultLeaving: true, workerd.FaultUnframed: true,
+	workerd.FaultLeaving: true, workerd.FaultUnframed: true, workerd.FaultSilentChunked: true,
 }
 
 // breaksMidway are the faults that break a stream off after events of it. FaultMute isn't
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -50,6 +50,7 @@
 		{"link between routers", 3, peerLink},
 		{"link to a worker", 3, workerLink},
 		{"routers are cut off from the workers", 3, cutOffRouters},
+		{"relaying routers are killed", 3, killRelays},
 		{"reset connections", 2, resetConnections},
 		{"store", 3, breakStore},
 		{"history of the store", 1, forgetHistory},
--- a/internal/lab/soak/process.go
+++ b/internal/lab/soak/process.go
@@ -17,8 +17,8 @@
 	binary   string
 	settings string
 	log      *os.File
-	// caller, ready and directory are its own addresses.
-	caller, ready, directory string
+	// caller, ready, directory and metrics are its own addresses.
+	caller, ready, directory, metrics string
 	// store and peer are the proxies before the store and before its peer
 	// interface.
 	store, peer *proxy
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -139,6 +139,7 @@
 	r.checkDrain()
 	r.bed.setDrained(false)
 	time.Sleep(settleTime)
+	r.checkLostRelays()
 	r.checkLossOfAll()
 	r.checkCrashes(crashesByPart())
 	r.checkCrashes(crashesByRequest(pick(r.random, []string{"order", "status", "chat", "draft"})))
