Hold a malformed response against its target also by way of a router

Callers saw: 0 of 40 orders answered at a router that reaches no target, while one of the targets sends malformed responses; 34 are answered straight. Cause: the relaying router has one code, outcome_unknown, for what the target did wrong and for the end of the request on this side. Change: while the request goes on, the relaying router reports such a response as target_error with an unknown outcome; only the word of step forward counts.

--- a/internal/service/forward/relay.go
+++ b/internal/service/forward/relay.go
@@ -243,6 +243,8 @@
 		return &BodyError{PathFailed: true, Err: errors.New("relayed response has no end")}
 	case errors.As(err, &failure) && failure.Code == call.CodeCut && failure.Step == Name:
 		return &BodyError{Closed: true, Err: err}
+	case errors.As(err, &failure) && failure.Code == call.CodeTargetError && failure.Step == Name:
+		return &BodyError{Err: err}
 	default:
 		return &BodyError{PathFailed: true, Err: fmt.Errorf("%w: %w", errRelayLost, err)}
 	}
@@ -269,12 +271,12 @@
 	})
 	if err != nil {
 		s.metrics.relayServed("failed")
-		return sendFailure(from, err)
+		return sendFailure(ctx, from, err)
 	}
 	defer resp.Body.Close()
 	s.metrics.relayServed("answered")
 	s.takeReport(string(req.ID), &target, resp, now)
-	return passBack(from, resp, sink)
+	return passBack(ctx, from, resp, sink)
 }
 
 // relayTarget returns the target of a relayed request. The error tells why this router
@@ -300,7 +302,7 @@
 }
 
 // sendFailure returns what the router that asked is told of a send without a response.
-func sendFailure(from fleet.VM, err error) error {
+func sendFailure(ctx context.Context, from fleet.VM, err error) error {
 	var failure *SendError
 	switch {
 	case !errors.As(err, &failure):
@@ -309,10 +311,22 @@
 		return relayFailure(from, call.CodeTargetError, call.RunNot, err)
 	case !failure.Sent:
 		return relayFailure(from, call.CodeCanceled, call.RunNot, err)
+	default:
+		return relayFailure(from, brokenCode(ctx, err), call.RunUnknown, err)
+	}
+}
+
+// brokenCode returns the code for a response that a target did not bring or end: that the target
+// closed its connection, that it failed otherwise, or that this router or the one that asked ended
+// the request, which tells nothing of the target.
+func brokenCode(ctx context.Context, err error) call.Code {
+	switch {
 	case closedByTarget(err):
-		return relayFailure(from, call.CodeCut, call.RunUnknown, err)
+		return call.CodeCut
+	case ctx.Err() == nil:
+		return call.CodeTargetError
 	default:
-		return relayFailure(from, call.CodeUnknownOutcome, call.RunUnknown, err)
+		return call.CodeUnknownOutcome
 	}
 }
 
@@ -322,7 +336,7 @@
 }
 
 // passBack passes a response on to the router that asked, as it arrives.
-func passBack(from fleet.VM, resp *Response, sink call.Sink) error {
+func passBack(ctx context.Context, from fleet.VM, resp *Response, sink call.Sink) error {
 	detail, err := wire.Marshal(&relayHead{
 		Length: resp.Length, Unframed: resp.Unframed, NotRun: resp.NotRun, Misdirected: resp.Misdirected, Stamped: resp.Stamped,
 		Leaving: resp.Leaving, RetryAfter: resp.RetryAfter, NamesRequest: resp.NamesRequest, Limited: resp.Limited,
@@ -349,10 +363,8 @@
 		switch {
 		case ended:
 			return sink.End(call.End{Attempt: 1, Length: length, Digest: digest.Sum64()})
-		case err != nil && closedByTarget(err):
-			return relayFailure(from, call.CodeCut, call.RunUnknown, err)
 		case err != nil:
-			return relayFailure(from, call.CodeUnknownOutcome, call.RunUnknown, err)
+			return relayFailure(from, brokenCode(ctx, err), call.RunUnknown, err)
 		}
 	}
 }
