Hold no lost path of a relaying router against targets

Callers would have seen: sound targets out of use at a router that reaches none, when a router that relays for it loses its path to them as well. Cause: that the relaying router couldn't connect to a target, or was stopped while it tried, was held against the target, as if the router that asked had tried itself. Change: both count as failures of the path. A target that is down is left out on the reports of the routers that reach the others.

--- a/internal/service/forward/relay.go
+++ b/internal/service/forward/relay.go
@@ -223,9 +223,9 @@
 	case !errors.As(err, &failure):
 		return &SendError{Target: target, Sent: true, PathFailed: true, Err: err}
 	case failure.Run == call.RunNot && failure.Code == call.CodeTargetError:
-		return &SendError{Target: target, Unreachable: true, Err: err}
+		return &SendError{Target: target, Unreachable: true, PathFailed: true, Err: err}
 	case failure.Run == call.RunNot && failure.Code == call.CodeCanceled:
-		return &SendError{Target: target, Err: err}
+		return &SendError{Target: target, PathFailed: true, Err: err}
 	case failure.Run == call.RunNot:
 		return &relayUnable{unsupported: failure.Code == call.CodeNotFound, cause: err}
 	default:
