Test the path when a target can't be asked for its process

Callers saw: none of 60 streams answered, all refused with 503, from three seconds after a partition on, at a router whose connections were reset in the middle of streams. Cause: a target that broke a stream is asked which process it runs before another stream goes there. The question fails as the path does, the send ends, and nothing counts that as a sign that the path has failed: no relay is asked. Change: a question without an answer makes the router test the path, as a send without one does.

--- a/internal/service/forward/process_check.go
+++ b/internal/service/forward/process_check.go
@@ -49,6 +49,9 @@
 	if err == nil {
 		return nil
 	}
+	if !errors.Is(err, errOtherProcess) && s.ctx.Err() == nil {
+		r.s.pathDoubted(t.Service, t.ID)
+	}
 	return &SendError{Target: t.ID, PathFailed: true, Err: err}
 }
 
