Guard targets against the loss of the router that asked for an answer

The owner gives up what it runs for a router that is lost. That is a cancel, which counts as no failure of the target: so it is, shown by reading and by these tests, which need no site.

--- a/internal/target/httprun_test.go
+++ b/internal/target/httprun_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -149,3 +150,38 @@
 		})
 	}
 }
+
+// refusingSink takes no part of an answer, as that of a router that is lost.
+type refusingSink struct {
+	standintest.Answer
+	err error
+}
+
+func (s *refusingSink) Chunk(call.Chunk) error { return s.err }
+
+// TestLostAskerIsNoFailureOfTheTarget loses the router that asked for an answer, by the error of
+// its sink or the end of the call's context. Neither may pass for an answer that its target cut off.
+func TestLostAskerIsNoFailureOfTheTarget(t *testing.T) {
+	served := standintest.Serve(t, kernel.SystemNetwork{}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, "data: once\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	lost := fmt.Errorf("connection to the caller's router ended: %w", io.EOF)
+	for _, ends := range []string{"sink", "context"} {
+		t.Run(ends, func(t *testing.T) {
+			ctx, cancel := context.WithCancelCause(t.Context())
+			defer cancel(nil)
+			var sink call.Sink = &refusingSink{err: lost}
+			if ends == "context" {
+				sink = &standintest.Answer{OnChunk: func() { cancel(lost) }}
+			}
+			r, err := http.NewRequestWithContext(ctx, http.MethodGet, served.URL, http.NoBody)
+			must.NoError(t, err)
+			run := &target.HTTPRun{Client: served.Client, Target: "t1", Attempt: 1}
+			e := call.AsError(run.Do(ctx, r, sink))
+			must.Eq(t, call.CodeCanceled, e.Code, must.Sprint(e))
+			must.Eq(t, call.RunUnknown, e.Run)
+		})
+	}
+}
