Count outcomes that were timed before the first one

Cause: the detector of failing targets numbers its slots from the time of the first outcome. A request reads the clock and then waits for the lock; where a router had just started and was held up for half a second or more (its first requests took 1.04 s), a later outcome was the first one, and the slot of the other one had the number -1: "index out of range [-1]" in outlier.add. The budget of retries numbers its slots in the same way. Both also emptied a slot in use for a time that was older than the window. Change: a time before the first one counts as that one, and an older time empties no slot. Tests: TestOutcomeTimedBeforeTheFirst panicked and TestRequestTimedBeforeTheFirst failed before; both pass. Buckets of completions and of running requests count from the wall clock and have no such number.

--- a/internal/core/outlier/outlier.go
+++ b/internal/core/outlier/outlier.go
@@ -157,12 +157,13 @@
 	return t.evaluate(now, i)
 }
 
-// slotOf returns the number of the slot that now falls in.
+// slotOf returns the number of the slot that now falls in. A time before the first outcome counts
+// as that one: a router may be held up after it has read the clock.
 func (d *Detector) slotOf(now time.Time) int64 {
 	if d.start.IsZero() {
 		d.start = now
 	}
-	return int64(now.Sub(d.start) / slotDuration)
+	return max(int64(now.Sub(d.start)/slotDuration), 0)
 }
 
 // trusted reports whether this router's own requests show that the target is sound for it,
@@ -197,7 +198,7 @@
 // the return.
 func (t *target) add(i int64, c Counts) {
 	s := &t.slots[i%windowSlots]
-	if s.index != i {
+	if s.index < i {
 		*s = slot{index: i}
 	}
 	s.count.OK += c.OK
--- a/internal/core/outlier/outlier_test.go
+++ b/internal/core/outlier/outlier_test.go
@@ -175,3 +175,14 @@
 	now = now.Add(time.Second)
 	must.Eq(t, outlier.Trial, d.State(now, id))
 }
+
+// TestOutcomeTimedBeforeTheFirst records an outcome with a time before that of the first one, as of
+// a router that was held up after it had read the clock (index out of range).
+func TestOutcomeTimedBeforeTheFirst(t *testing.T) {
+	d := outlier.New()
+	d.Observe(start, id, outlier.OK)
+	early := start.Add(-10 * time.Second)
+	must.False(t, d.Observe(early, id, outlier.Failed))
+	must.False(t, d.ObserveRemote(early, id, outlier.Counts{OK: 8, Failed: 2}))
+	must.True(t, d.ObserveRemote(start, id, outlier.Counts{Failed: 2}), must.Sprint("five of 14"))
+}
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -46,14 +46,15 @@
 func (w *WindowBudget) SetRouters(n int) { w.routers = max(n, 1) }
 
 // slot returns the current slot, emptied if it was last used in an earlier
-// window.
+// window. A time before the first use counts as that one: a router may be held up after it has
+// read the clock.
 func (w *WindowBudget) slot(now time.Time) *windowSlot {
 	if w.start.IsZero() {
 		w.start = now
 	}
-	i := int64(now.Sub(w.start) / (w.length / windowSlots))
+	i := max(int64(now.Sub(w.start)/(w.length/windowSlots)), 0)
 	s := &w.slots[i%windowSlots]
-	if s.index != i {
+	if s.index < i {
 		*s = windowSlot{index: i}
 	}
 	return s
--- a/internal/core/retry/window_test.go
+++ b/internal/core/retry/window_test.go
@@ -71,3 +71,26 @@
 	must.False(t, w.Take(now))
 	must.True(t, w.Take(now.Add(11*time.Second)))
 }
+
+// TestRequestTimedBeforeTheFirst uses a budget with a time before that of its first use, as a
+// router does that was held up after it had read the clock.
+func TestRequestTimedBeforeTheFirst(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	early := start.Add(-time.Minute)
+	w := retry.NewWindowBudget(10*time.Second, 0, 10)
+	w.AddRequest(start)
+	w.AddRequest(early)
+	taken := 0
+	for range 100 {
+		for _, now := range []time.Time{start, early} {
+			if w.Take(now) {
+				taken++
+			}
+		}
+	}
+	fresh, want := retry.NewWindowBudget(10*time.Second, 0, 10), 0
+	for fresh.Take(start) {
+		want++
+	}
+	must.Eq(t, want, taken)
+}
