--- a/internal/lab/soak/cuts.go
+++ b/internal/lab/soak/cuts.go
@@ -135,8 +135,9 @@
 			if !soundFaults[p.run.Fault] || !p.reachable(c.Ended) || slices.ContainsFunc(places, broke) {
 				continue
 			}
-			out = append(out, fmt.Sprintf("request %s (%s, %s, status %d): cut off after %d ms, though sound worker %s (%q) had run it",
-				c.ID, c.Route, routerName(c.Router, c.Program), c.Status, c.Ended.Sub(c.Began).Milliseconds(), p.worker.id, p.run.Fault))
+			out = append(out, fmt.Sprintf("request %s (%s, %s, status %d): cut off after %d ms, though sound worker %s (%q) had run it from %d ms on, sent by %s",
+				c.ID, c.Route, routerName(c.Router, c.Program), c.Status, c.Ended.Sub(c.Began).Milliseconds(), p.worker.id, p.run.Fault,
+				p.run.At.Sub(c.Began).Milliseconds(), p.run.From))
 			break
 		}
 	}
