--- a/internal/lab/soak/clients.go
+++ b/internal/lab/soak/clients.go
@@ -149,6 +149,9 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	out.Status, out.Body, out.Stamp, out.Whole = resp.StatusCode, string(body), siteclient.Stamp(resp.Header), err == nil
+	if out.Body == longBody {
+		out.Body = longBody // of which the history holds many
+	}
 	out.RetryAfter = resp.Header.Get("Retry-After")
 }
 
