Name the router that relays in the errors of relayed requests

Change: they name the router that reports them. Measured: the tests of the package pass; no test asked for the name.

--- a/internal/service/forward/relay.go
+++ b/internal/service/forward/relay.go
@@ -251,15 +251,15 @@
 }
 
 // handleRelay passes on a request of another router to its target, and the response back.
-func (s *Service) handleRelay(ctx context.Context, from fleet.VM, req *call.Request, sink call.Sink) error {
+func (s *Service) handleRelay(ctx context.Context, _ fleet.VM, req *call.Request, sink call.Sink) error {
 	var m relayRequest
 	if err := wire.Unmarshal(req.Body, &m); err != nil {
-		return relayFailure(from, call.CodeBadRequest, call.RunNot, fmt.Errorf("decode relayed request: %w", err))
+		return relayFailure(s.self, call.CodeBadRequest, call.RunNot, fmt.Errorf("decode relayed request: %w", err))
 	}
 	target, err := s.relayTarget(&m)
 	if err != nil {
 		s.metrics.relayServed("refused")
-		return relayFailure(from, call.CodeNoTarget, call.RunNot, err)
+		return relayFailure(s.self, call.CodeNoTarget, call.RunNot, err)
 	}
 	now := s.clock.Now()
 	resp, err := s.sendDirect(ctx, &TargetRequest{
@@ -271,12 +271,12 @@
 	})
 	if err != nil {
 		s.metrics.relayServed("failed")
-		return sendFailure(ctx, from, err)
+		return sendFailure(ctx, s.self, err)
 	}
 	defer resp.Body.Close()
 	s.metrics.relayServed("answered")
 	s.takeReport(string(req.ID), &target, resp, now)
-	return passBack(ctx, from, resp, sink)
+	return passBack(ctx, s.self, resp, sink)
 }
 
 // relayTarget returns the target of a relayed request. The error tells why this router
@@ -302,17 +302,17 @@
 }
 
 // sendFailure returns what the router that asked is told of a send without a response.
-func sendFailure(ctx context.Context, from fleet.VM, err error) error {
+func sendFailure(ctx context.Context, self fleet.VM, err error) error {
 	var failure *SendError
 	switch {
 	case !errors.As(err, &failure):
-		return relayFailure(from, call.CodeUnknownOutcome, call.RunUnknown, err)
+		return relayFailure(self, call.CodeUnknownOutcome, call.RunUnknown, err)
 	case failure.Unreachable:
-		return relayFailure(from, call.CodeTargetError, call.RunNot, err)
+		return relayFailure(self, call.CodeTargetError, call.RunNot, err)
 	case !failure.Sent:
-		return relayFailure(from, call.CodeCanceled, call.RunNot, err)
+		return relayFailure(self, call.CodeCanceled, call.RunNot, err)
 	default:
-		return relayFailure(from, brokenCode(ctx, err), call.RunUnknown, err)
+		return relayFailure(self, brokenCode(ctx, err), call.RunUnknown, err)
 	}
 }
 
@@ -330,20 +330,20 @@
 	}
 }
 
-// relayFailure returns an error for the router that asked.
-func relayFailure(from fleet.VM, code call.Code, run call.Run, cause error) error {
-	return &call.Error{Code: code, Message: cause.Error(), Step: Name, Peer: string(from), Run: run, Cause: cause}
+// relayFailure returns an error of this router for the one that asked.
+func relayFailure(self fleet.VM, code call.Code, run call.Run, cause error) error {
+	return &call.Error{Code: code, Message: cause.Error(), Step: Name, Peer: string(self), Run: run, Cause: cause}
 }
 
 // passBack passes a response on to the router that asked, as it arrives.
-func passBack(ctx context.Context, from fleet.VM, resp *Response, sink call.Sink) error {
+func passBack(ctx context.Context, self fleet.VM, resp *Response, sink call.Sink) error {
 	detail, err := wire.Marshal(&relayHead{
 		Length: resp.Length, Unframed: resp.Unframed, NotRun: resp.NotRun, Misdirected: resp.Misdirected, Stamped: resp.Stamped,
 		Leaving: resp.Leaving, RetryAfter: resp.RetryAfter, NamesRequest: resp.NamesRequest, Limited: resp.Limited,
 		RateLimit: resp.RateLimit, Brittle: resp.Brittle, MaxRejected: resp.MaxRejected,
 	})
 	if err != nil {
-		return relayFailure(from, call.CodeUnknownOutcome, call.RunUnknown, err)
+		return relayFailure(self, call.CodeUnknownOutcome, call.RunUnknown, err)
 	}
 	if err := sink.Head(call.Head{Attempt: 1, Status: resp.Status, Header: resp.Header, Detail: detail}); err != nil {
 		return err
@@ -364,7 +364,7 @@
 		case ended:
 			return sink.End(call.End{Attempt: 1, Length: length, Digest: digest.Sum64()})
 		case err != nil:
-			return relayFailure(from, brokenCode(ctx, err), call.RunUnknown, err)
+			return relayFailure(self, brokenCode(ctx, err), call.RunUnknown, err)
 		}
 	}
 }
