Revert "Spread new prompts while engines are crowded and loads are old"

By the logs, 44 to 52 engines are warm at 13.0 s and 80 or 96 cold; the cold ones get 7 requests each in half a second at the most, and the warm ones the rest, 1,000 to 1,600 a second, until 13.5 s, when routers refuse for overload.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -36,8 +36,8 @@
 	// most newPromptLoadFactor x mean + newPromptLoadSlack requests.
 	newPromptLoadFactor = 1.15
 	newPromptLoadSlack  = 0.5
-	// sampleSize is the number of candidates, random or first in their ranking, of
-	// which the less loaded one is chosen while loads are relayed.
+	// sampleSize is the number of random candidates of which the less loaded
+	// one is chosen while loads are relayed.
 	sampleSize = 2
 	// minRankedCandidates is the number of top-ranked engines that are always
 	// compared for a new prompt.
@@ -271,9 +271,7 @@
 }
 
 // selectRanked returns the first engine in the prompt's ranking whose load is
-// within the limit for new prompts, or the least loaded one if none is. While loads are
-// relayed it compares as many as sample does: the few engines that still appear to be
-// within the limit would get the excess of all routers.
+// within the limit for new prompts, or the least loaded one if none is.
 func (b *Balancer) selectRanked(r *Request, eligible []*sitestate.AvailableTarget, mean float64) Choice {
 	limit := newPromptLoadFactor*mean + newPromptLoadSlack
 	order := rankByHash(r.prompt(), eligible)
@@ -283,7 +281,7 @@
 		if load < bestLoad {
 			best, bestLoad = i, load
 		}
-		if seen+1 >= minRankedCandidates && bestLoad <= limit || b.relayed && seen+1 >= sampleSize {
+		if seen+1 >= minRankedCandidates && bestLoad <= limit {
 			break
 		}
 	}
