Probe a target whose response was reset though it was reached just before

Callers could see: a second after all its connections were reset in the middle of streams, a router still sends requests to targets that it can't reach. Cause: the probe that a reset response starts was left out for a target that had been reached within 500 ms, as for a silent one. A response that breaks shows that what was reached before says nothing. Change: such a target is probed at once, at most once each probePeriod. Test extended: TestResetStreamsShowThatThePathHasFailed plays resets 500 and 700 ms after the start of streams as well, and TestBrokenResponsesAreProbedOnce is new.

--- a/internal/app/site_reset_paths_test.go
+++ b/internal/app/site_reset_paths_test.go
@@ -118,22 +118,24 @@
 // engines for failed.
 func TestResetStreamsShowThatThePathHasFailed(t *testing.T) {
 	for _, streams := range []int{10, 20, 64} {
-		t.Run(fmt.Sprint(streams, " streams"), func(t *testing.T) {
-			onSite(t, func(t *testing.T, b *siteBed) {
-				b.wideEngines()
-				answers := b.callAll("chat", streams)
-				b.wait(900 * time.Millisecond)
-				b.views["1"].Partition(kerneltest.CutReset, engineAddresses...)
-				b.wait(time.Second)
-				must.Positive(t, b.lines.of("1", "This router can't reach most targets of a service."))
-				later := b.callAll("chat", 10)
-				for range streams {
-					<-answers
-				}
-				for range 10 {
-					must.Eq(t, wholeStream(6), (<-later).body)
-				}
+		for _, after := range []time.Duration{500 * time.Millisecond, 700 * time.Millisecond, 900 * time.Millisecond} {
+			t.Run(fmt.Sprint(streams, " streams after ", after), func(t *testing.T) {
+				onSite(t, func(t *testing.T, b *siteBed) {
+					b.wideEngines()
+					answers := b.callAll("chat", streams)
+					b.wait(after)
+					b.views["1"].Partition(kerneltest.CutReset, engineAddresses...)
+					b.wait(time.Second)
+					must.Positive(t, b.lines.of("1", "This router can't reach most targets of a service."))
+					later := b.callAll("chat", 10)
+					for range streams {
+						<-answers
+					}
+					for range 10 {
+						must.Eq(t, wholeStream(6), (<-later).body)
+					}
+				})
 			})
-		})
+		}
 	}
 }
--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -105,6 +105,12 @@
 	return p.due(now, []fleet.Target{id}, 1)
 }
 
+// Broke records that the connection to a target broke after it had responded. It returns the
+// target if a connection to it is to be opened: what was reached before shows nothing any more.
+func (t *Tracker) Broke(now time.Time, service fleet.Service, id fleet.Target) []fleet.Target {
+	return t.path(service).due(now, []fleet.Target{id}, 1)
+}
+
 // due returns up to n targets that were not probed lately, and notes that they are now.
 func (p *path) due(now time.Time, ids []fleet.Target, n int) []fleet.Target {
 	var out []fleet.Target
--- a/internal/core/reach/reach_test.go
+++ b/internal/core/reach/reach_test.go
@@ -123,6 +123,17 @@
 	must.SliceNotEmpty(t, n.tracker.Doubted(n.now, service, "t1"))
 }
 
+// TestBrokenResponsesAreProbedOnce checks that a target whose connection breaks is probed although
+// it has just responded, and that many such connections open few.
+func TestBrokenResponsesAreProbedOnce(t *testing.T) {
+	n := newNetwork(9)
+	n.tracker.Reached(n.now, service, "t1")
+	must.SliceNotEmpty(t, n.tracker.Broke(n.now, service, "t1"))
+	must.SliceEmpty(t, n.tracker.Broke(n.now, service, "t1"))
+	n.now = n.now.Add(time.Second)
+	must.SliceNotEmpty(t, n.tracker.Broke(n.now, service, "t1"))
+}
+
 // TestProbesOfACutServiceAreFew bounds the connections that a router opens to see whether
 // the path is back.
 func TestProbesOfACutServiceAreFew(t *testing.T) {
--- a/internal/service/forward/paths.go
+++ b/internal/service/forward/paths.go
@@ -126,6 +126,14 @@
 	s.probe(probe)
 }
 
+// pathBroke records that a target's connection broke after it had responded, and probes it.
+func (s *Service) pathBroke(service fleet.Service, id fleet.Target) {
+	s.mu.Lock()
+	probe := s.paths.Broke(s.clock.Now(), service, id)
+	s.mu.Unlock()
+	s.probe(probe)
+}
+
 // pathIsCut reports whether this router can't reach most targets of a service.
 func (s *Service) pathIsCut(service fleet.Service) bool {
 	s.mu.Lock()
--- a/internal/service/forward/quarantine.go
+++ b/internal/service/forward/quarantine.go
@@ -121,7 +121,7 @@
 		return
 	}
 	if s.resp != nil && s.via == "" {
-		r.s.pathDoubted(s.choice.Target.Service, s.target())
+		r.s.pathBroke(s.choice.Target.Service, s.target())
 	}
 	crash := quarantine.Crash{Engine: s.targetProcess(), Content: r.content}
 	if len(r.Body) > 0 {
