Log that the path ended a send, and not its target

Cause: a send whose relaying router was lost had "ended_by": "target" in its line. Change: it says "path" then. Measured: the tests of the package pass.

--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -303,7 +303,7 @@
 	r.machine.HedgeEnded(result)
 	r.mu.Unlock()
 	r.s.logger.WithFields(logrus.Fields{
-		"request": r.ID, "target": s.target(), "sent": result.String(), "ended_by": endedBy(s.ctx),
+		"request": r.ID, "target": s.target(), "sent": result.String(), "ended_by": s.endedBy(),
 	}).WithError(err).Info("Hedge ended without a usable response.")
 }
 
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -353,9 +353,11 @@
 	return r.nextAction(s, now, result)
 }
 
-// endedBy returns who ended the send with this context, as logged.
-func endedBy(ctx context.Context) string {
-	switch cause := context.Cause(ctx); {
+// endedBy returns who ended the send, as logged.
+func (s *send) endedBy() string {
+	switch cause := context.Cause(s.ctx); {
+	case cause == nil && s.pathFailed:
+		return "path"
 	case cause == nil:
 		return "target"
 	case errors.Is(cause, errSilent), errors.Is(cause, errReplaced):
@@ -380,7 +382,7 @@
 // resumed or retried is cut.
 func (r *request) nextAction(s *send, now time.Time, outcome attempt.Outcome) attempt.Action {
 	entry := r.logEntry().WithFields(logrus.Fields{
-		"sent": outcome.String(), "ended_by": endedBy(s.ctx), "quiet_ms": r.quiet(now, s).Milliseconds(),
+		"sent": outcome.String(), "ended_by": s.endedBy(), "quiet_ms": r.quiet(now, s).Milliseconds(),
 	})
 	if r.lastErr != nil {
 		entry = entry.WithError(r.lastErr)
