--- a/internal/app/site_lost_relay_test.go
+++ b/internal/app/site_lost_relay_test.go
@@ -1,8 +1,11 @@
 package app
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -218,3 +221,38 @@
 		})
 	}
 }
+
+// TestCutStreamIsResetForOldCallers kills all routers that relay a stream to a caller of HTTP/1.0,
+// who knows its end by that of the connection alone.
+func TestCutStreamIsResetForOldCallers(t *testing.T) {
+	onSite(t, func(t *testing.T, b *siteBed) {
+		b.replaceWorkers(workerd.Options{Slots: 64, Events: 6, Work: 30 * time.Millisecond, Gap: 200 * time.Millisecond})
+		b.cutOffRouter(kerneltest.CutReset)
+		get := func() <-chan answer {
+			c, err := b.network.DialContext(t.Context(), "tcp", "10.0.0.1:80")
+			must.NoError(t, err)
+			request := b.request("draft", "aa", "bb")
+			r, err := request.HTTP(t.Context(), "10.0.0.1:80")
+			must.NoError(t, err)
+			var text bytes.Buffer
+			must.NoError(t, r.Write(&text))
+			_, err = c.Write(bytes.Replace(text.Bytes(), []byte("HTTP/1.1"), []byte("HTTP/1.0"), 1))
+			must.NoError(t, err)
+			done := make(chan answer, 1)
+			go func() {
+				defer c.Close()
+				body, err := io.ReadAll(c)
+				done <- answer{body: string(body), err: err}
+			}()
+			return done
+		}
+		whole := <-get()
+		must.NoError(t, whole.err)
+		must.StrHasSuffix(t, wholeStream(6), whole.body)
+		cut := get()
+		b.wait(700 * time.Millisecond)
+		b.stop("2")
+		b.stop("3")
+		must.ErrorIs(t, (<-cut).err, syscall.ECONNRESET)
+	})
+}
