Let a lookup share only a read of the log that began after it

Callers could see: events of two software versions in one stream, while the store is slow. Cause: lookups of origins at the same time share a read of the log. One that came while a read was under way took its end for what the log says now; an origin that was written after the read began then counted as not recorded, and the stream as one of the version that the service had before. Change: a lookup waits for a read that began at or after its arrival, as Refresh of the site does.

--- a/internal/service/origins/find.go
+++ b/internal/service/origins/find.go
@@ -167,28 +167,40 @@
 var errReadFailed = errors.New("the log could not be read shortly before")
 
 // readLog reads what other recorders have written since the last read. Lookups at the same
-// time share one read. It reports whether the log could be read.
+// time share a read that began after each of them. It reports whether the log could be read.
 func (s *Service) readLog(ctx context.Context) bool {
-	_, err, _ := s.reads.Do("", func() (any, error) {
-		s.mu.Lock()
-		from, failedAt := s.position, s.readFailedAt
-		s.mu.Unlock()
-		if s.clock.Now().Sub(failedAt) < readRetry {
-			return nil, errReadFailed
+	arrived := s.clock.Now()
+	for {
+		result, err, _ := s.reads.Do("", func() (any, error) { return s.readLogOnce(ctx) })
+		if err != nil {
+			if !errors.Is(err, errReadFailed) {
+				s.logger.WithError(err).Warn("Cannot read origins of streams from the log.")
+			}
+			return false
+		}
+		if began, ok := result.(time.Time); ok && !began.Before(arrived) {
+			return true
 		}
-		// The read serves other lookups too, whose callers have not left.
-		ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-		defer cancel()
-		stop := s.clock.AfterFunc(readTimeout, cancel)
-		defer stop()
-		batches, next, err := s.log.ReadOrigins(ctx, from)
-		s.logRead(batches, next, err)
-		return nil, err
-	})
-	if err != nil && !errors.Is(err, errReadFailed) {
-		s.logger.WithError(err).Warn("Cannot read origins of streams from the log.")
-	}
-	return err == nil
+	}
+}
+
+// readLogOnce reads the log and returns when the read began.
+func (s *Service) readLogOnce(ctx context.Context) (began time.Time, err error) {
+	began = s.clock.Now()
+	s.mu.Lock()
+	from, failedAt := s.position, s.readFailedAt
+	s.mu.Unlock()
+	if began.Sub(failedAt) < readRetry {
+		return began, errReadFailed
+	}
+	// The read serves other lookups too, whose callers have not left.
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := s.clock.AfterFunc(readTimeout, cancel)
+	defer stop()
+	batches, next, err := s.log.ReadOrigins(ctx, from)
+	s.logRead(batches, next, err)
+	return began, err
 }
 
 // readHistory reads the log until that has succeeded once, so that this router knows which
