Leave no relaying router out for what it says of one target

Callers saw: 0 of 40 orders answered at a router that reaches no target, for 2 s each time that the others turn a relayed request to one of four targets away, which wants a pause; the others answer 39. Cause: "not available", "leaves" and "wants a pause" had the code of a router that can't relay. The router that asked left it out for 2 s, asked the next one, and soon had none. Change: what a relaying router says of the target alone has a code of its own, target_closed. The next router is asked, none is left out, and the request then goes to another target.

--- a/internal/call/error.go
+++ b/internal/call/error.go
@@ -35,6 +35,7 @@
 	CodeOverloaded       Code = "overloaded"
 	CodeRateLimited      Code = "rate_limited"
 	CodeNoTarget         Code = "no_target"
+	CodeTargetClosed     Code = "target_closed"
 	CodeDeadline         Code = "deadline_exceeded"
 	CodeDraining         Code = "draining"
 	CodeUnavailable      Code = "unavailable"
--- a/internal/service/forward/relay.go
+++ b/internal/service/forward/relay.go
@@ -100,6 +100,9 @@
 		tried = append(tried, vm)
 		s.metrics.relayed("refused")
 		s.logger.WithError(unable.cause).WithField("peer", vm).Debug("Router can't relay a request.")
+		if unable.oneTarget {
+			continue
+		}
 		s.mu.Lock()
 		s.relays.Failed(s.clock.Now(), vm, service, unable.unsupported)
 		s.mu.Unlock()
@@ -111,7 +114,9 @@
 // relayUnable is the error of a router that can't relay a request. It has not sent it.
 type relayUnable struct {
 	unsupported bool
-	cause       error
+	// oneTarget is true if the router may relay requests to other targets of the service.
+	oneTarget bool
+	cause     error
 }
 
 // Error returns the cause.
@@ -227,7 +232,7 @@
 	case failure.Run == call.RunNot && failure.Code == call.CodeCanceled:
 		return &SendError{Target: target, PathFailed: true, Err: err}
 	case failure.Run == call.RunNot:
-		return &relayUnable{unsupported: failure.Code == call.CodeNotFound, cause: err}
+		return &relayUnable{unsupported: failure.Code == call.CodeNotFound, oneTarget: failure.Code == call.CodeTargetClosed, cause: err}
 	default:
 		broken := relayedBodyError(err)
 		return &SendError{Target: target, Sent: true, Closed: broken.Closed, PathFailed: broken.PathFailed, Err: broken}
@@ -259,7 +264,11 @@
 	target, err := s.relayTarget(&m)
 	if err != nil {
 		s.metrics.relayServed("refused")
-		return relayFailure(s.self, call.CodeNoTarget, call.RunNot, err)
+		code := call.CodeNoTarget
+		if errors.Is(err, errTargetClosed) {
+			code = call.CodeTargetClosed
+		}
+		return relayFailure(s.self, code, call.RunNot, err)
 	}
 	now := s.clock.Now()
 	resp, err := s.sendDirect(ctx, &TargetRequest{
@@ -279,6 +288,10 @@
 	return passBack(ctx, s.self, resp, sink)
 }
 
+// errTargetClosed is the error of a relayed request whose target gets none from this router. It
+// says nothing of other targets.
+var errTargetClosed = errors.New("target takes no requests from here")
+
 // relayTarget returns the target of a relayed request. The error tells why this router
 // can't send the request there.
 func (s *Service) relayTarget(m *relayRequest) (sitestate.AvailableTarget, error) {
@@ -289,9 +302,9 @@
 	case s.stopped.Load():
 		return target, errors.New("router stops")
 	case !ok || t.Born != m.Born || !s.site.IsAvailable(m.Target):
-		return target, errors.New("target is not available")
+		return target, fmt.Errorf("%w: it is not available", errTargetClosed)
 	case !s.accepting(now, &target):
-		return target, errors.New("target leaves or wants a pause")
+		return target, fmt.Errorf("%w: it leaves or wants a pause", errTargetClosed)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
