--- a/internal/core/quarantine/down.go
+++ b/internal/core/quarantine/down.go
@@ -9,8 +9,9 @@
 
 // Connections that break together point to the network or to a VM, and count once against
 // a part. Requests with a deadly part may come together too. What tells the two apart is
-// whether the engines are down afterwards. A router that has lost its own path takes them
-// for down as well, so that this holds for parts only that were never served.
+// whether the engines are down afterwards, as far as a router knows that reaches others of the
+// service. An engine that it alone has lost is taken for down as well, so that this holds for
+// parts only that were never served.
 
 // processKey identifies the process of an engine.
 type processKey struct {
