--- a/internal/lab/soak/check_test.go
+++ b/internal/lab/soak/check_test.go
@@ -192,6 +192,31 @@
 	}
 }
 
+// TestCheckerKnowsWhichAnswerWasBegun gives the checker answers that were begun by a worker that
+// crashed, while a sound one ran the request too. Only a stream may go on there.
+func TestCheckerKnowsWhichAnswerWasBegun(t *testing.T) {
+	begin := time.Unix(1_700_000_000, 0)
+	at := func(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+	lost := workerHistory{id: "w1", runs: []workerd.Run{{Request: "a", At: at(5)}}, crashes: []time.Time{at(700)}, link: new(spans)}
+	sound := workerHistory{id: "w2", runs: []workerd.Run{{Request: "a", At: at(500)}}, link: new(spans)}
+	for name, c := range map[string]struct {
+		call Call
+		want bool
+	}{
+		"plain, begun by the lost one":  {Call{Route: "status", Status: 200, Stamp: "stamp-w1"}, false},
+		"plain, begun by the sound one": {Call{Route: "status", Status: 200, Stamp: "stamp-w2"}, true},
+		"plain, not begun":              {Call{Route: "status"}, true},
+		"plain, without a stamp":        {Call{Route: "status", Status: 200}, true},
+		"draft, begun by the lost one":  {Call{Route: "draft", Status: 200, Stamp: "stamp-w1"}, false},
+		"chat, begun by the lost one":   {Call{Route: "chat", Status: 200, Stamp: "stamp-w1"}, true},
+	} {
+		call := c.call
+		call.ID, call.Began, call.Ended = "a", at(0), at(705)
+		found := checkCuts([]Call{call}, []routerHistory{{stopped: new(spans)}}, []workerHistory{lost, sound})
+		must.Eq(t, c.want, len(found) == 1, must.Sprint(name, found))
+	}
+}
+
 // TestCheckerFindsIgnoredLimits gives the checker requests every 100 ms from two routers to
 // a worker that names a limit, and what excuses them.
 func TestCheckerFindsIgnoredLimits(t *testing.T) {
