--- a/internal/service/forward/body.go
+++ b/internal/service/forward/body.go
@@ -5,7 +5,8 @@
 	"io"
 )
 
-// readBody reads a part of a response's body and reports whether the body ended there.
+// readBody reads a part of a response's body and reports whether the body ended there. An error
+// that wraps io.EOF is that of a connection on the way, and no end.
 func readBody(body io.Reader, buf []byte) (n int, ended bool, err error) {
 	n, err = body.Read(buf)
 	if err == io.EOF {
