Read the load that targets report, and the features of a deployment

Nothing read X-Server-Load, and the list of contracts in the settings was unused.

platform/ now reads both: forward.Response.Load holds the figures, also of relayed responses, and the service features tells which features are on. Figures that can't be read give none. Nothing acts on either yet. Tests of platform and forward pass.

--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -28,6 +28,21 @@
 // TargetClientName is the kernel name of the service that implements TargetClient.
 const TargetClientName = "targets"
 
+// FeaturesName is the kernel name of the service that implements Features.
+const FeaturesName = "features"
+
+// Features are the features that a deployment asks for. They do not change while the process
+// runs.
+type Features interface {
+	// QueuePlain reports whether requests for plain services with few slots are queued at one
+	// router.
+	QueuePlain() bool
+	// WorkLoad reports whether the load of targets is measured as their remaining work.
+	WorkLoad() bool
+	// Rollouts reports whether orders for staged roll-outs are followed.
+	Rollouts() bool
+}
+
 // Call holds one request of a caller.
 type Call struct {
 	// ID is the request ID that the caller chose for this attempt.
@@ -113,6 +128,20 @@
 	// MaxRejected requests away in a second.
 	Brittle     bool
 	MaxRejected int
+	// Load is what the target says of its load, nil if it says nothing that can be read. It is
+	// set only if the response names the request.
+	Load *TargetLoad
+}
+
+// TargetLoad is the load that a target reports of itself.
+type TargetLoad struct {
+	// Running and Waiting are numbers of requests.
+	Running int `msgpack:"r"`
+	Waiting int `msgpack:"w,omitempty"`
+	Slots   int `msgpack:"s"`
+	// Slowdown is how long work takes now in relation to the usual time, zero if the target
+	// does not say.
+	Slowdown float64 `msgpack:"p,omitempty"`
 }
 
 // TargetClient sends requests to targets.
--- a/internal/service/forward/relay.go
+++ b/internal/service/forward/relay.go
@@ -63,6 +63,7 @@
 	RateLimit    float64       `msgpack:"t,omitempty"`
 	Brittle      bool          `msgpack:"b,omitempty"`
 	MaxRejected  int           `msgpack:"x,omitempty"`
+	Load         *TargetLoad   `msgpack:"o,omitempty"`
 }
 
 // deliver sends a request to its target, straight or by way of another router, which it
@@ -205,7 +206,7 @@
 		Status: h.Status, Header: header, Length: more.Length, Unframed: more.Unframed, NotRun: more.NotRun,
 		Misdirected: more.Misdirected, Stamped: more.Stamped, Leaving: more.Leaving, RetryAfter: more.RetryAfter,
 		NamesRequest: more.NamesRequest, Limited: more.Limited, RateLimit: more.RateLimit,
-		Brittle: more.Brittle, MaxRejected: more.MaxRejected,
+		Brittle: more.Brittle, MaxRejected: more.MaxRejected, Load: more.Load,
 	}
 	return nil
 }
@@ -353,7 +354,7 @@
 	detail, err := wire.Marshal(&relayHead{
 		Length: resp.Length, Unframed: resp.Unframed, NotRun: resp.NotRun, Misdirected: resp.Misdirected, Stamped: resp.Stamped,
 		Leaving: resp.Leaving, RetryAfter: resp.RetryAfter, NamesRequest: resp.NamesRequest, Limited: resp.Limited,
-		RateLimit: resp.RateLimit, Brittle: resp.Brittle, MaxRejected: resp.MaxRejected,
+		RateLimit: resp.RateLimit, Brittle: resp.Brittle, MaxRejected: resp.MaxRejected, Load: resp.Load,
 	})
 	if err != nil {
 		return relayFailure(self, call.CodeUnknownOutcome, call.RunUnknown, err)
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -57,6 +57,7 @@
 	quarantineLog QuarantineLog
 	partLog       partLog
 	targets       TargetClient
+	features      Features
 	origins       origins.Origins
 	peers         peer.Peers
 	members       members.Membership
@@ -174,6 +175,9 @@
 	if s.targets, err = kernel.Lookup[TargetClient](c, TargetClientName); err != nil {
 		return err
 	}
+	if s.features, err = kernel.Lookup[Features](c, FeaturesName); err != nil {
+		return err
+	}
 	if s.origins, err = kernel.Lookup[origins.Origins](c, origins.Name); err != nil {
 		return err
 	}
