--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -11,6 +11,9 @@
 // shared prefixes goes to the least loaded target, with a preference for the
 // router's own data centre. A request may carry a load limit (core/overload); targets
 // at it are left out.
+//
+// A request with an estimate of its cost (core/workload) is placed by the work that remains
+// at the targets instead, within the same bounds on the number of requests.
 package balance
 
 import (
@@ -20,6 +23,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/core/placement"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/core/workload"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
@@ -61,6 +65,9 @@
 	// CachedOnly reports the engines that get only prompts that they have in cache, as
 	// long as another one may get the request; nil for none.
 	CachedOnly func(t *sitestate.AvailableTarget) bool
+	// Estimate is the expected cost of the request. If it is nil, loads are compared in
+	// requests per slot.
+	Estimate *workload.Estimate
 }
 
 // prompt returns the identifier of the longest shared prefix, which stands for
@@ -96,6 +103,8 @@
 	// Sources lists targets from which the chosen one can fetch prefixes that
 	// it does not have in cache, the most recently used first.
 	Sources []fleet.Ref
+	// Work is set for a request with an estimate.
+	Work Work
 }
 
 // Gate decides which targets may get a request now.
@@ -113,6 +122,9 @@
 	// relayed is set while the loads of other routers arrive through hubs.
 	relayed bool
 	random  *rand.Rand
+	// speeds and choice serve requests with an estimate.
+	speeds Speeds
+	choice workChoice
 }
 
 // New returns the balancer of a router in the data centre self. Random choices
@@ -128,6 +140,9 @@
 // Choose returns the target for a request, or a Choice without a target and with
 // the reason None or Overloaded if no target may get it.
 func (b *Balancer) Choose(now time.Time, r *Request, targets []sitestate.AvailableTarget, gate Gate) Choice {
+	if r.Estimate != nil && b.speeds != nil {
+		return b.chooseByWork(now, r, targets, gate)
+	}
 	allowed := b.eligible(now, r, targets, gate)
 	if len(allowed) == 0 {
 		return Choice{Reason: None}
--- a/internal/core/loadtable/loadtable.go
+++ b/internal/core/loadtable/loadtable.go
@@ -48,12 +48,19 @@
 	// Large holds the loads of 15 and more, in order of index.
 	Counts []byte   `msgpack:"c,omitempty"`
 	Large  []uint32 `msgpack:"x,omitempty"`
+	// Work holds the remaining work at each target with a load, one byte each, in order of
+	// index. It is empty if none is known. Routers of earlier releases neither send nor read
+	// it.
+	Work []byte `msgpack:"k,omitempty"`
 }
 
 // Load is the number of requests that run at a target.
 type Load struct {
 	Target  fleet.Ref
 	Running uint32
+	// WorkMS is the work that remains of these requests in milliseconds of a usual machine
+	// (core/workload), zero if unknown.
+	WorkMS float32
 }
 
 // Encoder numbers targets and encodes their loads. It is not safe for concurrent
@@ -124,9 +131,33 @@
 	}
 	e.sent = len(e.refs)
 	m.Counts, m.Large = e.packCounts(loads)
+	m.Work = e.packWork(loads)
 	return m
 }
 
+// packWork returns the Work field of a message, nil if no work is known.
+func (e *Encoder) packWork(loads []Load) []byte {
+	known := false
+	packed := make([]byte, len(e.refs))
+	loaded := make([]bool, len(e.refs))
+	for _, l := range loads {
+		if i, ok := e.indexByRef[l.Target]; ok && l.Running > 0 {
+			packed[i], loaded[i] = packMS(l.WorkMS), true
+			known = known || l.WorkMS > 0
+		}
+	}
+	if !known {
+		return nil
+	}
+	out := packed[:0]
+	for i, work := range packed {
+		if loaded[i] {
+			out = append(out, work)
+		}
+	}
+	return out
+}
+
 // packCounts returns the Counts and Large fields of a message.
 func (e *Encoder) packCounts(loads []Load) (counts []byte, large []uint32) {
 	running := make([]uint32, len(e.refs))
@@ -207,7 +238,11 @@
 		if i >= len(refs) {
 			return nil, false
 		}
-		out = append(out, Load{Target: refs[i], Running: n})
+		l := Load{Target: refs[i], Running: n}
+		if len(out) < len(m.Work) {
+			l.WorkMS = unpackMS(m.Work[len(out)])
+		}
+		out = append(out, l)
 	}
 	return out, true
 }
--- /dev/null
+++ b/internal/core/workload/pace.go
@@ -0,0 +1,165 @@
+package workload
+
+import (
+	"math"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/fleet"
+)
+
+const (
+	// minPace and maxPace bound what is learned of a target.
+	minPace = 0.2
+	maxPace = 3.0
+	// maxSample bounds the logarithm of one observation, so that a single one that waited for
+	// something else does not move the pace far.
+	maxSample = 1.0
+	// The weights of an observation in the pace. First bytes show more of the waiting than
+	// of the pace.
+	firstByteWeight = 0.04
+	streamWeight    = 0.15
+	plainWeight     = 0.1
+	// minPacedEvents is the number of events from which their intervals show the pace.
+	minPacedEvents = 5
+	// paceLifetime is the time without a response after which a target counts as usual.
+	paceLifetime = 60 * time.Second
+	// reportLifetime is the age at which a report counts no more. The pace of a machine
+	// changes many times a second.
+	reportLifetime = 600 * time.Millisecond
+	// maxReported bounds the factor by which a report moves the pace, reportMemory weights
+	// a report in the usual one of its target.
+	maxReported  = 2.0
+	reportMemory = 0.05
+	// A report is ignored for ignoreDuration once the mean error of predictions with it
+	// exceeds errorRatio x that without it. The errors are judged after minJudged of them.
+	ignoreDuration = 10 * time.Second
+	errorRatio     = 1.1
+	errorMemory    = 0.1
+	minJudged      = 10
+	// maxExcessRatio bounds the requests that a report adds to the known ones, as a ratio
+	// of the slots.
+	maxExcessRatio = 0.5
+)
+
+// target holds what is known of the speed of one target.
+type target struct {
+	// logPace is the logarithm of the pace and pace its value, as of seenAt.
+	logPace float64
+	pace    float64
+	seenAt  time.Time
+	// usual is the mean logarithm of the reported slowdown, and report the factor by which
+	// the last one moves the pace. excess is the number of requests that it reported beyond
+	// the known ones.
+	usual      float64
+	reports    int
+	report     float64
+	reportedAt time.Time
+	excess     float64
+	// ignoredUntil is the time until which reports don't count. withError and
+	// withoutError are the mean errors of the predictions with and without them.
+	ignoredUntil time.Time
+	withError    float64
+	withoutError float64
+	judged       int
+}
+
+func newTarget() *target { return &target{pace: 1, report: 1} }
+
+func (m *Model) target(ref fleet.Ref) *target { return lookup(m.targets, ref, newTarget) }
+
+// fade returns 1 for something at now and 0 from lifetime on.
+func fade(now, at time.Time, lifetime time.Duration) float64 {
+	return min(max(1-float64(now.Sub(at))/float64(lifetime), 0), 1)
+}
+
+// Speed returns the pace of a target in relation to the usual one, and the number of
+// requests that it reported lately beyond those that were known.
+func (m *Model) Speed(now time.Time, ref fleet.Ref) (pace, excess float64) {
+	t, ok := m.targets.Peek(ref)
+	if !ok {
+		return 1, 0
+	}
+	base := 1 + fade(now, t.seenAt, paceLifetime)*(t.pace-1)
+	weight := t.reportWeight(now)
+	return base * (1 + weight*(t.report-1)), weight * t.excess
+}
+
+// reportWeight returns how much the last report counts.
+func (t *target) reportWeight(now time.Time) float64 {
+	if t.reports == 0 || now.Before(t.ignoredUntil) {
+		return 0
+	}
+	return fade(now, t.reportedAt, reportLifetime)
+}
+
+// logPaces returns the logarithms of the pace without and with the last report. The second
+// one is meant also while reports are ignored.
+func (t *target) logPaces(now time.Time) (without, with float64) {
+	without = fade(now, t.seenAt, paceLifetime) * t.logPace
+	if t.reports == 0 {
+		return without, without
+	}
+	return without, without + math.Log(1+fade(now, t.reportedAt, reportLifetime)*(t.report-1))
+}
+
+// Report is what a target says of itself.
+type Report struct {
+	// Requests is the number of requests that run and wait, and Slots that of its slots.
+	Requests int
+	Slots    int
+	// Slowdown is how long work takes in relation to the usual time, zero if unknown.
+	Slowdown float64
+}
+
+// Reported records the report of a target at which known requests were known to be.
+func (m *Model) Reported(now time.Time, ref fleet.Ref, r Report, known float64) {
+	t := m.target(ref)
+	t.reportedAt = now
+	t.excess = min(max(float64(r.Requests)-known, 0), maxExcessRatio*float64(r.Slots))
+	if r.Slowdown > 0 {
+		slow := math.Log(r.Slowdown)
+		if t.reports == 0 {
+			t.usual = slow
+		}
+		t.usual += reportMemory * (slow - t.usual)
+		t.report = min(max(math.Exp(t.usual-slow), 1/maxReported), maxReported)
+	}
+	t.reports++
+}
+
+// learnPace records that work took exp(slow) x the usual time.
+func (m *Model) learnPace(now time.Time, j *Job, slow, weight float64) {
+	t := m.target(j.target)
+	slow = min(max(slow, -j.base-maxSample), -j.base+maxSample)
+	t.judge(now, j, -slow)
+	current, _ := t.logPaces(now)
+	// After a time without responses the first one counts in full.
+	t.logPace = min(max(current+weight*(-slow-current), math.Log(minPace)), math.Log(maxPace))
+	t.pace, t.seenAt = math.Exp(t.logPace), now
+}
+
+// judge compares the predictions with and without the report of a target with what
+// happened.
+func (t *target) judge(now time.Time, j *Job, actual float64) {
+	if j.base == j.reported {
+		return
+	}
+	t.withoutError += errorMemory * (math.Abs(actual-j.base) - t.withoutError)
+	t.withError += errorMemory * (math.Abs(actual-j.reported) - t.withError)
+	t.judged++
+	if t.judged >= minJudged && t.withError > errorRatio*t.withoutError {
+		t.ignoredUntil = now.Add(ignoreDuration)
+		t.judged, t.withError, t.withoutError = 0, 0, 0
+	}
+}
+
+// Forget discards what is known of a target, after it restarted.
+func (m *Model) Forget(ref fleet.Ref) { m.targets.Remove(ref) }
+
+// Paces calls f with the pace of each known target.
+func (m *Model) Paces(now time.Time, f func(ref fleet.Ref, pace float64)) {
+	for _, ref := range m.targets.Keys() {
+		pace, _ := m.Speed(now, ref)
+		f(ref, pace)
+	}
+}
--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -63,6 +63,13 @@
 	// Prefixes holds the hashes of the prompt prefixes that other requests may
 	// share, the shortest first; empty if there are none.
 	Prefixes []uint64
+	// PrefixTokens holds the number of tokens up to the end of each of these prefixes.
+	PrefixTokens []int
+	// PromptTokens is the length of the prompt, MaxOutputTokens the most tokens of output
+	// that the caller takes, and OutputHint its estimate of them; zero if it did not say.
+	PromptTokens    int
+	MaxOutputTokens int
+	OutputHint      int
 	// LastEventID is the ID of the last stream event that the caller has received,
 	// empty if there is none.
 	LastEventID string
