Learn the work of requests and compare it in choices

Placement and the overload limit count requests per slot: a prompt of 11,800 tokens to be read weighs as much as three events. The bounds in requests stay.

Without the feature nothing changes.

--- a/internal/core/workload/workload.go
+++ b/internal/core/workload/workload.go
@@ -225,7 +225,7 @@
 	}
 	if j.events == 0 {
 		j.firstAt = now
-		m.FirstByte(now, j)
+		m.firstByte(now, j)
 	}
 	j.events += n
 	j.lastAt = now
@@ -234,19 +234,35 @@
 	j.left = min(j.left, max(events*j.estimate.EventMS/float64(j.slots), minCostMS))
 }
 
-// FirstByte records that a response has begun, or that it has not begun by now.
-func (m *Model) FirstByte(now time.Time, j *Job) {
+// firstByte records that a response has begun.
+func (m *Model) firstByte(now time.Time, j *Job) {
+	if !j.key.Engine {
+		return
+	}
 	actual := milliseconds(now.Sub(j.startedAt))
-	if j.key.Engine {
-		service := lookup(m.services, j.key.Service, newMachine)
-		if j.estimate.TokenMS > 0 {
-			service.learnRead(actual, j.readMS/j.estimate.TokenMS, j.batch)
-		}
-		m.learnPace(now, j, service.firstBias.sample(math.Log(max(actual, minSampleMS)/max(j.firstMS, minSampleMS))), firstByteWeight)
+	service := lookup(m.services, j.key.Service, newMachine)
+	service.learnRead(actual, j.readMS/j.estimate.TokenMS, j.batch)
+	m.learnPace(now, j, service.firstBias.sample(j.firstError(actual)), firstByteWeight)
+}
+
+// firstError returns the logarithm of the actual over the expected time to the first event.
+func (j *Job) firstError(actualMS float64) float64 {
+	return math.Log(max(actualMS, minSampleMS) / max(j.firstMS, minSampleMS))
+}
+
+// Silent records that a response has not begun yet, although it should have.
+func (m *Model) Silent(now time.Time, j *Job) {
+	if slow := j.firstError(milliseconds(now.Sub(j.startedAt))); slow > 0 {
+		m.learnPace(now, j, slow, firstByteWeight)
 	}
-	j.left = min(j.left, max(j.estimate.SlotMS()/float64(j.slots), minCostMS))
 }
 
+// Drop records that the send ended without a complete response.
+func (j *Job) Drop() { j.left = 0 }
+
+// ExpectedEvents returns the expected number of events.
+func (j *Job) ExpectedEvents() float64 { return j.estimate.Events }
+
 // Complete records the end of a complete response. Targets serve one in part when the caller
 // takes up a stream, which teaches only their pace.
 func (m *Model) Complete(now time.Time, j *Job, partial bool) {
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -141,6 +141,7 @@
 	}
 	limitChanged := s.takeLimit(now, t, resp, sentAt)
 	brittleChanged := s.takeBrittle(now, t, resp, sentAt)
+	s.takeLoad(now, t.ID.Ref(), resp.Load)
 	s.mu.Unlock()
 	entry := s.logger.WithFields(logrus.Fields{"request": request, "target": t.ID})
 	if limitChanged {
@@ -194,6 +195,7 @@
 	id, service := ended.target(), ended.choice.Target.Service
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.endWork(now, ended, outcome == outlier.OK && observed)
 	if !ended.unloaded {
 		s.balancer.RequestEnded(id)
 	}
--- a/internal/service/forward/limit.go
+++ b/internal/service/forward/limit.go
@@ -62,6 +62,7 @@
 	s.late = true
 	r.mu.Unlock()
 	if !known {
+		r.s.noteSilence(s)
 		r.observeLatency(s)
 	}
 }
@@ -84,6 +85,9 @@
 		Objective:   r.route.Objective,
 		LoadPerSlot: s.choice.Load / float64(s.choice.Target.Slots),
 	}
+	if s.work != nil {
+		f.LoadPerSlot = s.choice.Work.LoadPerSlot
+	}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	r.s.limiter(r.service.Name).Observe(now, f)
--- a/internal/service/forward/paths.go
+++ b/internal/service/forward/paths.go
@@ -109,6 +109,7 @@
 		if snd.choice.Target.Service != service || snd.unloaded {
 			continue
 		}
+		s.dropWork(snd)
 		snd.unloaded = true
 		s.balancer.RequestEnded(snd.target())
 		if snd.timer != nil {
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -257,6 +257,7 @@
 	}
 	r.partsServed(s)
 	r.noteWrite()
+	r.noteEvents(s, events)
 	return r.reply.Write(events)
 }
 
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -53,6 +53,8 @@
 	unloaded bool
 	// pathFailed is true once the way to the target has failed, and not the target.
 	pathFailed bool
+	// work is nil unless load is measured as remaining work.
+	work *sendWork
 	// responded is true once the send has brought an event or a complete response.
 	responded bool
 }
@@ -96,6 +98,7 @@
 	} else {
 		query.MaxLoadPerSlot = r.maxLoadPerSlot()
 	}
+	query.Estimate = r.estimateWork()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	query.Avoid = r.tried
@@ -104,6 +107,7 @@
 	s.limit, s.limited = r.s.limitOf(&choice.Target)
 	if choice.Target.ID != "" && !needsGrant {
 		r.tried[choice.Target.ID] = true
+		s.work = r.startWork(now, &choice, query.Estimate)
 	}
 	return s, available, needsGrant
 }
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -58,14 +58,16 @@
 	partLog       partLog
 	targets       TargetClient
 	features      Features
-	origins       origins.Origins
-	peers         peer.Peers
-	members       members.Membership
-	self          fleet.VM
-	clock         kernel.Clock
-	logger        *logrus.Entry
-	tracer        trace.Tracer
-	metrics       requestMetrics
+	// work is nil unless load is measured as remaining work.
+	work    *workState
+	origins origins.Origins
+	peers   peer.Peers
+	members members.Membership
+	self    fleet.VM
+	clock   kernel.Clock
+	logger  *logrus.Entry
+	tracer  trace.Tracer
+	metrics requestMetrics
 
 	// tree holds the paths along which routers spread updates and digests.
 	tree    atomic.Pointer[hubs.Tree]
@@ -210,6 +212,9 @@
 func (s *Service) provisionDecisions(c *kernel.Context, id identity.Identity) {
 	s.rng = rand.New(rand.NewPCG(c.Seed, uint64(id.Incarnation())))
 	s.balancer = balance.New(id.Self().DataCentre, s.rng)
+	if s.work = newWorkState(s.features); s.work != nil {
+		s.balancer.SetSpeeds(s.work.model)
+	}
 	s.cold = balance.NewColdLimit(id.Self().VM)
 	s.outliers = outlier.New()
 	s.reports = selfreport.New()
@@ -284,6 +289,9 @@
 		if born, ok := s.born[id]; ok && born != r.Value.Born {
 			s.engineDown(s.clock.Now(), engineOf(id, born, s.targetServices[id.Ref()]))
 			s.balancer.ForgetCache(id)
+			if s.work != nil {
+				s.work.model.Forget(id.Ref())
+			}
 			s.outliers.Reset(id.Ref())
 			delete(s.doubted, id)
 			s.limits.Forget(id.Ref())
--- /dev/null
+++ b/internal/service/forward/work.go
@@ -0,0 +1,158 @@
+package forward
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/core/balance"
+	"github.com/zinniafork/zinniafork/internal/core/workload"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+)
+
+// progressSteps is the number of parts in which the events of a stream are recorded as work
+// that is done. Each one takes the lock.
+const progressSteps = 8
+
+// workState holds what a router knows of the work at targets. It is guarded by Service.mu.
+type workState struct {
+	model *workload.Model
+	// batches holds the mean load of the targets of each service at the last choice.
+	batches map[fleet.Service]float64
+}
+
+// newWorkState returns nil unless the deployment measures load as remaining work.
+func newWorkState(f Features) *workState {
+	if !f.WorkLoad() {
+		return nil
+	}
+	return &workState{model: workload.New(), batches: make(map[fleet.Service]float64)}
+}
+
+// sendWork is the work of one send. All but events and eventAt is guarded by Service.mu.
+type sendWork struct {
+	job *workload.Job
+	// partial is true if the caller or an earlier send has a part of the stream.
+	partial bool
+	// events counts the events since the last record, the last of which came at eventAt.
+	events  int
+	eventAt time.Time
+}
+
+// workKey returns the key of the request's history.
+func (r *request) workKey() workload.Key {
+	k := workload.Key{Service: r.service.Name, Route: string(r.route.Name), Engine: r.service.Engine}
+	if r.account != nil {
+		k.Account = r.account.Name
+	}
+	return k
+}
+
+// workSize returns what the request says of its size.
+func (r *request) workSize() workload.Size {
+	return workload.Size{
+		PromptTokens: r.PromptTokens, MaxOutput: r.MaxOutputTokens, OutputHint: r.OutputHint, PrefixTokens: r.PrefixTokens,
+	}
+}
+
+// estimateWork returns the expected cost of the request, nil unless load is measured as work.
+func (r *request) estimateWork() *workload.Estimate {
+	if r.s.work == nil {
+		return nil
+	}
+	size := r.workSize()
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	e := r.s.work.model.Estimate(r.workKey(), &size, r.s.work.batches[r.service.Name])
+	return &e
+}
+
+// startWork records the start of a send to the chosen target. The caller holds r.mu.
+func (r *request) startWork(now time.Time, choice *balance.Choice, e *workload.Estimate) *sendWork {
+	if e == nil {
+		return nil
+	}
+	w := &sendWork{partial: r.headSent || r.LastEventID != ""}
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	r.s.work.batches[r.service.Name] = choice.Mean
+	w.job = r.s.work.model.Start(now, workload.Start{
+		Key: r.workKey(), Size: r.workSize(), Estimate: *e, Target: choice.Target.ID.Ref(), Slots: choice.Target.Slots,
+		Batch: choice.Load, WaitMS: choice.Work.WaitMS, Prefixes: choice.Work.Prefixes,
+	})
+	r.s.balancer.AddWork(choice.Target.ID, w.job.Left())
+	return w
+}
+
+// updateWork changes the job of a send and its target's remaining work. The caller holds the
+// lock.
+func (s *Service) updateWork(snd *send, update func(j *workload.Job)) {
+	before := snd.work.job.Left()
+	update(snd.work.job)
+	if !snd.unloaded {
+		s.balancer.AddWork(snd.target(), snd.work.job.Left()-before)
+	}
+}
+
+// noteEvents records complete events that a send has brought.
+func (r *request) noteEvents(snd *send, events []byte) {
+	w := snd.work
+	if w == nil {
+		return
+	}
+	first := w.eventAt.IsZero()
+	w.events += bytes.Count(events, eventDelimiter)
+	w.eventAt = r.s.clock.Now()
+	if first || float64(w.events) >= w.job.ExpectedEvents()/progressSteps {
+		r.s.mu.Lock()
+		defer r.s.mu.Unlock()
+		r.s.recordEvents(snd)
+	}
+}
+
+// recordEvents records the events since the last record. The caller holds the lock.
+func (s *Service) recordEvents(snd *send) {
+	s.updateWork(snd, func(j *workload.Job) { s.work.model.Events(snd.work.eventAt, j, snd.work.events) })
+	snd.work.events = 0
+}
+
+// noteSilence records that the target of a send has not begun its response.
+func (s *Service) noteSilence(snd *send) {
+	if snd.work == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.paths.IsCut(snd.choice.Target.Service) {
+		s.work.model.Silent(s.clock.Now(), snd.work.job)
+	}
+}
+
+// endWork records the end of a send. The caller holds the lock.
+func (s *Service) endWork(now time.Time, snd *send, complete bool) {
+	if snd.work == nil {
+		return
+	}
+	if !complete || snd.via != "" {
+		s.dropWork(snd)
+		return
+	}
+	s.recordEvents(snd)
+	s.updateWork(snd, func(j *workload.Job) { s.work.model.Complete(now, j, snd.work.partial) })
+}
+
+// dropWork removes the remaining work of a send from its target. The caller holds the lock.
+func (s *Service) dropWork(snd *send) {
+	if snd.work != nil {
+		s.updateWork(snd, func(j *workload.Job) { j.Drop() })
+	}
+}
+
+// takeLoad takes what a target reports of its load. The caller holds the lock.
+func (s *Service) takeLoad(now time.Time, target fleet.Ref, load *TargetLoad) {
+	if s.work == nil || load == nil {
+		return
+	}
+	s.work.model.Reported(now, target, workload.Report{
+		Requests: load.Running + load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown,
+	}, s.balancer.Load(target))
+}
