--- a/internal/core/balance/work.go
+++ b/internal/core/balance/work.go
@@ -18,8 +18,10 @@
 	newPromptWaitFactor = 1.15
 	waitSlackMS         = 10.0
 	// rereadFactor weights the time to read a prompt again at another engine: it delays this
-	// request and those behind it.
-	rereadFactor = 2.0
+	// request and those behind it, the more the fewer slots are free. maxUsedRatio bounds
+	// the ratio of used slots in that.
+	rereadFactor = 5.0
+	maxUsedRatio = 0.9
 	// minWeight and maxWeight bound the mean work of a target's requests in relation to that
 	// of the service, where a load is compared with a limit in requests.
 	minWeight = 0.75
@@ -309,6 +311,7 @@
 	near := holderWaitFactor*w.meanWait + waitSlackMS
 	e := w.request.Estimate
 	elsewhere := &w.all[other]
+	factor := rereadFactor / (1 - min(w.meanLoad/float64(max(elsewhere.target.Slots, 1)), maxUsedRatio))
 	for prefixes := len(w.request.Prefixes); prefixes > elsewhere.prefixes; prefixes-- {
 		picks := w.pick(func(c *candidate) bool { return c.prefixes == prefixes && c.count <= limit })
 		i := w.best(picks, func(c *candidate) float64 { return c.waitMS + c.costMS(e) })
@@ -317,7 +320,7 @@
 		}
 		c := &w.all[i]
 		reread := (e.ReadMS(elsewhere.prefixes) - e.ReadMS(prefixes)) / elsewhere.pace
-		if c.waitMS <= near || c.waitMS <= elsewhere.waitMS+rereadFactor*reread {
+		if c.waitMS <= near || c.waitMS <= elsewhere.waitMS+factor*reread {
 			return i
 		}
 	}
--- a/internal/service/forward/work.go
+++ b/internal/service/forward/work.go
@@ -40,7 +40,7 @@
 
 // workKey returns the key of the request's history.
 func (r *request) workKey() workload.Key {
-	k := workload.Key{Service: r.service.Name, Route: string(r.route.Name), Engine: r.service.Engine}
+	k := workload.Key{Service: r.service.Name, Route: r.route.Name, Engine: r.service.Engine}
 	if r.account != nil {
 		k.Account = r.account.Name
 	}
