Bound the load of a target by those that may get requests

Cause: prompts left their holders once a holder had more than 1.4 x mean + 1.5 requests, and cold engines, which get none, count in that mean. By work, the bound uses the mean of the engines that may get requests; the mean of all (1.7 x + 2) still bounds it while it leaves room.

Reports of targets now have to improve predictions before they count; before, a slow engine that claims to be idle took requests for some seconds each time.

--- a/internal/core/balance/work.go
+++ b/internal/core/balance/work.go
@@ -22,6 +22,12 @@
 	// the ratio of used slots in that.
 	rereadFactor = 5.0
 	maxUsedRatio = 0.9
+	// While other targets may get the request, one gets it only up to boundLoadFactor x mean +
+	// boundLoadSlack requests, with a margin below the platform's limit of 2 x mean + 3 for
+	// loads that are old. All targets of the service count in that mean, also those that may
+	// not get the request.
+	boundLoadFactor = 1.7
+	boundLoadSlack  = 2.0
 	// minWeight and maxWeight bound the mean work of a target's requests in relation to that
 	// of the service, where a load is compared with a limit in requests.
 	minWeight = 0.75
@@ -77,9 +83,11 @@
 	request *Request
 	// all holds the targets that may get the request.
 	all []candidate
-	// meanLoad and meanWait are means over the targets of the service, requestMS that of the
-	// work of a request.
-	meanLoad, meanWait, requestMS float64
+	// meanLoad is the mean load of the targets of the service. allowedLoad and meanWait are
+	// means over those that may get the request, requestMS that of the work of a request.
+	meanLoad, allowedLoad, meanWait, requestMS float64
+	// loadLimit is the load up to which a target may get the request.
+	loadLimit float64
 	// known is set if the prompt is in the cache of any target.
 	known bool
 	picks []int
@@ -94,8 +102,10 @@
 	}
 	w.findPrefixes()
 	if !w.dropOverLimit() {
+		w.setLoadLimit()
 		return w.chosen(w.leastLoaded(), Overloaded)
 	}
+	w.setLoadLimit()
 	if len(r.Prefixes) == 0 {
 		return w.chosen(w.leastLoaded(), LeastLoaded)
 	}
@@ -172,10 +182,9 @@
 	return w.all[0].target.Slots
 }
 
-// predict computes the waiting at each target and its mean, and drops the targets that count
-// only for the means.
+// predict computes the waiting at each target, and drops those that may not get the request.
 func (w *workChoice) predict() {
-	total, counted := 0.0, 0
+	load, wait, counted := 0.0, 0.0, 0
 	kept := w.all[:0]
 	for i := range w.all {
 		c := w.all[i]
@@ -184,16 +193,30 @@
 		// An engine with free slots begins at once, next to the others.
 		c.waitMS = c.workMS / c.pace * used * used
 		c.weighted = min(max(c.workMS/c.pace/w.requestMS, minWeight*c.count), maxWeight*c.count)
+		if c.excluded {
+			continue
+		}
+		kept = append(kept, c)
 		if w.request.CachedOnly == nil || !w.request.CachedOnly(c.target) {
-			total += c.waitMS
+			load += c.count
+			wait += c.waitMS
 			counted++
 		}
-		if !c.excluded {
-			kept = append(kept, c)
-		}
 	}
-	w.meanWait = total / float64(max(counted, 1))
 	w.all = kept
+	w.allowedLoad, w.meanWait = load/float64(max(counted, 1)), wait/float64(max(counted, 1))
+}
+
+// setLoadLimit sets the load up to which a target may get the request. Where much of the
+// service gets no requests, the others can't stay below a bound that counts it. They share
+// the load by their own mean then: prompts would be read again wherever a target happens to
+// be below the bound.
+func (w *workChoice) setLoadLimit() {
+	w.loadLimit = w.b.holderLoadLimit(w.allowedLoad)
+	bound := boundLoadFactor*w.meanLoad + boundLoadSlack
+	if bound >= newPromptLoadFactor*w.allowedLoad+newPromptLoadSlack {
+		w.loadLimit = min(w.loadLimit, bound)
+	}
 }
 
 // findPrefixes finds how many leading prefixes of the prompt each target has in cache.
@@ -272,8 +295,7 @@
 // withinLoad returns the candidates whose number of requests is near the mean, or the one
 // with the fewest if there are none.
 func (w *workChoice) withinLoad(also func(c *candidate) bool) []int {
-	limit := w.b.holderLoadLimit(w.meanLoad)
-	if picks := w.pick(func(c *candidate) bool { return c.count <= limit && also(c) }); len(picks) > 0 {
+	if picks := w.pick(func(c *candidate) bool { return c.count <= w.loadLimit && also(c) }); len(picks) > 0 {
 		return picks
 	}
 	fewest := -1
@@ -307,13 +329,12 @@
 // holder returns the engine that gets the request since it has the prompt or the longest part
 // of it in cache, and -1 if it is better read again at another one.
 func (w *workChoice) holder(other int) int {
-	limit := w.b.holderLoadLimit(w.meanLoad)
 	near := holderWaitFactor*w.meanWait + waitSlackMS
 	e := w.request.Estimate
 	elsewhere := &w.all[other]
-	factor := rereadFactor / (1 - min(w.meanLoad/float64(max(elsewhere.target.Slots, 1)), maxUsedRatio))
+	factor := rereadFactor / (1 - min(w.allowedLoad/float64(max(elsewhere.target.Slots, 1)), maxUsedRatio))
 	for prefixes := len(w.request.Prefixes); prefixes > elsewhere.prefixes; prefixes-- {
-		picks := w.pick(func(c *candidate) bool { return c.prefixes == prefixes && c.count <= limit })
+		picks := w.pick(func(c *candidate) bool { return c.prefixes == prefixes && c.count <= w.loadLimit })
 		i := w.best(picks, func(c *candidate) float64 { return c.waitMS + c.costMS(e) })
 		if i < 0 {
 			continue
@@ -344,7 +365,7 @@
 	if w.b.relayed && w.known {
 		return w.best(picks, value)
 	}
-	loadLimit := newPromptLoadFactor*w.meanLoad + newPromptLoadSlack
+	loadLimit := newPromptLoadFactor*w.allowedLoad + newPromptLoadSlack
 	waitLimit := newPromptWaitFactor*w.meanWait + waitSlackMS
 	ranked, rankedScore := -1, math.Inf(-1)
 	lowest, lowestValue := -1, math.Inf(1)
--- a/internal/core/workload/pace.go
+++ b/internal/core/workload/pace.go
@@ -30,12 +30,12 @@
 	// a report in the usual one of its target.
 	maxReported  = 2.0
 	reportMemory = 0.05
-	// A report is ignored for ignoreDuration once the mean error of predictions with it
-	// exceeds errorRatio x that without it. The errors are judged after minJudged of them.
-	ignoreDuration = 10 * time.Second
-	errorRatio     = 1.1
-	errorMemory    = 0.1
-	minJudged      = 10
+	// Reports count while the mean error of predictions with them is below errorRatio x
+	// that without them, judged after minJudged responses. A target whose responses
+	// contradict its reports starts anew.
+	errorRatio  = 0.95
+	errorMemory = 0.05
+	minJudged   = 20
 	// maxExcessRatio bounds the requests that a report adds to the known ones, as a ratio
 	// of the slots.
 	maxExcessRatio = 0.5
@@ -55,9 +55,9 @@
 	report     float64
 	reportedAt time.Time
 	excess     float64
-	// ignoredUntil is the time until which reports don't count. withError and
-	// withoutError are the mean errors of the predictions with and without them.
-	ignoredUntil time.Time
+	// trusted is set while reports count. withError and withoutError are the mean errors
+	// of the predictions with and without them.
+	trusted      bool
 	withError    float64
 	withoutError float64
 	judged       int
@@ -81,25 +81,28 @@
 	}
 	base := 1 + fade(now, t.seenAt, paceLifetime)*(t.pace-1)
 	weight := t.reportWeight(now)
-	return base * (1 + weight*(t.report-1)), weight * t.excess
+	if t.trusted {
+		base *= 1 + weight*(t.report-1)
+	}
+	return base, weight * t.excess
 }
 
-// reportWeight returns how much the last report counts.
+// reportWeight returns how much the last report counts, by its age.
 func (t *target) reportWeight(now time.Time) float64 {
-	if t.reports == 0 || now.Before(t.ignoredUntil) {
+	if t.reports == 0 {
 		return 0
 	}
 	return fade(now, t.reportedAt, reportLifetime)
 }
 
 // logPaces returns the logarithms of the pace without and with the last report. The second
-// one is meant also while reports are ignored.
+// one is meant also while reports don't count.
 func (t *target) logPaces(now time.Time) (without, with float64) {
 	without = fade(now, t.seenAt, paceLifetime) * t.logPace
 	if t.reports == 0 {
 		return without, without
 	}
-	return without, without + math.Log(1+fade(now, t.reportedAt, reportLifetime)*(t.report-1))
+	return without, without + math.Log(1+t.reportWeight(now)*(t.report-1))
 }
 
 // Report is what a target says of itself.
@@ -131,7 +134,7 @@
 func (m *Model) learnPace(now time.Time, j *Job, slow, weight float64) {
 	t := m.target(j.target)
 	slow = min(max(slow, -j.base-maxSample), -j.base+maxSample)
-	t.judge(now, j, -slow)
+	t.judge(j, -slow)
 	current, _ := t.logPaces(now)
 	// After a time without responses the first one counts in full.
 	t.logPace = min(max(current+weight*(-slow-current), math.Log(minPace)), math.Log(maxPace))
@@ -140,17 +143,21 @@
 
 // judge compares the predictions with and without the report of a target with what
 // happened.
-func (t *target) judge(now time.Time, j *Job, actual float64) {
+func (t *target) judge(j *Job, actual float64) {
 	if j.base == j.reported {
 		return
 	}
 	t.withoutError += errorMemory * (math.Abs(actual-j.base) - t.withoutError)
 	t.withError += errorMemory * (math.Abs(actual-j.reported) - t.withError)
 	t.judged++
-	if t.judged >= minJudged && t.withError > errorRatio*t.withoutError {
-		t.ignoredUntil = now.Add(ignoreDuration)
+	if t.judged < minJudged {
+		return
+	}
+	helps := t.withError < errorRatio*t.withoutError
+	if t.trusted && !helps {
 		t.judged, t.withError, t.withoutError = 0, 0, 0
 	}
+	t.trusted = helps
 }
 
 // Forget discards what is known of a target, after it restarted.
--- a/internal/core/workload/workload.go
+++ b/internal/core/workload/workload.go
@@ -163,6 +163,7 @@
 	firstMS float64
 	// base and reported are the logarithms of the pace without and with the target's report.
 	base, reported float64
+	pace           float64
 	startedAt      time.Time
 	firstAt        time.Time
 	lastAt         time.Time
@@ -194,7 +195,8 @@
 	j.left = j.cost
 	t := m.target(s.Target)
 	j.base, j.reported = t.logPaces(now)
-	j.firstMS = s.WaitMS + (j.readMS+j.estimate.EventMS+j.estimate.ServiceMS)/math.Exp(j.reported)
+	j.pace, _ = m.Speed(now, s.Target)
+	j.firstMS = s.WaitMS + (j.readMS+j.estimate.EventMS+j.estimate.ServiceMS)/j.pace
 	return j
 }
 
@@ -210,7 +212,7 @@
 
 // TotalMS returns the expected time to the end.
 func (j *Job) TotalMS() float64 {
-	return j.firstMS + max(j.estimate.Events-1, 0)*j.estimate.EventMS/math.Exp(j.reported)
+	return j.firstMS + max(j.estimate.Events-1, 0)*j.estimate.EventMS/j.pace
 }
 
 // ActualMS returns what the send has cost by the time that it took, given the usual time of an event.
