Compare all holders of a prompt, and engines by the time of a response

Among holders with hardly any waiting, a pace that is a few percent higher drew all requests; what a batch adds to each step counts now. Holders of a part of a prompt are compared by time only, so that a short common part does not draw all new prompts to few engines.

--- a/internal/core/balance/work.go
+++ b/internal/core/balance/work.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// A holder of a prompt gets it without further comparison while the waiting there is at
+	// A holder of the whole prompt gets it without further comparison while the waiting there is at
 	// most holderWaitFactor x mean + waitSlackMS. A new prompt goes to the first engine in
 	// its ranking with at most newPromptWaitFactor x mean + waitSlackMS.
 	holderWaitFactor    = 1.25
@@ -22,6 +22,8 @@
 	// the ratio of used slots in that.
 	rereadFactor = 5.0
 	maxUsedRatio = 0.9
+	// fullBatchSlowdown is what a full batch adds to the time of a step, as a ratio of it.
+	fullBatchSlowdown = 0.5
 	// While other targets may get the request, one gets it only up to boundLoadFactor x mean +
 	// boundLoadSlack requests, with a margin below the platform's limit of 2 x mean + 3 for
 	// loads that are old. All targets of the service count in that mean, also those that may
@@ -63,8 +65,9 @@
 	count, unknown float64
 	// workMS is the work that remains, pace the speed at which it is done.
 	workMS, pace float64
-	// waitMS is the expected waiting, and weighted the load in requests of mean work.
-	waitMS, weighted float64
+	// used is the ratio of slots in use, waitMS the expected waiting, and weighted the load in
+	// requests of mean work.
+	used, waitMS, weighted float64
 	// prefixes is the number of prefixes in cache.
 	prefixes int
 	// excluded is set for targets that count only for the means.
@@ -76,6 +79,12 @@
 	return (e.ReadMS(c.prefixes) + e.SlotMS()/float64(max(c.target.Slots, 1))) / c.pace
 }
 
+// timeMS returns the time until the request has its response, as far as it depends on the
+// target: waiting, its own cost, and what the others in the batch add to each of its steps.
+func (c *candidate) timeMS(e *workload.Estimate) float64 {
+	return c.waitMS + c.costMS(e) + fullBatchSlowdown*c.used*e.SlotMS()/c.pace
+}
+
 // workChoice is one choice by work. Its slices are reused by the next one.
 type workChoice struct {
 	b       *Balancer
@@ -189,9 +198,9 @@
 	for i := range w.all {
 		c := w.all[i]
 		c.workMS += c.unknown * w.requestMS
-		used := min(c.count/float64(max(c.target.Slots, 1)), 1)
+		c.used = min(c.count/float64(max(c.target.Slots, 1)), 1)
 		// An engine with free slots begins at once, next to the others.
-		c.waitMS = c.workMS / c.pace * used * used
+		c.waitMS = c.workMS / c.pace * c.used * c.used
 		c.weighted = min(max(c.workMS/c.pace/w.requestMS, minWeight*c.count), maxWeight*c.count)
 		if c.excluded {
 			continue
@@ -333,15 +342,16 @@
 	e := w.request.Estimate
 	elsewhere := &w.all[other]
 	factor := rereadFactor / (1 - min(w.allowedLoad/float64(max(elsewhere.target.Slots, 1)), maxUsedRatio))
-	for prefixes := len(w.request.Prefixes); prefixes > elsewhere.prefixes; prefixes-- {
+	for prefixes := len(w.request.Prefixes); prefixes >= max(elsewhere.prefixes, 1); prefixes-- {
 		picks := w.pick(func(c *candidate) bool { return c.prefixes == prefixes && c.count <= w.loadLimit })
-		i := w.best(picks, func(c *candidate) float64 { return c.waitMS + c.costMS(e) })
+		i := w.best(picks, func(c *candidate) float64 { return c.timeMS(e) })
 		if i < 0 {
 			continue
 		}
 		c := &w.all[i]
 		reread := (e.ReadMS(elsewhere.prefixes) - e.ReadMS(prefixes)) / elsewhere.pace
-		if c.waitMS <= near || c.waitMS <= elsewhere.waitMS+factor*reread {
+		whole := prefixes == len(w.request.Prefixes)
+		if whole && c.waitMS <= near || c.waitMS <= elsewhere.waitMS+factor*reread {
 			return i
 		}
 	}
@@ -361,7 +371,7 @@
 	if len(picks) == 0 {
 		picks = w.withinLoad(anyTarget)
 	}
-	value := func(c *candidate) float64 { return c.waitMS + c.costMS(e) }
+	value := func(c *candidate) float64 { return c.timeMS(e) }
 	if w.b.relayed && w.known {
 		return w.best(picks, value)
 	}
