--- a/internal/service/forward/limit.go
+++ b/internal/service/forward/limit.go
@@ -49,7 +49,10 @@
 // observeFirstByte records how long the engine of a send took to start its response.
 // Silence was recorded when it was noticed.
 func (r *request) observeFirstByte(s *send) {
-	if r.s.clock.Now().Sub(s.startedAt) < r.firstByteTimeout() {
+	r.mu.Lock()
+	late := s.late
+	r.mu.Unlock()
+	if !late && r.s.clock.Now().Sub(s.startedAt) < r.firstByteTimeout() {
 		r.observeLatency(s)
 	}
 }
@@ -57,12 +60,17 @@
 // observeSilence records once that the engine of a send has not started its response in
 // time.
 func (r *request) observeSilence(s *send) {
+	// A send by work may count as silent while its first byte can still be in time.
+	isLate := s.work == nil || r.s.clock.Now().Sub(s.startedAt) >= r.route.Objective
 	r.mu.Lock()
 	known := r.headSent || s.late
-	s.late = true
+	s.late = s.late || isLate
 	r.mu.Unlock()
-	if !known {
-		r.s.noteSilence(s)
+	if known {
+		return
+	}
+	r.s.noteSilence(s)
+	if isLate {
 		r.observeLatency(s)
 	}
 }
