--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -58,7 +58,7 @@
 	if s.resp != nil && r.headSent {
 		t.reset(streamIdleTimeout)
 	} else {
-		t.reset(r.silenceTimeout(s))
+		t.reset(r.firstByteTimeout())
 	}
 	return t
 }
--- a/internal/service/forward/limit.go
+++ b/internal/service/forward/limit.go
@@ -49,10 +49,7 @@
 // observeFirstByte records how long the engine of a send took to start its response.
 // Silence was recorded when it was noticed.
 func (r *request) observeFirstByte(s *send) {
-	r.mu.Lock()
-	late := s.late
-	r.mu.Unlock()
-	if !late && r.s.clock.Now().Sub(s.startedAt) < r.firstByteTimeout() {
+	if r.s.clock.Now().Sub(s.startedAt) < r.firstByteTimeout() {
 		r.observeLatency(s)
 	}
 }
@@ -60,17 +57,12 @@
 // observeSilence records once that the engine of a send has not started its response in
 // time.
 func (r *request) observeSilence(s *send) {
-	// A send by work may count as silent while its first byte can still be in time.
-	isLate := s.work == nil || r.s.clock.Now().Sub(s.startedAt) >= r.route.Objective
 	r.mu.Lock()
 	known := r.headSent || s.late
-	s.late = s.late || isLate
+	s.late = true
 	r.mu.Unlock()
-	if known {
-		return
-	}
-	r.s.noteSilence(s)
-	if isLate {
+	if !known {
+		r.s.noteSilence(s)
 		r.observeLatency(s)
 	}
 }
--- a/internal/service/forward/work.go
+++ b/internal/service/forward/work.go
@@ -156,23 +156,3 @@
 		Requests: load.Running + load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown,
 	}, s.balancer.Load(target))
 }
-
-const (
-	// A send whose target should have free slots is hedged after expectedFactor x the expected
-	// time to its first event + expectedSlack, but not before earliestRatio x the objective of
-	// the route, while a hedge may still be in time.
-	expectedFactor = 4
-	expectedSlack  = 100 * time.Millisecond
-	earliestRatio  = 0.5
-)
-
-// silenceTimeout returns the time without a first byte after which a send is hedged.
-func (r *request) silenceTimeout(s *send) time.Duration {
-	latest := r.firstByteTimeout()
-	if s.work == nil || !r.service.Engine || s.choice.Load >= float64(s.choice.Target.Slots) {
-		return latest // it may have to wait in a queue
-	}
-	expected := expectedSlack + time.Duration(expectedFactor*s.work.job.FirstMS()*float64(time.Millisecond))
-	earliest := time.Duration(earliestRatio * float64(r.route.Objective))
-	return min(max(expected, earliest, minFirstByteTimeout), latest)
-}
