--- a/internal/core/workload/pace.go
+++ b/internal/core/workload/pace.go
@@ -17,12 +17,14 @@
 	// The weights of an observation in the pace. First bytes show more of the waiting than
 	// of the pace.
 	firstByteWeight = 0.04
-	streamWeight    = 0.15
+	streamWeight    = 0.25
 	plainWeight     = 0.1
 	// minPacedEvents is the number of events from which their intervals show the pace.
 	minPacedEvents = 5
-	// paceLifetime is the time without a response after which a target counts as usual.
-	paceLifetime = 60 * time.Second
+	// A pace counts in full for paceHold after the last response, as one router may get a
+	// response of a target only every 15 s, and not at all from paceHold + paceFade on.
+	paceHold = 30 * time.Second
+	paceFade = 60 * time.Second
 	// reportLifetime is the age at which a report counts no more. The pace of a machine
 	// changes many times a second.
 	reportLifetime = 600 * time.Millisecond
@@ -79,7 +81,7 @@
 	if !ok {
 		return 1, 0
 	}
-	base := 1 + fade(now, t.seenAt, paceLifetime)*(t.pace-1)
+	base := 1 + fade(now, t.seenAt.Add(paceHold), paceFade)*(t.pace-1)
 	weight := t.reportWeight(now)
 	if t.trusted {
 		base *= 1 + weight*(t.report-1)
@@ -98,7 +100,7 @@
 // logPaces returns the logarithms of the pace without and with the last report. The second
 // one is meant also while reports don't count.
 func (t *target) logPaces(now time.Time) (without, with float64) {
-	without = fade(now, t.seenAt, paceLifetime) * t.logPace
+	without = fade(now, t.seenAt.Add(paceHold), paceFade) * t.logPace
 	if t.reports == 0 {
 		return without, without
 	}
@@ -136,7 +138,6 @@
 	slow = min(max(slow, -j.base-maxSample), -j.base+maxSample)
 	t.judge(j, -slow)
 	current, _ := t.logPaces(now)
-	// After a time without responses the first one counts in full.
 	t.logPace = min(max(current+weight*(-slow-current), math.Log(minPace)), math.Log(maxPace))
 	t.pace, t.seenAt = math.Exp(t.logPace), now
 }
--- a/internal/core/workload/workload.go
+++ b/internal/core/workload/workload.go
@@ -215,9 +215,14 @@
 	return j.firstMS + max(j.estimate.Events-1, 0)*j.estimate.EventMS/j.pace
 }
 
-// ActualMS returns what the send has cost by the time that it took, given the usual time of an event.
-func (j *Job) ActualMS() float64 {
-	return j.readMS + float64(j.events)*j.estimate.EventMS/float64(j.slots)
+// ActualMS returns what a send that is complete now has cost: for an engine by the number of
+// events, at the usual time of one, otherwise by the time that it took.
+func (j *Job) ActualMS(now time.Time) float64 {
+	slotMS := float64(j.events) * j.estimate.EventMS
+	if !j.key.Engine {
+		slotMS = milliseconds(now.Sub(j.startedAt))
+	}
+	return j.readMS + slotMS/float64(j.slots)
 }
 
 // Events records events of a response that have arrived.
@@ -244,10 +249,11 @@
 	actual := milliseconds(now.Sub(j.startedAt))
 	service := lookup(m.services, j.key.Service, newMachine)
 	service.learnRead(actual, j.readMS/j.estimate.TokenMS, j.batch)
-	m.learnPace(now, j, service.firstBias.sample(j.firstError(actual)), firstByteWeight)
+	m.learnPace(now, j, service.firstBias.sample(j.firstError(actual))-math.Log(j.pace), firstByteWeight)
 }
 
-// firstError returns the logarithm of the actual over the expected time to the first event.
+// firstError returns the logarithm of the actual over the expected time to the first event at
+// the pace of the target.
 func (j *Job) firstError(actualMS float64) float64 {
 	return math.Log(max(actualMS, minSampleMS) / max(j.firstMS, minSampleMS))
 }
@@ -255,7 +261,7 @@
 // Silent records that a response has not begun yet, although it should have.
 func (m *Model) Silent(now time.Time, j *Job) {
 	if slow := j.firstError(milliseconds(now.Sub(j.startedAt))); slow > 0 {
-		m.learnPace(now, j, slow, firstByteWeight)
+		m.learnPace(now, j, slow-math.Log(j.pace), firstByteWeight)
 	}
 }
 
--- a/internal/service/forward/digest_exchange.go
+++ b/internal/service/forward/digest_exchange.go
@@ -109,6 +109,7 @@
 func (s *Service) localDigest(now time.Time, tree *hubs.Tree) *digest {
 	s.logParts(s.quarantine.Expire(now), s.self)
 	s.releaseHeld(now)
+	s.work.recordPaces(now)
 	loads := s.balancer.LocalLoads(now)
 	if len(tree.ForwardTo("")) == 0 {
 		return nil
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -267,7 +267,7 @@
 	if r.cur.resp != nil && r.cur.resp.Unframed {
 		entry = entry.WithField("unframed", true)
 	}
-	entry.Info("Request ended.")
+	entry.WithFields(r.cur.workFields()).Info("Request ended.")
 }
 
 // cut ends a response as incomplete.
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -212,7 +212,7 @@
 func (s *Service) provisionDecisions(c *kernel.Context, id identity.Identity) {
 	s.rng = rand.New(rand.NewPCG(c.Seed, uint64(id.Incarnation())))
 	s.balancer = balance.New(id.Self().DataCentre, s.rng)
-	if s.work = newWorkState(s.features); s.work != nil {
+	if s.work = newWorkState(s.features, c.Metrics); s.work != nil {
 		s.balancer.SetSpeeds(s.work.model)
 	}
 	s.cold = balance.NewColdLimit(id.Self().VM)
--- a/internal/service/forward/work.go
+++ b/internal/service/forward/work.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"math"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/workload"
 	"github.com/zinniafork/zinniafork/internal/fleet"
@@ -18,14 +22,43 @@
 	model *workload.Model
 	// batches holds the mean load of the targets of each service at the last choice.
 	batches map[fleet.Service]float64
+	// expected and actual are the costs of complete responses, and paces those of the known
+	// targets, recorded every paceInterval, the last time at pacedAt.
+	expected, actual metrics.Histogram
+	paces            metrics.Histogram
+	pacedAt          time.Time
 }
 
+// paceInterval is the time between two records of the paces of all targets.
+const paceInterval = 5 * time.Second
+
 // newWorkState returns nil unless the deployment measures load as remaining work.
-func newWorkState(f Features) *workState {
+func newWorkState(f Features, r metrics.Registry) *workState {
 	if !f.WorkLoad() {
 		return nil
 	}
-	return &workState{model: workload.New(), batches: make(map[fleet.Service]float64)}
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram(name, r, metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}
+	return &workState{
+		model: workload.New(), batches: make(map[fleet.Service]float64), expected: histogram("forward.work_expected"),
+		actual: histogram("forward.work_actual"), paces: histogram("forward.work_pace"),
+	}
+}
+
+// recordCost records what a complete response was expected to cost, and what it has cost.
+func (w *workState) recordCost(now time.Time, j *workload.Job) {
+	w.expected.Update(int64(j.CostMS() * float64(time.Millisecond)))
+	w.actual.Update(int64(j.ActualMS(now) * float64(time.Millisecond)))
+}
+
+// recordPaces records the paces of all known targets if that is due.
+func (w *workState) recordPaces(now time.Time) {
+	if w == nil || now.Sub(w.pacedAt) < paceInterval {
+		return
+	}
+	w.pacedAt = now
+	w.model.Paces(now, func(_ fleet.Ref, pace float64) { w.paces.Update(int64(math.Round(100 * pace))) })
 }
 
 // sendWork is the work of one send. All but events and eventAt is guarded by Service.mu.
@@ -137,6 +170,9 @@
 		return
 	}
 	s.recordEvents(snd)
+	if !snd.work.partial {
+		s.work.recordCost(now, snd.work.job)
+	}
 	s.updateWork(snd, func(j *workload.Job) { s.work.model.Complete(now, j, snd.work.partial) })
 }
 
@@ -156,3 +192,15 @@
 		Requests: load.Running + load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown,
 	}, s.balancer.Load(target))
 }
+
+// workFields are the fields of a request's log line that tell what it was expected to cost, in
+// milliseconds of a usual machine, and how long it was expected to take.
+func (snd *send) workFields() logrus.Fields {
+	if snd.work == nil {
+		return nil
+	}
+	return logrus.Fields{
+		"cost":        math.Round(10*snd.work.job.CostMS()) / 10,
+		"expected_ms": math.Round(snd.work.job.TotalMS()),
+	}
+}
