--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -42,6 +42,8 @@
 	views  map[string]*kerneltest.View
 	client *http.Client
 	serial atomic.Int64
+	// settings are further settings of the routers that start from now on.
+	settings string
 }
 
 const storeAddress = "10.0.9.9:80"
@@ -173,7 +175,7 @@
 [metrics]
 listen = "%[1]s:83"
 `, host, storeAddress)
-	file, err := settings.Parse("router.toml", []byte(text))
+	file, err := settings.Parse("router.toml", []byte(text+b.settings))
 	must.NoError(b.t, err)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
