--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -101,9 +101,9 @@
 // has reached its target.
 const maxUndelivered = 4
 
-// minTimeLeft is the time until the deadline of a request below which it is not
+// MinTimeLeft is the time until the deadline of a request below which it is not
 // sent again.
-const minTimeLeft = 20 * time.Millisecond
+const MinTimeLeft = 20 * time.Millisecond
 
 // Machine tracks the sends of one request. It is not safe for concurrent use.
 type Machine struct {
@@ -214,7 +214,7 @@
 		return Isolated
 	case m.undelivered >= maxUndelivered:
 		return NoAttempts
-	case left <= minTimeLeft:
+	case left <= MinTimeLeft:
 		return NoTime
 	default:
 		return NoLimit
@@ -229,7 +229,7 @@
 		m.limit = Isolated
 	case m.sends >= m.route.Attempts:
 		m.limit = NoAttempts
-	case left <= minTimeLeft:
+	case left <= MinTimeLeft:
 		m.limit = NoTime
 	case !b.Take(now):
 		m.limit = NoBudget
--- a/internal/core/attempt/hedge.go
+++ b/internal/core/attempt/hedge.go
@@ -14,7 +14,7 @@
 // MayHedge reports whether kind, attempts and time allow a hedge. left is the time
 // until the request's deadline. A request that is isolated has none.
 func (m *Machine) MayHedge(left time.Duration) bool {
-	return !m.isolated && m.route.Idempotent() && m.sends+1 < m.route.Attempts && m.undelivered < maxUndelivered && left > minTimeLeft
+	return !m.isolated && m.route.Idempotent() && m.sends+1 < m.route.Attempts && m.undelivered < maxUndelivered && left > MinTimeLeft
 }
 
 // StartHedge reports whether the request may be sent to another target while its
--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -55,6 +55,21 @@
 // Idempotent reports whether a request may run more than once.
 func (r *Route) Idempotent() bool { return r.Kind == Safe || r.Kind == Stream && r.Resumable }
 
+const (
+	// firstByteFactor times the latency objective of the route is the time without a
+	// first byte after which a target counts as silent, minFirstByteTimeout its lower
+	// bound. It keeps requests with a short objective from being hedged while they only
+	// wait in a queue.
+	firstByteFactor     = 2
+	minFirstByteTimeout = 300 * time.Millisecond
+)
+
+// FirstByteTimeout returns the time without a first byte after which a target
+// counts as silent.
+func (r *Route) FirstByteTimeout() time.Duration {
+	return max(firstByteFactor*r.Objective, minFirstByteTimeout)
+}
+
 // Service configures the targets of one service.
 type Service struct {
 	Name fleet.Service
--- a/internal/service/forward/hedge.go
+++ b/internal/service/forward/hedge.go
@@ -19,12 +19,6 @@
 )
 
 const (
-	// firstByteFactor times the latency objective of the route is the time without a
-	// first byte after which a target counts as silent, minFirstByteTimeout its lower
-	// bound. It keeps requests with a short objective from being hedged while they only
-	// wait in a queue.
-	firstByteFactor     = 2
-	minFirstByteTimeout = 300 * time.Millisecond
 	// streamIdleTimeout is the time without an event after which a target counts as
 	// silent. Callers give up after two seconds or more.
 	streamIdleTimeout = 1200 * time.Millisecond
@@ -66,7 +60,7 @@
 // firstByteTimeout returns the time without a first byte after which a target counts
 // as silent.
 func (r *request) firstByteTimeout() time.Duration {
-	return max(firstByteFactor*r.route.Objective, minFirstByteTimeout)
+	return r.route.FirstByteTimeout()
 }
 
 // reset restarts the timer with a new duration.
