--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -172,6 +172,7 @@
 directory = "%[1]s:82"
 [metrics]
 listen = "%[1]s:83"
+configuration = true
 `, host, storeAddress)
 	file, err := settings.Parse("router.toml", []byte(text))
 	must.NoError(b.t, err)
--- a/internal/config/schema.go
+++ b/internal/config/schema.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		siblings = append(siblings, rest)
-		if d := editDistance(name, rest); d < bestDistance {
+		if d := tomldoc.EditDistance(name, rest); d < bestDistance {
 			best, bestDistance = rest, d
 		}
 	}
@@ -86,23 +86,3 @@
 	}
 	return "known keys here: " + strings.Join(siblings, ", ")
 }
-
-// editDistance returns the number of single-letter edits between two words.
-func editDistance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
-	}
-	for i := range len(a) {
-		diagonal := row[0]
-		row[0] = i + 1
-		for j := range len(b) {
-			cost := diagonal
-			if a[i] != b[j] {
-				cost = 1 + min(diagonal, row[j], row[j+1])
-			}
-			diagonal, row[j+1] = row[j+1], cost
-		}
-	}
-	return row[len(b)]
-}
--- a/internal/routecheck/check.go
+++ b/internal/routecheck/check.go
@@ -1,6 +1,8 @@
 package routecheck
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/routing"
@@ -54,6 +56,7 @@
 	k.checkServices()
 	k.limits()
 	k.accounts()
+	k.dataCentres()
 	return k.Findings
 }
 
@@ -76,6 +79,15 @@
 	}
 }
 
+// dataCentres finds data centres of the deployment that serve nobody.
+func (k *checker) dataCentres() {
+	for _, name := range slices.Sorted(maps.Keys(k.deployment.DataCentres)) {
+		if k.deployment.DataCentres[name] == 0 {
+			k.NeverMatches("data_centre_without_vm", "", "the data centre %q has no VM that runs a router", name)
+		}
+	}
+}
+
 // notNegative reports a negative number.
 func (k *checker) notNegative(path, what string, n int64) {
 	if n < 0 {
--- a/internal/routecheck/diff.go
+++ b/internal/routecheck/diff.go
@@ -23,7 +23,7 @@
 type Change struct {
 	// Kind is route, service, model, account or limits.
 	Kind string `json:"kind"`
-	// Name is the host with the prefix for a route.
+	// Name is the host with the prefix for a route, and empty for limits.
 	Name   string        `json:"name"`
 	Action Action        `json:"action"`
 	Fields []FieldChange `json:"fields,omitempty"`
@@ -156,7 +156,7 @@
 	} else {
 		c.Effect(EffectAdmitted, "requests that got 404 are served")
 	}
-	d.unavailable(&c, r)
+	d.unavailable(&c, nil, r)
 	d.add(c)
 }
 
@@ -178,7 +178,7 @@
 		d.access(&c, before, after)
 	}
 	d.runs(&c, before, after)
-	d.unavailable(&c, after)
+	d.unavailable(&c, before, after)
 	d.add(c)
 }
 
@@ -209,22 +209,28 @@
 		return
 	}
 	for _, s := range before.Services {
-		left := slices.ContainsFunc(after.Services, func(w routing.WeightedService) bool { return w.Service == s.Service })
-		if !left && s.Weight > 0 {
+		if s.Weight > 0 && !uses(after, s.Service) {
 			c.Effect(EffectStreamsEnd, "streams in progress at the service %q run to their end, but one that breaks off can't be taken up", string(s.Service))
 		}
 	}
 }
 
-// unavailable adds the services of a route that are missing.
-func (d *differ) unavailable(c *Change, r *routing.Route) {
-	for _, s := range r.Services {
-		if d.after.Service(s.Service) == nil {
-			c.Effect(EffectUnavailable, "requests for the service %q, which is missing, get 503", string(s.Service))
+// unavailable adds the services of a route that are missing and were not before.
+// before is nil for a new route.
+func (d *differ) unavailable(c *Change, before, after *routing.Route) {
+	for _, s := range after.Services {
+		if d.after.Service(s.Service) != nil || before != nil && uses(before, s.Service) && d.before.Service(s.Service) == nil {
+			continue
 		}
+		c.Effect(EffectUnavailable, "requests for the service %q, which is missing, get 503", string(s.Service))
 	}
 }
 
+// uses reports whether a service is one of the route.
+func uses(r *routing.Route, service fleet.Service) bool {
+	return slices.ContainsFunc(r.Services, func(w routing.WeightedService) bool { return w.Service == service })
+}
+
 func kindText(k routing.Kind) string {
 	switch k {
 	case routing.Safe:
@@ -277,7 +283,7 @@
 // limits compares the limits of callers' requests.
 func (d *differ) limits() {
 	was, is := d.before.Config.Limits, d.after.Config.Limits
-	c := Change{Kind: "limits", Name: "limits", Action: Changed}
+	c := Change{Kind: "limits", Action: Changed}
 	c.Field("header bytes", was.HeaderBytes, is.HeaderBytes)
 	c.Field("body bytes", was.BodyBytes, is.BodyBytes)
 	c.Field("idle timeout", was.IdleTimeout, is.IdleTimeout)
--- a/internal/routecheck/diff_test.go
+++ b/internal/routecheck/diff_test.go
@@ -52,7 +52,7 @@
 		"not resumable": {func(c *routing.Config) { c.Routes[0].Resumable = false }, []string{"route h/chat/ changed streams_end"}},
 		"service":       {func(c *routing.Config) { c.Services = c.Services[1:] }, []string{"route h/chat/ changed gets_503", "service a removed streams_end"}},
 		"keys not used": {func(c *routing.Config) { c.Keyed = false }, []string{"account * changed admitted"}},
-		"body":          {func(c *routing.Config) { c.Limits.BodyBytes = 9 }, []string{"limits limits changed gets_413_or_431"}},
+		"body":          {func(c *routing.Config) { c.Limits.BodyBytes = 9 }, []string{"limits  changed gets_413_or_431"}},
 		"one key":       {func(c *routing.Config) { c.Accounts[0].Keys = c.Accounts[0].Keys[1:] }, []string{"account x changed -1 gets_401"}},
 		"other key":     {func(c *routing.Config) { c.Accounts[1].Keys = []string{"secret4"} }, []string{"account y changed +1 -1 access_lost"}},
 		"account":       {func(c *routing.Config) { c.Accounts = c.Accounts[:1] }, []string{"account y removed -1 access_lost"}},
--- a/internal/routecheck/routes.go
+++ b/internal/routecheck/routes.go
@@ -3,6 +3,7 @@
 import (
 	"net/url"
 	"strings"
+	"unicode"
 
 	"github.com/zinniafork/zinniafork/internal/core/attempt"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
@@ -61,8 +62,8 @@
 		k.Error("host_missing", path, "the host is empty, which is matched by requests without a host only")
 	case strings.ToLower(host) != host:
 		k.NeverMatches("host_upper_case", path, "the host %q has upper case letters, but requests are matched in lower case", host)
-	case strings.ContainsAny(host, " /\\?#@*") || strings.ContainsFunc(host, isControl):
-		k.Error("host_invalid", path, "%q is not a host name", host)
+	case strings.ContainsAny(host, " /\\?#@*") || strings.ContainsFunc(host, notASCII):
+		k.Error("host_invalid", path, "%q is not a host name as requests have it", host)
 	case strings.Contains(host, ":") && !strings.HasSuffix(host, "]"):
 		k.Error("host_has_port", path, "the host %q has a port or is an IPv6 address without brackets; requests are matched without the port", host)
 	}
@@ -70,6 +71,10 @@
 
 func isControl(r rune) bool { return r < ' ' || r == 0x7f }
 
+// notASCII reports what a Host header can't have: names of other scripts come in
+// their ASCII form.
+func notASCII(r rune) bool { return isControl(r) || r > unicode.MaxASCII }
+
 // prefix checks the path prefix of a route. Requests are matched by their escaped
 // path, which begins with a slash, up to a slash.
 func (k *checker) prefix(path, prefix string) {
--- a/internal/tomldoc/explain.go
+++ b/internal/tomldoc/explain.go
@@ -95,3 +95,23 @@
 	}
 	return out
 }
+
+// EditDistance returns the number of single-letter edits between two words.
+func EditDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost = 1 + min(diagonal, row[j], row[j+1])
+			}
+			diagonal, row[j+1] = row[j+1], cost
+		}
+	}
+	return row[len(b)]
+}
--- a/internal/zfctl/check.go
+++ b/internal/zfctl/check.go
@@ -39,10 +39,10 @@
 )
 
 type checkCommand struct {
-	File         string            `arg:"" help:"File with the configuration, - for the standard input."`
+	File         string            `arg:"" predictor:"file" help:"File with the configuration, - for the standard input."`
 	Format       string            `enum:"auto,platform,site" default:"auto" help:"platform (JSON), site (TOML, the project's own) or auto."`
 	Overlay      map[string]string `help:"Overlay files of the format site, as SITE=FILE." placeholder:"SITE=FILE" mapsep:","`
-	Against      string            `help:"Configuration in force to compare with: a file, or the URL of a router's metrics address." placeholder:"FILE|URL"`
+	Against      string            `predictor:"file" help:"Configuration in force to compare with: a file, or the URL of a router's metrics address." placeholder:"FILE|URL"`
 	SmallestVMMB int               `name:"smallest-vm-mb" help:"Memory of the smallest VM in MB." placeholder:"MB"`
 	VMs          int               `name:"vms" help:"Number of VMs that run a router." placeholder:"N"`
 	DataCentre   map[string]int    `help:"Number of VMs of each data centre." placeholder:"NAME=VMS" mapsep:","`
--- a/internal/zfctl/checkprint.go
+++ b/internal/zfctl/checkprint.go
@@ -43,7 +43,7 @@
 	g.printf("\ndifferences from %s:\n", r.Against)
 	for i := range r.Changes {
 		c := &r.Changes[i]
-		g.printf("%s %s: %s\n", c.Kind, c.Name, c.Action)
+		g.printf("%s: %s\n", strings.TrimSpace(c.Kind+" "+c.Name), c.Action)
 		for _, f := range c.Fields {
 			g.printf("  %s: %s -> %s\n", f.Field, dash(f.Before), dash(f.After))
 		}
--- a/internal/zfctl/complete.go
+++ b/internal/zfctl/complete.go
@@ -21,6 +21,7 @@
 // routers of ZF_ROUTERS.
 func Complete(parser *kong.Kong) {
 	kongplete.Complete(parser,
+		kongplete.WithPredictor("file", complete.PredictFiles("*")),
 		kongplete.WithPredictor("scope", names(scopes)),
 		kongplete.WithPredictor("site", names(sites)),
 		kongplete.WithPredictor("name", names(markableNames)),
