--- a/internal/routecheck/check.go
+++ b/internal/routecheck/check.go
@@ -20,8 +20,8 @@
 	// it is read, the buffer that it fills and the larger one that it moves to.
 	bodyCopies = 2
 	bytesPerMB = 1 << 20
-	// minHeaderBytes is the size of a small request header of an HTTP client
-	// library with a key and a request ID.
+	// minHeaderBytes leaves room for the headers that HTTP clients usually send,
+	// with a key and a request ID.
 	minHeaderBytes = 512
 )
 
@@ -68,7 +68,7 @@
 	k.notNegative("Limits.IdleTimeout", "idle timeout", int64(l.IdleTimeout))
 	if l.HeaderBytes > 0 && l.HeaderBytes < minHeaderBytes {
 		k.Contradiction("header_limit_small", "Limits.HeaderBytes",
-			"the header limit of %d bytes refuses ordinary requests, whose headers have %d bytes or more", l.HeaderBytes, minHeaderBytes)
+			"the header limit of %d bytes is below the %d bytes that usual headers may have", l.HeaderBytes, minHeaderBytes)
 	}
 	if mb := k.deployment.SmallestVMMB; mb > 0 {
 		room := max(mb-processMB, 0) * bytesPerMB
--- a/internal/routecheck/diff.go
+++ b/internal/routecheck/diff.go
@@ -262,7 +262,9 @@
 		c := Change{Kind: "service", Name: string(s.Name), Action: Changed}
 		if is == nil {
 			c.Action = Removed
-			c.Effect(EffectStreamsEnd, "requests at its targets run to their end, but a stream that breaks off can't be taken up")
+			if d.streamsAt(s.Name) {
+				c.Effect(EffectStreamsEnd, "streams in progress run to their end, but one that breaks off can't be taken up")
+			}
 			d.add(c)
 			continue
 		}
@@ -280,6 +282,13 @@
 	}
 }
 
+// streamsAt reports whether a service had streams.
+func (d *differ) streamsAt(name fleet.Service) bool {
+	return slices.ContainsFunc(d.before.Config.Routes, func(r routing.Route) bool {
+		return r.Kind == routing.Stream && uses(&r, name)
+	})
+}
+
 // limits compares the limits of callers' requests.
 func (d *differ) limits() {
 	was, is := d.before.Config.Limits, d.after.Config.Limits
--- a/internal/zfctl/check.go
+++ b/internal/zfctl/check.go
@@ -117,6 +117,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(bytes.TrimSpace(text)) == 0 {
+		return nil, fmt.Errorf("%s is empty", c.File)
+	}
 	out := &checkResult{File: c.File, Format: c.Format, Against: c.Against, Findings: []routecheck.Finding{}, Changes: []routecheck.Change{}}
 	if out.Format == formatAuto {
 		out.Format = formatOf(text)
--- a/internal/zfctl/check_test.go
+++ b/internal/zfctl/check_test.go
@@ -47,7 +47,7 @@
 	must.NoError(t, err)
 	must.Eq(t, formatSite, site.Format)
 	for _, args := range [][]string{
-		{"/does/not/exist"}, {good, "--against", "/does/not/exist"}, {good, "--overlay", "a=" + good}, {good, "--against", bad + "x"},
+		{"/does/not/exist"}, {good, "--against", "/does/not/exist"}, {good, "--overlay", "a=" + good}, {write(t, "empty", "\n")},
 	} {
 		_, err := run(t, "", append([]string{"check"}, args...)...)
 		must.Eq(t, exitCheckUsage, exitCode(err), must.Sprint(args))
