Check effects of a changed configuration against the router's table

A property sends drawn requests through the tables of two drawn configurations: whoever fares worse must find an effect that says so. It found requests that now get 503 without an effect, where a route has no service or its requests go by another route whose service is missing; a shift of weights to a missing service was found by reading.

go test ./internal/routecheck -rapid.checks=60000: passes, 5.2 s; go test ./platform/configdoc -run TestFindings -rapid.checks=30000: passes.

--- a/internal/routecheck/diff.go
+++ b/internal/routecheck/diff.go
@@ -143,20 +143,22 @@
 		c.Effect(EffectMoved, "requests go by the route %q of the prefix %s", next.Name, next.Prefix)
 		d.access(&c, r, next)
 		d.runs(&c, r, next)
+		d.unavailable(&c, r, next)
 	}
 	d.add(c)
 }
 
 func (d *differ) addedRoute(r *routing.Route) {
 	c := Change{Kind: "route", Name: r.Host + r.Prefix, Action: Added}
-	if former, ok := d.before.Match(r.Host, r.Prefix); ok {
+	former, ok := d.before.Match(r.Host, r.Prefix)
+	if ok {
 		c.Effect(EffectMoved, "requests no longer go by the route %q of the prefix %s", former.Name, former.Prefix)
 		d.access(&c, former, r)
 		d.runs(&c, former, r)
 	} else {
 		c.Effect(EffectAdmitted, "requests that got 404 are served")
 	}
-	d.unavailable(&c, nil, r)
+	d.unavailable(&c, former, r)
 	d.add(c)
 }
 
@@ -208,27 +210,39 @@
 		c.Effect(EffectStreamsEnd, "streams in progress run to their end, but one that breaks off can't be taken up")
 		return
 	}
-	for _, s := range before.Services {
-		if s.Weight > 0 && !uses(after, s.Service) {
-			c.Effect(EffectStreamsEnd, "streams in progress at the service %q run to their end, but one that breaks off can't be taken up", string(s.Service))
+	for _, name := range reached(before) {
+		if !slices.ContainsFunc(after.Services, func(w routing.WeightedService) bool { return w.Service == name }) {
+			c.Effect(EffectStreamsEnd, "streams in progress at the service %q run to their end, but one that breaks off can't be taken up", string(name))
 		}
 	}
 }
 
-// unavailable adds the services of a route that are missing and were not before.
-// before is nil for a new route.
+// unavailable adds the services of a route that are missing, unless the same share
+// of requests met the same lack before. before is the route by which the requests
+// went, nil if there was none.
 func (d *differ) unavailable(c *Change, before, after *routing.Route) {
-	for _, s := range after.Services {
-		if d.after.Service(s.Service) != nil || before != nil && uses(before, s.Service) && d.before.Service(s.Service) == nil {
+	same := before != nil && splitText(before) == splitText(after)
+	for _, name := range reached(after) {
+		if d.after.Service(name) != nil || same && d.before.Service(name) == nil {
 			continue
 		}
-		c.Effect(EffectUnavailable, "requests for the service %q, which is missing, get 503", string(s.Service))
+		c.Effect(EffectUnavailable, "requests for the service %q, which is missing, get 503", string(name))
 	}
 }
 
-// uses reports whether a service is one of the route.
-func uses(r *routing.Route, service fleet.Service) bool {
-	return slices.ContainsFunc(r.Services, func(w routing.WeightedService) bool { return w.Service == service })
+// reached returns the services that requests of a route may go to, as
+// Route.PickService picks them.
+func reached(r *routing.Route) []fleet.Service {
+	var out []fleet.Service
+	for _, s := range r.Services {
+		if s.Weight > 0 && !slices.Contains(out, s.Service) {
+			out = append(out, s.Service)
+		}
+	}
+	if len(out) == 0 {
+		out = append(out, r.PickService(0))
+	}
+	return out
 }
 
 func kindText(k routing.Kind) string {
@@ -285,7 +299,7 @@
 // streamsAt reports whether a service had streams.
 func (d *differ) streamsAt(name fleet.Service) bool {
 	return slices.ContainsFunc(d.before.Config.Routes, func(r routing.Route) bool {
-		return r.Kind == routing.Stream && uses(&r, name)
+		return r.Kind == routing.Stream && slices.Contains(reached(&r), name)
 	})
 }
 
