Decide staged roll-outs of a software version

A service moves to a new version by requests that operators order, and a bad version must be found while it has a tenth of the requests at most.

--- /dev/null
+++ b/internal/core/rollout/gate.go
@@ -0,0 +1,161 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// spendTime is the time over which a router spends a grant: it must be over before the
+	// next reply, or others wait for what this one does not use.
+	spendTime = 400 * time.Millisecond
+	// maxDrawShare is the highest share of requests that a canary draws for the new version.
+	maxDrawShare = 0.5
+)
+
+// Rule says to which versions one send may go.
+type Rule struct {
+	// only is the one version that may be chosen, if exact is true.
+	only  string
+	exact bool
+	// without are the versions that may not be chosen.
+	without []string
+	// Reserved is true if a grant is held for the send. It must be used or given back.
+	Reserved bool
+}
+
+// Allows reports whether a target of a version may be chosen.
+func (r *Rule) Allows(version string) bool {
+	if r.exact {
+		return version == r.only
+	}
+	return !slices.Contains(r.without, version)
+}
+
+// Restricts reports whether the rule excludes any version.
+func (r *Rule) Restricts() bool { return r.exact || len(r.without) > 0 }
+
+// Gate is what a router knows of the roll-out of a service, and decides where its requests may
+// go. A router that hears nothing sends nothing to the new version.
+type Gate struct {
+	order Order
+	rng   *rand.Rand
+	// reply is the last one that counts, and validUntil the time until which its grant and
+	// its phase Cutover do.
+	reply      Reply
+	heard      bool
+	validUntil time.Time
+	// sent and new count sends since the order, reserved grants that are held.
+	sent, new, reserved int64
+	// withdrawn is true once the order was deleted: nothing goes to the new version then.
+	withdrawn bool
+	// rate is the number of requests a second.
+	rate     float64
+	ratedAt  time.Time
+	sentThen int64
+}
+
+// NewGate returns the gate of a router that has just learned of an order.
+func NewGate(now time.Time, order Order, rng *rand.Rand) *Gate {
+	return &Gate{order: order, rng: rng, ratedAt: now}
+}
+
+// Order returns the order.
+func (g *Gate) Order() Order { return g.order }
+
+// Withdraw records that the order was deleted.
+func (g *Gate) Withdraw() { g.withdrawn = true }
+
+// Withdrawn reports whether the order was deleted.
+func (g *Gate) Withdrawn() bool { return g.withdrawn }
+
+// Reply returns the last reply that counts, and whether there is one.
+func (g *Gate) Reply() (Reply, bool) { return g.reply, g.heard }
+
+// Counts returns the requests of the service and those to the new version since the order.
+func (g *Gate) Counts() (sent, toNew int64) { return g.sent, g.new }
+
+// Take takes a reply to a report that was sent at a given time. One of an earlier controller, or
+// that was overtaken, counts no more. It returns false if the reply is not taken.
+func (g *Gate) Take(askedAt time.Time, r *Reply) bool {
+	if !g.order.Same(r.Order) {
+		return false
+	}
+	if g.heard && (r.Term < g.reply.Term || r.Term == g.reply.Term && r.Seq <= g.reply.Seq) {
+		return false
+	}
+	if g.heard && g.reply.Phase.Final() && r.Phase != g.reply.Phase {
+		return false // what has ended stays so
+	}
+	g.reply, g.heard = *r, true
+	g.validUntil = askedAt.Add(time.Duration(r.ValidMs) * time.Millisecond)
+	return true
+}
+
+// CuttingOver reports whether new requests go to the new version now.
+func (g *Gate) CuttingOver(now time.Time) bool {
+	return g.heard && !g.withdrawn && g.reply.Phase == Cutover && now.Before(g.validUntil)
+}
+
+// Left returns the number of requests that may be sent to the new version now.
+func (g *Gate) Left(now time.Time) int64 {
+	if !g.heard || g.withdrawn || g.reply.Phase != Canary || !now.Before(g.validUntil) {
+		return 0
+	}
+	return max(g.reply.Limit-g.new-g.reserved, 0)
+}
+
+// Rule returns where the next send may go. pinned is the version at which a stream must go on,
+// empty for a request that may begin anywhere.
+func (g *Gate) Rule(now time.Time, pinned string) Rule {
+	switch {
+	case g.heard && g.reply.Phase == Done:
+		return Rule{without: g.reply.Base}
+	case g.CuttingOver(now):
+		if pinned != "" && !g.reply.Closed {
+			return Rule{}
+		}
+		return Rule{without: g.reply.Base}
+	}
+	toOld := Rule{without: []string{g.order.To}}
+	left := g.Left(now)
+	if left == 0 || pinned != "" && pinned != g.order.To {
+		return toOld
+	}
+	if pinned == "" && g.rng.Float64() >= g.drawShare(now, left) {
+		return toOld
+	}
+	g.reserved++
+	return Rule{only: g.order.To, exact: true, Reserved: true}
+}
+
+// drawShare returns the share of requests that are drawn for the new version, so that a grant is
+// used up within spendTime at random.
+func (g *Gate) drawShare(now time.Time, left int64) float64 {
+	if elapsed := now.Sub(g.ratedAt); elapsed >= rateWindow {
+		g.rate = float64(g.sent-g.sentThen) / elapsed.Seconds()
+		g.ratedAt, g.sentThen = now, g.sent
+	}
+	expected := max(g.rate*spendTime.Seconds(), 1)
+	return min(float64(left)/expected, maxDrawShare)
+}
+
+// OldOnly returns the rule for a send for which no target of the new version can be chosen.
+func (g *Gate) OldOnly() Rule { return Rule{without: []string{g.order.To}} }
+
+// Release gives a grant back that a rule held.
+func (g *Gate) Release(r Rule) {
+	if r.Reserved {
+		g.reserved--
+	}
+}
+
+// Started records a send to a version under a rule.
+func (g *Gate) Started(r Rule, version string) {
+	g.Release(r)
+	g.sent++
+	if version == g.order.To {
+		g.new++
+	}
+}
--- /dev/null
+++ b/internal/core/rollout/verdict_test.go
@@ -0,0 +1,137 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+// fleets are the numbers of routers and the rates for which verdicts are judged.
+var fleets = []struct {
+	routers int
+	rate    float64
+}{{64, 150}, {390, 600}}
+
+type respond = func(at time.Duration, route int, isNew bool, target int, load float64, rng *rand.Rand) (bool, float64)
+
+// goodKinds are troubles that both versions share.
+var goodKinds = map[string]respond{
+	"none": func(time.Duration, int, bool, int, float64, *rand.Rand) (bool, float64) { return false, 1 },
+	"plain failures": func(_ time.Duration, _ int, _ bool, _ int, _ float64, rng *rand.Rand) (bool, float64) {
+		return rng.Float64() < 0.05, 1
+	},
+	"waves of failures": func(at time.Duration, _ int, _ bool, _ int, _ float64, rng *rand.Rand) (bool, float64) {
+		return at%(11*time.Second) < 3*time.Second && rng.Float64() < 0.3, 1
+	},
+	"waves of slowness": func(at time.Duration, _ int, _ bool, _ int, _ float64, rng *rand.Rand) (bool, float64) {
+		if at%(11*time.Second) < 3*time.Second {
+			return false, 1 + 3*rng.Float64()
+		}
+		return false, 1
+	},
+	"one target fails": func(_ time.Duration, _ int, _ bool, target int, _ float64, rng *rand.Rand) (bool, float64) {
+		return target == 0 && rng.Float64() < 0.3, 1
+	},
+	"one target of the new version crashes": func(at time.Duration, _ int, isNew bool, target int, _ float64, _ *rand.Rand) (bool, float64) {
+		return isNew && target == 0 && at%(20*time.Second) > 19*time.Second, 1
+	},
+}
+
+// badShare returns responses of which a share is bad from a time on, on one route or all, by
+// failures or slowness.
+func badShare(share, slow float64, from time.Duration, route int, onlyLoaded bool) respond {
+	return func(at time.Duration, r int, isNew bool, _ int, load float64, rng *rand.Rand) (bool, float64) {
+		if !isNew || at < from || route >= 0 && r != route || onlyLoaded && load < 0.5 || rng.Float64() >= share {
+			return false, 1
+		}
+		if slow > 0 {
+			return false, slow
+		}
+		return true, 1
+	}
+}
+
+var badKinds = map[string]respond{
+	"5% fail":             badShare(0.05, 0, 0, -1, false),
+	"5% fail later":       badShare(0.05, 0, 30*time.Second, -1, false),
+	"30% fail on a route": badShare(0.3, 0, 0, 1, false),
+	"5% fail on a route":  badShare(0.05, 0, 0, 1, false),
+	"20% fail under load": badShare(0.2, 0, 0, -1, true),
+	"all x2":              badShare(1, 2, 0, -1, false),
+	"5% x2":               badShare(0.05, 2, 0, -1, false),
+	"20% x3 later":        badShare(0.2, 3, 30*time.Second, -1, false),
+	"all x2 on a route":   badShare(1, 2, 0, 2, false),
+	"all x3 under load":   badShare(1, 3, 0, -1, true),
+}
+
+// playMany plays seeds on two cores.
+func playMany(p play, seeds int) []result {
+	out := make([]result, seeds)
+	var group sync.WaitGroup
+	workers := min(2, runtime.GOMAXPROCS(0))
+	for w := range workers {
+		group.Go(func() {
+			for i := w; i < seeds; i += workers {
+				out[i] = p.run(uint64(i + 1))
+			}
+		})
+	}
+	group.Wait()
+	return out
+}
+
+// seeds returns the number of plays, more with ROLLOUT_SEEDS.
+func seeds(usual int) int {
+	if n, err := strconv.Atoi(os.Getenv("ROLLOUT_SEEDS")); err == nil {
+		return n
+	}
+	return usual
+}
+
+// TestVerdictsOfTheModel counts good versions that are rolled back and bad ones that are done,
+// of which there may be 1 in 100 each, and checks the bounds of the exposure of bad ones.
+func TestVerdictsOfTheModel(t *testing.T) {
+	n := seeds(2)
+	for _, fleet := range fleets {
+		base := play{routers: fleet.routers, rate: fleet.rate, duration: 80 * time.Second, routes: 4, sigma: 0.3, targets: 3}
+		for name, r := range goodKinds {
+			p := base
+			p.respond = r
+			wrong := 0
+			for i, out := range playMany(p, n) {
+				if out.phase != Done {
+					wrong++
+					t.Logf("good, %d routers, %s, seed %d: %v at %v: %s", p.routers, name, i+1, out.phase, out.ended, out.reason)
+				}
+			}
+			t.Logf("good, %d routers, %s: %d of %d wrong", p.routers, name, wrong, n)
+			test.LessEq(t, n/100, wrong)
+		}
+		for name, r := range badKinds {
+			p := base
+			p.respond = r
+			wrong, late, over := 0, time.Duration(0), 0.0
+			for i, out := range playMany(p, n) {
+				if out.phase != RolledBack {
+					wrong++
+					t.Logf("bad, %d routers, %s, seed %d: %v at %v, bad %d", p.routers, name, i+1, out.phase, out.ended, out.bad)
+					continue
+				}
+				over = max(over, float64(out.new)-0.1*float64(out.sent))
+				if out.fiftieth >= 0 {
+					late = max(late, out.last-out.fiftieth)
+				}
+			}
+			t.Logf("bad, %d routers, %s: %d of %d wrong, %v after the 50th, %.0f over the share", p.routers, name, wrong, n, late, over)
+			test.LessEq(t, n/100, wrong)
+			test.LessEq(t, DefaultLimits.Rollback, late)
+			test.LessEq(t, DefaultLimits.ExposeSlack, over)
+		}
+	}
+}
