Follow orders for roll-outs in the site stack

Operators order roll-outs by records of their topic, and nothing read them.

Orders spread as records of site updates; records and status are appended at the end that was read (At, 412). internal/service/rollout elects the controller, reports, keeps records and status; forwarding asks it before each send.

--- a/internal/core/rollout/controller.go
+++ b/internal/core/rollout/controller.go
@@ -41,6 +41,9 @@
 	// emptyTime is the time without a target of the new version after which a cutover is
 	// rolled back.
 	emptyTime = time.Second
+	// aloneTime is the time without a target of an old version after which the new one gets all
+	// requests: there is nothing left to compare it with, or to go back to.
+	aloneTime = 2 * time.Second
 )
 
 // reasonWithdrawn is the reason of a roll-back since the order was deleted.
@@ -87,8 +90,10 @@
 	// cutoverAt is the time at which the cutover was written.
 	cutoverAt time.Time
 	closed    bool
-	emptyAt   time.Time
-	finding   Finding
+	// emptyAt is the time since which the new version has no target, aloneAt that since which
+	// the old ones have none.
+	emptyAt, aloneAt time.Time
+	finding          Finding
 }
 
 // Begin returns the controller of an order that no other one has driven, whose record names the
@@ -211,7 +216,7 @@
 		interval = finalInterval
 	}
 	reply := Reply{
-		Order: r.Order, Term: c.record.Term, Seq: c.seq, Phase: c.effective(), Closed: c.closed, Base: c.record.Base,
+		Order: r.Order, Term: c.record.Term, Seq: c.seq, Phase: c.effective(), Closed: c.closed, Base: c.record.Base, Excluded: c.record.Excluded,
 		ValidMs:    max(minValid, validIntervals*interval).Milliseconds(),
 		IntervalMs: interval.Milliseconds(), LeftMs: max(c.deadline.Sub(now), 0).Milliseconds(),
 	}
@@ -301,8 +306,14 @@
 
 // tickCanary begins the cutover in time for the deadline.
 func (c *Controller) tickCanary(now time.Time, v *View) {
-	need := max(c.drain(v), c.watch(), c.limits.StableWindow) + margin
-	if c.deadline.Sub(now) > need && (v.Old > 0 || v.New == 0) {
+	switch {
+	case v.Old > 0 || v.New == 0:
+		c.aloneAt = time.Time{}
+	case c.aloneAt.IsZero():
+		c.aloneAt = now
+	}
+	alone := !c.aloneAt.IsZero() && now.Sub(c.aloneAt) >= aloneTime
+	if need := max(c.drain(v), c.watch(), c.limits.StableWindow) + margin; c.deadline.Sub(now) > need && !alone {
 		return
 	}
 	if v.New == 0 {
--- a/internal/core/rollout/gate.go
+++ b/internal/core/rollout/gate.go
@@ -21,8 +21,10 @@
 	exact bool
 	// without are the versions that may not be chosen.
 	without []string
-	// Reserved is true if a grant is held for the send. It must be used or given back.
+	// Reserved is true if a grant is held for the send, toOld if it may begin at an old version,
+	// which counts as under way. The rule must be used or given back.
 	Reserved bool
+	toOld    bool
 }
 
 // Allows reports whether a target of a version may be chosen.
@@ -43,11 +45,14 @@
 	rng   *rand.Rand
 	// reply is the last one that counts, and validUntil the time until which its grant and
 	// its phase Cutover do.
-	reply      Reply
-	heard      bool
+	reply Reply
+	heard bool
+	// excluded are versions that get nothing, until a reply names others.
+	excluded   []string
 	validUntil time.Time
 	// sent and new count sends since the order, reserved grants that are held.
-	sent, new, reserved int64
+	// pending counts rules that allow the old versions and were not used yet.
+	sent, new, reserved, pending int64
 	// withdrawn is true once the order was deleted: nothing goes to the new version then.
 	withdrawn bool
 	// rate is the number of requests a second.
@@ -88,7 +93,7 @@
 	if g.heard && g.reply.Phase.Final() && r.Phase != g.reply.Phase {
 		return false // what has ended stays so
 	}
-	g.reply, g.heard = *r, true
+	g.reply, g.heard, g.excluded = *r, true, r.Excluded
 	g.validUntil = askedAt.Add(time.Duration(r.ValidMs) * time.Millisecond)
 	return true
 }
@@ -111,20 +116,19 @@
 func (g *Gate) Rule(now time.Time, pinned string) Rule {
 	switch {
 	case g.heard && g.reply.Phase == Done:
-		return Rule{without: g.reply.Base}
+		return g.allExcept(g.reply.Base...)
 	case g.CuttingOver(now):
 		if pinned != "" && !g.reply.Closed {
-			return Rule{}
+			return g.beginsOld(g.allExcept())
 		}
-		return Rule{without: g.reply.Base}
+		return g.allExcept(g.reply.Base...)
 	}
-	toOld := Rule{without: []string{g.order.To}}
 	left := g.Left(now)
 	if left == 0 || pinned != "" && pinned != g.order.To {
-		return toOld
+		return g.OldOnly()
 	}
 	if pinned == "" && g.rng.Float64() >= g.drawShare(now, left) {
-		return toOld
+		return g.OldOnly()
 	}
 	g.reserved++
 	return Rule{only: g.order.To, exact: true, Reserved: true}
@@ -142,13 +146,28 @@
 }
 
 // OldOnly returns the rule for a send for which no target of the new version can be chosen.
-func (g *Gate) OldOnly() Rule { return Rule{without: []string{g.order.To}} }
+func (g *Gate) OldOnly() Rule { return g.beginsOld(g.allExcept(g.order.To)) }
 
-// Release gives a grant back that a rule held.
+// beginsOld counts a rule that allows the old versions.
+func (g *Gate) beginsOld(r Rule) Rule {
+	g.pending++
+	r.toOld = true
+	return r
+}
+
+// allExcept returns a rule that excludes versions beside those that get nothing in any phase.
+func (g *Gate) allExcept(versions ...string) Rule {
+	return Rule{without: append(slices.Clone(g.excluded), versions...)}
+}
+
+// Release gives a rule back.
 func (g *Gate) Release(r Rule) {
 	if r.Reserved {
 		g.reserved--
 	}
+	if r.toOld {
+		g.pending--
+	}
 }
 
 // Started records a send to a version under a rule.
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -73,8 +73,10 @@
 type Record struct {
 	Order Order
 	// Base are the versions that served when the order came.
-	Base  []string
-	Phase Phase
+	Base []string
+	// Excluded are versions of earlier roll-outs that were not done. They get nothing.
+	Excluded []string
+	Phase    Phase
 	// Reason tells why the roll-out ended.
 	Reason string
 	// Term rises with each controller, and Writer is the VM of the last one.
@@ -138,6 +140,8 @@
 	Phase  Phase    `msgpack:"p,omitempty"`
 	Closed bool     `msgpack:"c,omitempty"`
 	Base   []string `msgpack:"b,omitempty"`
+	// Excluded are versions that get nothing in any phase.
+	Excluded []string `msgpack:"e,omitempty"`
 	// Limit is the number of requests that the router may have sent to the new version since
 	// the order. Like Phase Cutover it is valid for ValidMs from the report on.
 	Limit   int64 `msgpack:"l,omitempty"`
--- a/internal/core/rollout/tracker.go
+++ b/internal/core/rollout/tracker.go
@@ -66,7 +66,12 @@
 		t.gate.order = o
 		return false
 	}
+	before := t.gate
 	t.gate, t.seenAt, t.cells = NewGate(now, o, rng), now, make(cells)
+	if before != nil && before.order.To != o.To && !(before.heard && before.reply.Phase == Done) {
+		t.gate.excluded = append(slices.Clone(before.excluded), before.order.To)
+	}
+	t.gate.excluded = slices.DeleteFunc(t.gate.excluded, func(v string) bool { return v == o.To })
 	return true
 }
 
@@ -163,6 +168,7 @@
 		}
 		r.Closed = g.reply.Closed && g.CuttingOver(now)
 	}
+	r.Running = int(g.pending)
 	for version, l := range t.loads {
 		if version == g.order.To || g.heard && !slices.Contains(g.reply.Base, version) {
 			continue
--- a/internal/core/sitestate/era.go
+++ b/internal/core/sitestate/era.go
@@ -14,6 +14,7 @@
 //
 //	configuration         the highest version, for as long as the router runs
 //	data centre           drained if either says so, for up to drainHold
+//	order of a roll-out   stands, for up to orderHold
 //	target left or leaves stays out, for up to staleEntryHold
 //	target restarted      its newer entry counts, for up to staleEntryHold
 //	target missing        stays available, for up to restoreGrace
@@ -32,6 +33,8 @@
 	// drainHold is how long a data centre stays drained whose mark a restored log
 	// lacks, if the operators do not write the mark again.
 	drainHold = 30 * time.Second
+	// orderHold is how long an order stands that a restored log lacks.
+	orderHold = 30 * time.Second
 )
 
 // holds keeps what a router knew before the log was restored and the log contradicts.
@@ -45,6 +48,8 @@
 	targetsUntil time.Time
 	// drains holds the time until which a data centre stays drained.
 	drains map[string]time.Time
+	// orders holds the time until which an order of a roll-out stands.
+	orders map[string]time.Time
 }
 
 // compareEra compares an era with the known one: it returns 0 for the same, 1 for a
@@ -76,6 +81,7 @@
 func (s *State) startEra(now time.Time, u *Update) {
 	s.restored, s.configUnlisted = true, true
 	s.holdDrains(now)
+	s.holdOrders(now)
 	s.era = u.End.Era
 	held := make(map[string]Record[Target])
 	for key, r := range s.holds.targets {
@@ -90,6 +96,7 @@
 	}
 	s.holds.targets, s.holds.targetsUntil, s.holds.from = held, now.Add(staleEntryHold), u.End
 	s.drains.Restart()
+	s.rollouts.Restart()
 	s.targets.Restart()
 	s.vms.Restart()
 }
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -39,6 +39,8 @@
 	Drains  []Record[Drain]
 	Targets []Record[Target]
 	VMs     []Record[VM]
+	// Rollouts are orders by service. Routers of earlier releases neither send nor read them.
+	Rollouts []Record[Rollout]
 	// From and End are the offsets between which the update contains all
 	// changes.
 	From Positions
@@ -68,11 +70,12 @@
 	Drains   []Record[Drain]
 	Targets  []Record[Target]
 	VMs      []Record[VM]
+	Rollouts []Record[Rollout]
 }
 
 // Any reports whether there are changes.
 func (c *Changes) Any() bool {
-	return c.Restored || c.Config || len(c.Drains)+len(c.Targets)+len(c.VMs) > 0
+	return c.Restored || c.Config || len(c.Drains)+len(c.Targets)+len(c.VMs)+len(c.Rollouts) > 0
 }
 
 // State is what a router knows about its site. It is not safe for concurrent
@@ -86,6 +89,7 @@
 	drains         *Collection[Drain]
 	targets        *Collection[Target]
 	vms            *Collection[VM]
+	rollouts       *Collection[Rollout]
 	table          *routing.Table
 	// freshAt is the last time at which the state is known to have matched the
 	// log.
@@ -107,6 +111,7 @@
 		drains:     NewCollection[Drain](),
 		targets:    NewCollection[Target](),
 		vms:        NewCollection[VM](),
+		rollouts:   NewCollection[Rollout](),
 		graceUntil: make(map[string]time.Time),
 		coldUntil:  make(map[string]time.Time),
 	}
@@ -135,6 +140,7 @@
 	s.releaseHolds(now, u)
 	changes.Config = s.applyConfig(u, true)
 	changes.Drains = apply(s.drains, u.Drains, u.From.Operator, u.End.Operator, u.WholeOperator)
+	changes.Rollouts = s.applyRollouts(now, u, changes.Restored)
 	changes.Targets = apply(s.targets, u.Targets, u.From.Targets, u.End.Targets, u.WholeTargets)
 	changes.VMs = apply(s.vms, u.VMs, u.From.VMs, u.End.VMs, u.WholeVMs && !changes.Restored)
 	if changes.Restored {
@@ -286,6 +292,7 @@
 		u.Config = []Record[Config]{s.config}
 	}
 	u.Drains = s.drains.Since(from.Operator)
+	u.Rollouts = s.rollouts.Since(from.Operator)
 	u.Targets = s.targetsSince(now, from.Targets)
 	u.VMs = s.vms.Since(from.VMs)
 	return u
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -13,6 +13,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/selfreport"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/rollout"
 )
 
 // minWarmRatio is the ratio of a service's targets that must be warm and in use for
@@ -38,11 +39,13 @@
 	limitRule
 	// version is the version at which a stream must go on, empty for any.
 	version string
+	// versions are those that a roll-out allows.
+	versions *rollout.Rule
 }
 
 // Allow reports whether a target may get a request now.
 func (g *targetGate) Allow(now time.Time, t *sitestate.AvailableTarget) bool {
-	if !mayGoOnAt(g.rule.version, t) {
+	if !mayGoOnAt(g.rule.version, t) || !g.rule.versions.Allows(t.Version) {
 		return false
 	}
 	if g.s.reports.State(now, t.ID.Ref(), t.Born) != selfreport.Accepting {
@@ -200,6 +203,7 @@
 	if outcome != outlier.OK && (ended.pathFailed || ended.via == "" && s.paths.IsCut(service)) {
 		observed = false
 	}
+	ended.versionEnded(now, outcome != outlier.OK, observed)
 	if !observed {
 		s.outliers.CancelTrial(id.Ref())
 		return
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -223,6 +223,7 @@
 				if !r.progress(pending[:complete]) {
 					return r.responseBroken(s, context.Cause(s.ctx), attempt.Broken)
 				}
+				s.observed.noteEvents(r.s.clock.Now(), pending[:complete])
 				timer.pause()
 				if writeErr := r.forwardEvents(s, pending[:complete], first); writeErr != nil {
 					return r.callerLeft(s, writeErr)
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -13,6 +13,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/rollout"
 	"github.com/zinniafork/zinniafork/internal/tracing"
 )
 
@@ -53,6 +54,8 @@
 	unloaded bool
 	// pathFailed is true once the way to the target has failed, and not the target.
 	pathFailed bool
+	// observed is what the send shows of the version of its target.
+	observed versionObservation
 	// responded is true once the send has brought an event or a complete response.
 	responded bool
 }
@@ -60,15 +63,15 @@
 // target returns the ID of the target, empty if none was chosen.
 func (s *send) target() fleet.Target { return s.choice.Target.ID }
 
-// choose chooses a target for the next send and records the start of a request to it.
+// chooseUnder chooses a target for the next send and records the start of a request to it.
 // For a target that names a limit it asks the router that grants the requests to it, and
 // chooses again if there is no grant. The send has no target if none may get the request.
 // It also returns the number of available targets.
-func (r *request) choose(ctx context.Context, now time.Time) (*send, int) {
+func (r *request) chooseUnder(ctx context.Context, now time.Time, versions *rollout.Rule) (*send, int) {
 	var rule limitRule
 	for asked := 0; ; asked++ {
 		rule.noneLimited = asked >= maxGrantQueries
-		s, available, needsGrant := r.tryChoose(now, rule)
+		s, available, needsGrant := r.tryChoose(now, rule, versions)
 		if rule.granted != nil && s.target() == "" {
 			r.s.releaseSlot(rule.slot, false)
 			rule.granted, rule.slot = nil, nil // the target may get no request any more
@@ -89,7 +92,7 @@
 
 // tryChoose chooses a target under a rule for those that name a limit. It returns true if
 // the target needs a grant, which is not recorded as a start.
-func (r *request) tryChoose(now time.Time, rule limitRule) (s *send, available int, needsGrant bool) {
+func (r *request) tryChoose(now time.Time, rule limitRule, versions *rollout.Rule) (s *send, available int, needsGrant bool) {
 	query := &balance.Request{Prefixes: r.Prefixes}
 	if !r.service.Engine {
 		query.Prefixes = nil
@@ -99,7 +102,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	query.Avoid = r.tried
-	choice, available, needsGrant := r.s.chooseTarget(now, r.service, query, targetRule{limitRule: rule, version: r.pinned})
+	choice, available, needsGrant := r.s.chooseTarget(now, r.service, query, targetRule{limitRule: rule, version: r.pinned, versions: versions})
 	s = &send{choice: choice, startedAt: now}
 	s.limit, s.limited = r.s.limitOf(&choice.Target)
 	if choice.Target.ID != "" && !needsGrant {
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -27,6 +27,7 @@
 	"github.com/zinniafork/zinniafork/internal/service/members"
 	"github.com/zinniafork/zinniafork/internal/service/origins"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
+	"github.com/zinniafork/zinniafork/internal/service/rollout"
 	"github.com/zinniafork/zinniafork/internal/service/site"
 )
 
@@ -59,13 +60,15 @@
 	targets       TargetClient
 	features      Features
 	origins       origins.Origins
-	peers         peer.Peers
-	members       members.Membership
-	self          fleet.VM
-	clock         kernel.Clock
-	logger        *logrus.Entry
-	tracer        trace.Tracer
-	metrics       requestMetrics
+	// rollouts is nil unless the deployment asks for roll-outs.
+	rollouts rollout.Rollouts
+	peers    peer.Peers
+	members  members.Membership
+	self     fleet.VM
+	clock    kernel.Clock
+	logger   *logrus.Entry
+	tracer   trace.Tracer
+	metrics  requestMetrics
 
 	// tree holds the paths along which routers spread updates and digests.
 	tree    atomic.Pointer[hubs.Tree]
@@ -181,6 +184,13 @@
 	if s.origins, err = kernel.Lookup[origins.Origins](c, origins.Name); err != nil {
 		return err
 	}
+	rollouts, err := kernel.Lookup[rollout.Rollouts](c, rollout.Name) // also if off: it has settings
+	if err != nil {
+		return err
+	}
+	if s.features.Rollouts() {
+		s.rollouts = rollouts
+	}
 	if s.peers, err = kernel.Lookup[peer.Peers](c, peer.Name); err != nil {
 		return err
 	}
--- a/internal/service/peer/peer.go
+++ b/internal/service/peer/peer.go
@@ -26,6 +26,8 @@
 	KindOrigin    Kind = "origin"
 	KindSlot      Kind = "slot"
 	KindSnapshot  Kind = "snapshot"
+	// KindRollout carries reports on a roll-out to the router that drives it, and its replies.
+	KindRollout Kind = "rollout"
 	// KindSlotRelease gives back what a query of KindSlot has granted.
 	KindSlotRelease Kind = "slot_release"
 )
--- a/internal/service/site/exchange.go
+++ b/internal/service/site/exchange.go
@@ -152,7 +152,7 @@
 		return nil
 	}
 	update := s.state.Since(now, p.offsets())
-	if !old && len(update.Config)+len(update.Drains)+len(update.Targets)+len(update.VMs) == 0 {
+	if !old && len(update.Config)+len(update.Drains)+len(update.Targets)+len(update.VMs)+len(update.Rollouts) == 0 {
 		return nil
 	}
 	s.catchUpSentAt[from] = now
--- a/internal/service/site/service.go
+++ b/internal/service/site/service.go
@@ -446,6 +446,12 @@
 	for _, r := range changes.Drains {
 		log.WithFields(logrus.Fields{"data_centre": r.Key, "drained": !r.Gone, "offset": r.Offset}).Info("Drain mark changed.")
 	}
+	for _, r := range changes.Rollouts {
+		log.WithFields(logrus.Fields{
+			"service": r.Key, "to": r.Value.To, "duration_ms": r.Value.Duration.Milliseconds(), "gone": r.Gone,
+			"malformed": r.Value.Malformed, "offset": r.Offset,
+		}).Info("Order of a roll-out changed.")
+	}
 	for _, r := range changes.Targets {
 		log.WithFields(logrus.Fields{
 			"target": r.Key, "service": r.Value.Service, "gone": r.Gone, "leaving": r.Value.Leaving,
--- a/internal/standin/keyedlog/http.go
+++ b/internal/standin/keyedlog/http.go
@@ -92,6 +92,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	first := s.topic(name).end()
+	if at := r.URL.Query().Get("At"); at != "" && at != strconv.FormatInt(first, 10) {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		writeJSON(w, map[string]int64{"End": first})
+		return
+	}
 	for len(body) > 0 {
 		key, value, rest, err := cutRecord(body)
 		if err != nil {
--- a/internal/standin/keyedlog/keyedlog.go
+++ b/internal/standin/keyedlog/keyedlog.go
@@ -52,6 +52,7 @@
 	key    string
 	value  []byte
 	offset int64
+	at     time.Time
 }
 
 // New returns an empty store.
@@ -105,6 +106,25 @@
 	return s.append(name, key, value)
 }
 
+// Entry is a value that a key had from a time on, empty for none.
+type Entry struct {
+	Value string
+	At    time.Time
+}
+
+// History returns the values of a key, the oldest first.
+func (s *Store) History(name, key string) []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Entry
+	for _, r := range s.topic(name).records {
+		if r.key == key {
+			out = append(out, Entry{Value: string(r.value), At: r.at})
+		}
+	}
+	return out
+}
+
 // PutJSON appends a record whose value is a JSON document.
 func (s *Store) PutJSON(name, key string, value any) int64 {
 	data, err := json.Marshal(value)
@@ -134,7 +154,7 @@
 
 func (s *Store) append(name, key string, value []byte) int64 {
 	t := s.topic(name)
-	r := record{key: key, value: value, offset: t.end()}
+	r := record{key: key, value: value, offset: t.end(), at: time.Now()}
 	t.records = append(t.records, r)
 	return r.offset
 }
--- a/internal/standin/keyedlog/site.go
+++ b/internal/standin/keyedlog/site.go
@@ -103,6 +103,14 @@
 // Drain takes a data centre out.
 func (s *Store) Drain(dc string) { s.Put(topicOperator, "evacuate/"+dc, []byte("{}")) }
 
+// Order orders a roll-out.
+func (s *Store) Order(service, to string, seconds float64) {
+	s.PutJSON(topicOperator, "rollout/"+service, map[string]any{"Service": service, "To": to, "DurationS": seconds})
+}
+
+// Withdraw withdraws the order of a roll-out.
+func (s *Store) Withdraw(service string) { s.Put(topicOperator, "rollout/"+service, nil) }
+
 // Return takes a data centre back.
 func (s *Store) Return(dc string) { s.Put(topicOperator, "evacuate/"+dc, nil) }
 
