Play good and bad versions on the site bed

Stand-in workers get bad versions: a share of failures or slow responses, from a time on, above a load or on one route.

--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -42,13 +42,19 @@
 	views  map[string]*kerneltest.View
 	client *http.Client
 	serial atomic.Int64
+	// extra is added to the settings of routers.
+	extra string
 }
 
 const storeAddress = "10.0.9.9:80"
 
-func startSite(t *testing.T) *siteBed {
+func startSite(t *testing.T) *siteBed { return startSiteWith(t, "") }
+
+// startSiteWith starts a site whose routers have more settings.
+func startSiteWith(t *testing.T, extra string) *siteBed {
 	b := &siteBed{
 		t:       t,
+		extra:   extra,
 		network: kerneltest.NewNetwork(),
 		store:   keyedlog.New(),
 		workers: make(map[string]*workerd.Server),
@@ -173,7 +179,7 @@
 [metrics]
 listen = "%[1]s:83"
 `, host, storeAddress)
-	file, err := settings.Parse("router.toml", []byte(text))
+	file, err := settings.Parse("router.toml", []byte(text+b.extra))
 	must.NoError(b.t, err)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
--- a/internal/standin/workerd/record.go
+++ b/internal/standin/workerd/record.go
@@ -20,6 +20,8 @@
 	// Version that of the worker.
 	Resumes string `json:"resumes,omitempty"`
 	Version string `json:"version,omitempty"`
+	// Bad is true if the response was bad by the version's fault.
+	Bad bool `json:"bad,omitempty"`
 	// From is the address that the request came from, without its port.
 	From string `json:"from,omitempty"`
 	// Prompt lists the parts of the prompt, as the caller sent them.
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -82,6 +82,8 @@
 	sent    int64
 	crashed crashes
 	brittle brittleness
+	// bad is nil for a good version.
+	bad *badState
 	// repeated counts the refusals that were written once more.
 	repeated int
 }
@@ -227,6 +229,13 @@
 		return
 	}
 	defer s.end(run)
+	r, fails := s.worsen(r, run)
+	if fails {
+		h.Set("X-Response-Stamp", "stamp-"+s.opt.ID)
+		s.work(r)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if fault == FaultLeaving || fault == FaultForged {
 		h.Set("Server-Leaving", "1")
 	}
@@ -314,7 +323,7 @@
 }
 
 // work waits for the time of the work, or until the caller has gone.
-func (s *Server) work(r *http.Request) { wait(r, s.opt.Work) }
+func (s *Server) work(r *http.Request) { wait(r, time.Duration(slowness(r)*float64(s.opt.Work))) }
 
 // wait waits for a time, or until the caller has gone.
 func wait(r *http.Request, d time.Duration) {
@@ -416,7 +425,7 @@
 	}
 	for i := first + 1; i <= s.opt.Events; i++ {
 		if i > first+1 && s.opt.Gap > 0 {
-			wait(r, s.opt.Gap)
+			wait(r, time.Duration(slowness(r)*float64(s.opt.Gap)))
 		} else {
 			s.work(r)
 		}
