--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -44,6 +44,8 @@
 	serial atomic.Int64
 	// extra is added to the settings of routers.
 	extra string
+	// clocks hold the clocks of routers.
+	clocks map[string]*freezeClock
 }
 
 const storeAddress = "10.0.9.9:80"
@@ -55,6 +57,7 @@
 	b := &siteBed{
 		t:       t,
 		extra:   extra,
+		clocks:  make(map[string]*freezeClock),
 		network: kerneltest.NewNetwork(),
 		store:   keyedlog.New(),
 		workers: make(map[string]*workerd.Server),
@@ -184,8 +187,8 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	logger.AddHook(&lineCounter{count: func(line string) { b.lines.add(name, line) }})
-	b.views[name] = b.network.View()
-	k, err := NewSiteRouter(kernel.Env{Net: b.views[name], Log: logger, Seed: 7}, file)
+	b.views[name], b.clocks[name] = b.network.View(), new(freezeClock)
+	k, err := NewSiteRouter(kernel.Env{Net: b.views[name], Log: logger, Seed: 7, Clock: b.clocks[name]}, file)
 	must.NoError(b.t, err)
 	must.NoError(b.t, k.Start(context.Background()))
 	b.routers[name] = k
--- a/internal/app/site_rollout_test.go
+++ b/internal/app/site_rollout_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/zinniafork/zinniafork/internal/standin/keyedlog"
 	"github.com/zinniafork/zinniafork/internal/standin/workerd"
 )
 
@@ -36,7 +35,7 @@
 
 // start starts workers of a version.
 func (b *rolloutBed) start(service, version string, ids ...string) {
-	for i, id := range ids {
+	for _, id := range ids {
 		b.versions[id] = version
 		opt := workerd.Options{Slots: 64, Work: 30 * time.Millisecond, Version: version}
 		if service == "llm" {
@@ -47,7 +46,6 @@
 		} else {
 			b.worker(id, service, opt)
 		}
-		_ = i
 	}
 	b.wait(time.Second)
 }
@@ -220,7 +218,7 @@
 		"fails under load": {Share: 0.5, Above: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			onRollout(t, func(t *testing.T, b *rolloutBed) {
+			onRollout(t, func(_ *testing.T, b *rolloutBed) {
 				b.start("plain", "v2", "p4", "p5", "p6")
 				b.bad(bad, "p4", "p5", "p6")
 				b.order("plain", "v2", 40*time.Second)
@@ -230,7 +228,7 @@
 		})
 	}
 	t.Run("later", func(t *testing.T) {
-		onRollout(t, func(t *testing.T, b *rolloutBed) {
+		onRollout(t, func(_ *testing.T, b *rolloutBed) {
 			b.start("plain", "v2", "p4", "p5", "p6")
 			b.bad(workerd.Badness{Share: 0.3, From: time.Now().Add(20 * time.Second)}, "p4", "p5", "p6")
 			b.order("plain", "v2", 40*time.Second)
@@ -251,5 +249,3 @@
 	must.NoError(b.t, err)
 	return name
 }
-
-var _ = keyedlog.Faults{}
--- a/internal/core/rollout/controller.go
+++ b/internal/core/rollout/controller.go
@@ -327,11 +327,12 @@
 
 // tickCutover ends the cutover once nothing is at the old versions any more.
 func (c *Controller) tickCutover(now time.Time, v *View) {
-	if v.New > 0 {
+	switch {
+	case v.New > 0:
 		c.emptyAt = time.Time{}
-	} else if c.emptyAt.IsZero() {
+	case c.emptyAt.IsZero():
 		c.emptyAt = now
-	} else if now.Sub(c.emptyAt) >= emptyTime && v.Old > 0 {
+	case now.Sub(c.emptyAt) >= emptyTime && v.Old > 0:
 		c.rollBack("the version has no targets any more")
 		return
 	}
--- a/internal/core/rollout/gate.go
+++ b/internal/core/rollout/gate.go
@@ -78,6 +78,9 @@
 // Reply returns the last reply that counts, and whether there is one.
 func (g *Gate) Reply() (Reply, bool) { return g.reply, g.heard }
 
+// ended reports whether the roll-out is known to have ended in a phase.
+func (g *Gate) ended(p Phase) bool { return g.heard && g.reply.Phase == p }
+
 // Counts returns the requests of the service and those to the new version since the order.
 func (g *Gate) Counts() (sent, toNew int64) { return g.sent, g.new }
 
--- a/internal/core/rollout/tracker.go
+++ b/internal/core/rollout/tracker.go
@@ -68,7 +68,7 @@
 	}
 	before := t.gate
 	t.gate, t.seenAt, t.cells = NewGate(now, o, rng), now, make(cells)
-	if before != nil && before.order.To != o.To && !(before.heard && before.reply.Phase == Done) {
+	if before != nil && before.order.To != o.To && !before.ended(Done) {
 		t.gate.excluded = append(slices.Clone(before.excluded), before.order.To)
 	}
 	t.gate.excluded = slices.DeleteFunc(t.gate.excluded, func(v string) bool { return v == o.To })
@@ -100,7 +100,7 @@
 // Waits reports whether a stream that must go on at the new version lacks a grant.
 func (t *Tracker) Waits(now time.Time, pinned string) bool {
 	g := t.gate
-	return g != nil && pinned == g.order.To && !g.CuttingOver(now) && g.Left(now) == 0 && !(g.heard && g.reply.Phase.Final())
+	return g != nil && pinned == g.order.To && !g.CuttingOver(now) && g.Left(now) == 0 && !g.ended(Done) && !g.ended(RolledBack)
 }
 
 // Await records that a stream waits for a grant, or does not wait any more.
--- a/internal/service/rollout/records.go
+++ b/internal/service/rollout/records.go
@@ -187,7 +187,7 @@
 		}
 		c.Rewrite(outranked)
 	case record.Phase.Final() && phase == record.Phase && own.Phase == record.Phase:
-	case record.Writer != s.self && record.Term >= own.Term && !(restored && own.Phase.Final()):
+	case record.Writer != s.self && record.Term >= own.Term && (!restored || !own.Phase.Final()):
 		s.stepDown(st, "another router has the office")
 		return
 	case record.Term < own.Term || outranked > own.Term || record.Phase < own.Phase || record.Granted < own.Granted:
--- a/internal/standin/workerd/bad.go
+++ b/internal/standin/workerd/bad.go
@@ -66,3 +66,10 @@
 	}
 	return 1
 }
+
+// failBadly answers with an error of the version's own.
+func (s *Server) failBadly(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Response-Stamp", "stamp-"+s.opt.ID)
+	s.work(r)
+	w.WriteHeader(http.StatusInternalServerError)
+}
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -231,9 +231,7 @@
 	defer s.end(run)
 	r, fails := s.worsen(r, run)
 	if fails {
-		h.Set("X-Response-Stamp", "stamp-"+s.opt.ID)
-		s.work(r)
-		w.WriteHeader(http.StatusInternalServerError)
+		s.failBadly(w, r)
 		return
 	}
 	if fault == FaultLeaving || fault == FaultForged {
