--- a/internal/app/site_rollout_test.go
+++ b/internal/app/site_rollout_test.go
@@ -157,6 +157,8 @@
 	state, at := b.last(service)
 	e := b.exposed(service, to)
 	b.t.Logf("%s after %v, exposed %d of %d, bad %d", state, at.Sub(b.ordered), e.new, e.all, e.bad)
+	records := b.store.History("keyed.zinniafork-rollouts", service)
+	b.t.Log(records[len(records)-1].Value)
 	must.Eq(b.t, "rolled_back "+to, state)
 	must.True(b.t, at.Before(b.deadline))
 	must.LessEq(b.t, 0.1*float64(e.all)+50, float64(e.new))
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -45,7 +45,7 @@
 
 // Allow reports whether a target may get a request now.
 func (g *targetGate) Allow(now time.Time, t *sitestate.AvailableTarget) bool {
-	if !mayGoOnAt(g.rule.version, t) || !g.rule.versions.Allows(t.Version) {
+	if !mayGoOnAt(g.rule.version, t) || !g.rule.versions.Allows(t.ID, t.Version) {
 		return false
 	}
 	if g.s.reports.State(now, t.ID.Ref(), t.Born) != selfreport.Accepting {
--- a/internal/service/forward/rollout.go
+++ b/internal/service/forward/rollout.go
@@ -37,8 +37,7 @@
 		now = r.s.clock.Now() // it may have waited for a grant
 	}
 	s, available := r.chooseUnder(ctx, now, rule)
-	if s.target() == "" && rule.ToNew() && pinned == "" {
-		rule = rule.OldOnly()
+	for s.target() == "" && rule.Widen() {
 		s, available = r.chooseUnder(ctx, r.s.clock.Now(), rule)
 	}
 	if s.target() == "" {
--- a/internal/service/rollout/rule.go
+++ b/internal/service/rollout/rule.go
@@ -14,23 +14,34 @@
 // Rule says where one send of a request may go. A nil rule allows any version.
 type Rule struct {
 	s    *Service
-	st   *state
 	gate *rollout.Gate
 	rule rollout.Rule
+	// only is the target of the new version that a request was drawn for, empty for any: the
+	// verdict needs responses of all targets alike, and the least loaded is often the same.
+	only   fleet.Target
+	pinned bool
 }
 
-// Allows reports whether a target of a version may be chosen.
-func (r *Rule) Allows(version string) bool { return r == nil || r.rule.Allows(version) }
-
-// ToNew reports whether the rule allows only the new version, so that OldOnly may lead elsewhere.
-func (r *Rule) ToNew() bool { return r != nil && r.rule.Reserved }
+// Allows reports whether a target may be chosen.
+func (r *Rule) Allows(id fleet.Target, version string) bool {
+	return r == nil || r.rule.Allows(version) && (r.only == "" || r.only == id)
+}
 
-// OldOnly gives back the grant of a rule and returns one for the old versions.
-func (r *Rule) OldOnly() *Rule {
-	r.Release()
+// Widen makes a rule allow more targets if it can, after none could be chosen: any target of the
+// new version, then the old ones, for which it gives its grant back.
+func (r *Rule) Widen() bool {
+	if r == nil || !r.rule.Reserved || r.pinned {
+		return false
+	}
+	if r.only != "" {
+		r.only = ""
+		return true
+	}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
-	return &Rule{s: r.s, st: r.st, gate: r.gate, rule: r.gate.OldOnly()}
+	r.gate.Release(r.rule)
+	r.rule = r.gate.OldOnly()
+	return true
 }
 
 // Release gives back the grant of a rule under which nothing is sent.
@@ -62,7 +73,26 @@
 	if gate == nil {
 		return nil
 	}
-	return &Rule{s: s, st: st, gate: gate, rule: gate.Rule(s.clock.Now(), pinned)}
+	out := &Rule{s: s, gate: gate, rule: gate.Rule(s.clock.Now(), pinned), pinned: pinned != ""}
+	if out.rule.Reserved && !out.pinned {
+		out.only = s.drawTarget(service, gate.Order().To)
+	}
+	return out
+}
+
+// drawTarget draws one of the targets of a version, empty if there is none. The caller holds the
+// lock.
+func (s *Service) drawTarget(service fleet.Service, version string) fleet.Target {
+	var ids []fleet.Target
+	for _, t := range s.site.Available(service) {
+		if t.Version == version {
+			ids = append(ids, t.ID)
+		}
+	}
+	if len(ids) == 0 {
+		return ""
+	}
+	return ids[s.rng.IntN(len(ids))]
 }
 
 // awaitGrant waits for a grant for a stream that must go on at the new version. The caller holds
