Let the router that holds the office keep it

The router that ranks first took the office over whenever it came back, and two routers that see different members took it from each other each second. It stays now with the router that writes the record; others name that one to routers that report to them. A router that hears nothing serves at the new version if there is no other.

--- a/internal/app/site_rollout_faults_test.go
+++ b/internal/app/site_rollout_faults_test.go
@@ -126,7 +126,7 @@
 	for name, fault := range controllerFaults {
 		for _, bad := range []bool{false, true} {
 			t.Run(name, func(t *testing.T) {
-				onRollout(t, func(t *testing.T, b *rolloutBed) {
+				onRollout(t, func(_ *testing.T, b *rolloutBed) {
 					b.start("plain", "v2", "p4", "p5", "p6")
 					if bad {
 						b.bad(workerd.Badness{Share: 0.1, From: time.Now().Add(6 * time.Second)}, "p4", "p5", "p6")
@@ -152,7 +152,7 @@
 // TestRolloutWhileTheStoreIsAway lets the store fail in the canary, for a good and a bad version.
 func TestRolloutWhileTheStoreIsAway(t *testing.T) {
 	for _, bad := range []bool{false, true} {
-		onRollout(t, func(t *testing.T, b *rolloutBed) {
+		onRollout(t, func(_ *testing.T, b *rolloutBed) {
 			b.start("plain", "v2", "p4", "p5", "p6")
 			if bad {
 				b.bad(workerd.Badness{Share: 0.3, From: time.Now().Add(6 * time.Second)}, "p4", "p5", "p6")
--- a/internal/app/site_rollout_test.go
+++ b/internal/app/site_rollout_test.go
@@ -251,3 +251,41 @@
 	must.NoError(b.t, err)
 	return name
 }
+
+// TestStreamsOfTheNewVersionAreTakenUp kills a router in the canary, whose callers take their streams
+// up at the others. A stream of the new version needs a grant for that; at least half as many must
+// go on as of new streams begin, and none at another version.
+func TestStreamsOfTheNewVersionAreTakenUp(t *testing.T) {
+	onRollout(t, func(t *testing.T, b *rolloutBed) {
+		b.start("llm", "v1", "e1", "e2", "e3")
+		b.start("llm", "v2", "e4", "e5", "e6")
+		b.order("llm", "v2", 60*time.Second)
+		b.traffic(10*time.Second, 30, []string{"draft"}, allRouters...)
+		fromNew, whole := 0, 0
+		for range 8 {
+			b.traffic(3*time.Second, 20, []string{"draft"}, "2", "3")
+			b.wait(time.Second)
+			streams := b.beginAt(10, "1")
+			atNew := make(map[string]bool)
+			for _, id := range []string{"e4", "e5", "e6"} {
+				for _, r := range b.workers[id].Runs() {
+					atNew[r.Request] = true
+				}
+			}
+			b.stop("1")
+			for _, one := range streams {
+				if atNew[one.id] {
+					fromNew++
+					whole += b.takeUp([]openStream{one}, "2", "3")
+				}
+			}
+			must.SliceEmpty(t, b.joined())
+			b.router("1")
+			b.wait(4 * time.Second)
+
+		}
+		t.Logf("%d of %d streams of the new version went on", whole, fromNew)
+		must.Greater(t, 0, fromNew)
+		must.GreaterEq(t, (fromNew+1)/2, whole)
+	})
+}
--- a/internal/core/rollout/controller.go
+++ b/internal/core/rollout/controller.go
@@ -91,7 +91,9 @@
 	members  map[fleet.VM]*member
 	// cutoverAt is the time at which the cutover was written.
 	cutoverAt time.Time
-	closed    bool
+	// drainFor is the time that requests at the old versions were to need at the cutover.
+	drainFor time.Duration
+	closed   bool
 	// emptyAt is the time since which the new version has no target, aloneAt that since which
 	// the old ones have none.
 	emptyAt, aloneAt time.Time
@@ -334,7 +336,7 @@
 		}
 		return
 	}
-	c.phase, c.reason = Cutover, "no evidence against the version"
+	c.phase, c.reason, c.drainFor = Cutover, "no evidence against the version", c.drain(v)
 }
 
 // tickCutover ends the cutover once nothing is at the old versions any more.
@@ -348,7 +350,11 @@
 		c.rollBack("the version has no targets any more")
 		return
 	}
-	left := c.deadline.Sub(now)
+	end := c.deadline
+	if late := c.cutoverAt.Add(c.drainFor + margin); c.drainFor > 0 && late.After(end) {
+		end = late // the store was away when the cutover was due
+	}
+	left := end.Sub(now)
 	watched := now.Sub(c.cutoverAt) >= c.watch() || left <= margin
 	if watched && (c.confirmed(now, false) || left <= margin) {
 		c.closed = true
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -136,7 +136,10 @@
 
 // Reply is the controller's answer to a report.
 type Reply struct {
-	Order  Order    `msgpack:"o"`
+	Order Order `msgpack:"o"`
+	// Holder is the router that drives the roll-out if it is not the one that answers. Nothing
+	// else counts then.
+	Holder fleet.VM `msgpack:"h,omitempty"`
 	Term   int64    `msgpack:"t"`
 	Seq    uint64   `msgpack:"q"`
 	Phase  Phase    `msgpack:"p,omitempty"`
--- a/internal/service/rollout/control.go
+++ b/internal/service/rollout/control.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/core/rollout"
+	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
@@ -16,6 +17,8 @@
 	// renewPeriod is the time after which the record of a running roll-out is written again, so
 	// that a router that hears few others sees that the roll-out is driven.
 	renewPeriod = 2 * time.Second
+	// decidePeriod is the time between decisions.
+	decidePeriod = 100 * time.Millisecond
 	// announcePeriod is the time between messages to routers that do not report.
 	announcePeriod = time.Second
 )
@@ -38,12 +41,15 @@
 	// status is the last one that was written, under the term statusTerm.
 	status     Status
 	statusTerm int64
-	// seen is the end of the topic since seenAt, for a router that hears few others.
+	// seen is the end of the topic since seenAt, for a router that may not take the office yet.
 	seen   Position
 	seenAt time.Time
+	// holder is another router that drives the roll-out, as far as the record shows.
+	holder fleet.VM
 	// logged is the last phase whose decision was logged.
 	logged      rollout.Phase
 	announcedAt time.Time
+	tickedAt    time.Time
 }
 
 // tickControl starts what is due at the router that drives a roll-out. The caller holds the lock.
@@ -53,20 +59,18 @@
 	if c := k.controller; c != nil && !c.Record().Order.Same(order) {
 		k.controller = nil // a new order came
 	}
-	if s.first(now, st.service) != s.self {
-		if k.controller != nil {
-			s.stepDown(st, "another router is first")
-		}
-		return
-	}
 	c := k.controller
 	if c == nil {
-		if !k.busy && !now.Before(k.notBefore) {
+		if !k.busy && !now.Before(k.notBefore) && s.first(now, st.service) == s.self {
 			k.busy = true
 			go s.takeOffice(ctx, st)
 		}
 		return
 	}
+	if now.Sub(k.tickedAt) < decidePeriod {
+		return
+	}
+	k.tickedAt = now
 	c.Tick(now, s.view(st))
 	s.logDecision(now, st)
 	s.announce(now, st)
@@ -187,7 +191,7 @@
 // may have another view of who is first. The caller holds the lock.
 func (s *Service) isCutOff() bool { return 2*len(s.alive) <= len(s.site.Routers()) }
 
-// service returns the service that a controller is for, for the log.
+// fields returns what the log tells of a record.
 func (st *state) fields(r *rollout.Record) logrus.Fields {
 	return logrus.Fields{"service": st.service, "to": r.Order.To, "phase": r.Phase.String(), "term": r.Term, "granted": r.Granted}
 }
--- a/internal/service/rollout/records.go
+++ b/internal/service/rollout/records.go
@@ -16,9 +16,10 @@
 	// to drive the roll-out.
 	logRetry    = 250 * time.Millisecond
 	officeRetry = time.Second
-	// quietTime is the time without a new record after which a router that hears few others
-	// takes the office.
-	quietTime = 5 * time.Second
+	// quietTime is the time without a new record after which a router takes the office although
+	// another one may hold it. quietRetry is the time between looks at the record meanwhile.
+	quietTime  = 5 * time.Second
+	quietRetry = time.Second
 )
 
 // limited returns a context that ends after logTimeout.
@@ -50,7 +51,7 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	gate := st.tracker.Gate()
-	if err != nil || gate == nil || s.waits(now, st, at) {
+	if err != nil || gate == nil || s.waits(now, st, record, at) {
 		s.release(st, err)
 		return
 	}
@@ -86,17 +87,22 @@
 // errOldOrder is the error of an order that is older than that of the record.
 var errOldOrder = errors.New("the record is of a later order")
 
-// waits reports whether this router must not take the office yet, since it hears few others and
-// one of them may hold it. The caller holds the lock.
-func (s *Service) waits(now time.Time, st *state, at Position) bool {
+// waits reports whether this router must not take the office yet: another one that is alive holds
+// it, or this one hears so few that it can't tell. The caller holds the lock.
+func (s *Service) waits(now time.Time, st *state, record *rollout.Record, at Position) bool {
 	k := &st.control
-	if !s.isCutOff() {
+	k.holder = ""
+	if record != nil && record.Order.Same(st.tracker.Gate().Order()) && !record.Phase.Final() && record.Writer != s.self &&
+		slices.Contains(s.alive, record.Writer) {
+		k.holder = record.Writer
+	}
+	if k.holder == "" && !s.isCutOff() {
 		return false
 	}
 	if k.seen != at || k.seenAt.IsZero() {
 		k.seen, k.seenAt = at, now
 	}
-	k.notBefore = now.Add(logRetry)
+	k.notBefore = now.Add(quietRetry)
 	return now.Sub(k.seenAt) < quietTime
 }
 
--- a/internal/service/rollout/report.go
+++ b/internal/service/rollout/report.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -34,17 +35,28 @@
 		s.mu.Unlock()
 		return
 	}
-	to := s.first(now, st.service)
+	to := st.holder
+	if to == "" || !slices.Contains(s.alive, to) {
+		to = s.first(now, st.service)
+	}
 	report := st.tracker.Report(now, s.process)
 	s.mu.Unlock()
 	reply, err := s.send(ctx, to, &report)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st.reporting = false
+	if err == nil && reply.Holder != "" {
+		err = errNotController
+	}
 	if err != nil {
+		st.holder = ""
+		if reply != nil {
+			st.holder = reply.Holder
+		}
 		s.reportFailed(st, to, &report, err)
 		return
 	}
+	st.holder = to
 	s.count("rollout.reports.answered")
 	before := rollout.Canary
 	gate := st.tracker.Gate()
@@ -134,6 +146,9 @@
 	}
 	c := st.control.controller
 	if c == nil || !c.Record().Order.Same(report.Order) {
+		if st.control.holder != "" {
+			return &rollout.Reply{Order: report.Order, Holder: st.control.holder}, nil
+		}
 		return nil, errNotController
 	}
 	if report.Term > c.Record().Term {
--- a/internal/service/rollout/rule.go
+++ b/internal/service/rollout/rule.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/rollout"
+	"github.com/zinniafork/zinniafork/internal/core/sitestate"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
@@ -73,6 +75,9 @@
 	if gate == nil {
 		return nil
 	}
+	if _, heard := gate.Reply(); !heard && s.onlyNew(service, gate.Order().To) {
+		return nil
+	}
 	out := &Rule{s: s, gate: gate, rule: gate.Rule(s.clock.Now(), pinned), pinned: pinned != ""}
 	if out.rule.Reserved && !out.pinned {
 		out.only = s.drawTarget(service, gate.Order().To)
@@ -80,6 +85,13 @@
 	return out
 }
 
+// onlyNew reports whether all targets have the new version. A router that starts after a roll-out
+// was done must serve before it hears so. The caller holds the lock.
+func (s *Service) onlyNew(service fleet.Service, version string) bool {
+	targets := s.site.Available(service)
+	return len(targets) > 0 && !slices.ContainsFunc(targets, func(t sitestate.AvailableTarget) bool { return t.Version != version })
+}
+
 // drawTarget draws one of the targets of a version, empty if there is none. The caller holds the
 // lock.
 func (s *Service) drawTarget(service fleet.Service, version string) fleet.Target {
--- a/internal/service/rollout/service.go
+++ b/internal/service/rollout/service.go
@@ -92,6 +92,8 @@
 	// reportAt is the time of the next report, reporting is true while one is under way.
 	reportAt  time.Time
 	reporting bool
+	// holder is the router that has answered the last report, empty to ask the first one.
+	holder fleet.VM
 	// replied is closed with the next reply.
 	replied chan struct{}
 	control control
