--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -42,15 +42,22 @@
 	views  map[string]*kerneltest.View
 	client *http.Client
 	serial atomic.Int64
-	// settings are further settings of the routers that start from now on.
-	settings string
+	// extra is added to the settings of routers.
+	extra string
+	// clocks hold the clocks of routers.
+	clocks map[string]*freezeClock
 }
 
 const storeAddress = "10.0.9.9:80"
 
-func startSite(t *testing.T) *siteBed {
+func startSite(t *testing.T) *siteBed { return startSiteWith(t, "") }
+
+// startSiteWith starts a site whose routers have more settings.
+func startSiteWith(t *testing.T, extra string) *siteBed {
 	b := &siteBed{
 		t:       t,
+		extra:   extra,
+		clocks:  make(map[string]*freezeClock),
 		network: kerneltest.NewNetwork(),
 		store:   keyedlog.New(),
 		workers: make(map[string]*workerd.Server),
@@ -176,13 +183,13 @@
 listen = "%[1]s:83"
 configuration = true
 `, host, storeAddress)
-	file, err := settings.Parse("router.toml", []byte(text+b.settings))
+	file, err := settings.Parse("router.toml", []byte(text+b.extra))
 	must.NoError(b.t, err)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	logger.AddHook(&lineCounter{count: func(line string) { b.lines.add(name, line) }})
-	b.views[name] = b.network.View()
-	k, err := NewSiteRouter(kernel.Env{Net: b.views[name], Log: logger, Seed: 7}, file)
+	b.views[name], b.clocks[name] = b.network.View(), new(freezeClock)
+	k, err := NewSiteRouter(kernel.Env{Net: b.views[name], Log: logger, Seed: 7, Clock: b.clocks[name]}, file)
 	must.NoError(b.t, err)
 	must.NoError(b.t, k.Start(context.Background()))
 	b.routers[name] = k
