--- a/internal/app/site_work_test.go
+++ b/internal/app/site_work_test.go
@@ -14,7 +14,7 @@
 // earlier release is, that can't work beside others that send it in their digests.
 func TestRouterThatKnowsNoWork(t *testing.T) {
 	onSite(t, func(t *testing.T, b *siteBed) {
-		b.extra = "[features]\ncontracts = [\"pressure\"]\n"
+		b.extra = "[forward]\nwork_load = true\n"
 		for _, name := range []string{"2", "3"} {
 			b.stop(name)
 			b.router(name)
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -48,6 +48,9 @@
 	// ColdCaches is true when the engines start together with the routers, so that
 	// their caches are empty and need not be listed.
 	ColdCaches bool `toml:"cold_caches"`
+	// WorkLoad is true to measure the load of targets as their remaining work, in place of
+	// requests per slot.
+	WorkLoad bool `toml:"work_load"`
 }
 
 // Service implements Forwarder.
@@ -222,7 +225,7 @@
 func (s *Service) provisionDecisions(c *kernel.Context, id identity.Identity) {
 	s.rng = rand.New(rand.NewPCG(c.Seed, uint64(id.Incarnation())))
 	s.balancer = balance.New(id.Self().DataCentre, s.rng)
-	if s.work = newWorkState(s.features, c.Metrics); s.work != nil {
+	if s.work = newWorkState(s.settings.WorkLoad, c.Metrics); s.work != nil {
 		s.balancer.SetSpeeds(s.work.model)
 	}
 	s.cold = balance.NewColdLimit(id.Self().VM)
--- a/internal/service/forward/work.go
+++ b/internal/service/forward/work.go
@@ -32,9 +32,9 @@
 // paceInterval is the time between two records of the paces of all targets.
 const paceInterval = 5 * time.Second
 
-// newWorkState returns nil unless the deployment measures load as remaining work.
-func newWorkState(f Features, r metrics.Registry) *workState {
-	if !f.WorkLoad() {
+// newWorkState returns nil unless load is measured as remaining work.
+func newWorkState(enabled bool, r metrics.Registry) *workState {
+	if !enabled {
 		return nil
 	}
 	histogram := func(name string) metrics.Histogram {
