Tell other routers of slow targets, and don't prefer fast ones

Cause: with 61 routers before 60 engines, one router gets a response of an engine every 15 s. It went on sending to an engine that had become slow, and kept long prompts there longer than before. A pace above the usual one no longer draws requests.

--- a/internal/core/balance/replay_patterns_test.go
+++ b/internal/core/balance/replay_patterns_test.go
@@ -87,6 +87,20 @@
 		}
 		p.perSecond = func(second float64) float64 { return 260 * (1 + 0.4*math.Sin(second*2*math.Pi/11)) }
 	},
+	"many routers and a few very slow engines": func(p *pattern) {
+		p.engines, p.routers = 60, 61
+		p.kinds[0].weight, p.kinds[1].weight = 0.1, 0.65
+		for i := range p.kinds {
+			p.kinds[i].hotShare, p.kinds[i].prompts = 0.3, 24
+		}
+		p.perSecond = steady(600)
+		p.speed = func(engine int, second float64) float64 {
+			if second > 3 && engine%8 == 0 {
+				return 0.1
+			}
+			return 1
+		}
+	},
 	"half of the engines cold": func(p *pattern) {
 		p.perSecond = steady(170)
 		p.away = func(engine int) bool { return engine%2 == 0 }
--- a/internal/core/balance/replay_test.go
+++ b/internal/core/balance/replay_test.go
@@ -130,6 +130,7 @@
 		at         time.Time
 		loads      []balance.Load
 		placements []balance.Placement
+		speeds     []workload.Speed
 	}
 	var deliveries []delivery
 	due := 0.0
@@ -144,6 +145,7 @@
 					s := sums[l.Target]
 					sums[l.Target] = balance.Load{Target: l.Target, Running: s.Running + l.Running, WorkMS: s.WorkMS + l.WorkMS}
 				}
+				d.speeds = workload.MergeSpeeds(d.speeds, r.model.TakeSpeeds())
 				d.placements = append(d.placements, r.balancer.TakePlacements()...)
 			}
 			for _, t := range targets {
@@ -156,6 +158,7 @@
 		for len(deliveries) > 0 && !now.Before(deliveries[0].at) {
 			for _, r := range routers {
 				r.balancer.SetTotalLoads(now, "hub", deliveries[0].loads)
+				r.model.LearnSpeeds(now, deliveries[0].speeds)
 				r.balancer.AddPlacements(now, deliveries[0].placements)
 			}
 			deliveries = deliveries[1:]
--- a/internal/core/balance/work.go
+++ b/internal/core/balance/work.go
@@ -17,6 +17,9 @@
 	holderWaitFactor    = 1.6
 	newPromptWaitFactor = 1.15
 	waitSlackMS         = 10.0
+	// A holder that is slower than usual keeps a prompt while its first event comes at most
+	// slowSlackMS later than from an engine that reads the prompt again.
+	slowSlackMS = 100.0
 	// rereadFactor weights the time to read a prompt again at another engine: it delays this
 	// request and those behind it, the more the fewer slots are free. maxUsedRatio bounds
 	// the ratio of used slots in that.
@@ -69,7 +72,8 @@
 	// count is the number of requests at the target, and unknown those whose work isn't
 	// known.
 	count, unknown float64
-	// workMS is the work that remains, pace the speed at which it is done.
+	// workMS is the work that remains, pace the speed at which it is done, at most the usual
+	// one.
 	workMS, pace float64
 	// used is the ratio of slots in use, waitMS the expected waiting, and weighted the load in
 	// requests of mean work.
@@ -88,7 +92,12 @@
 // timeMS returns the time until the request has its response, as far as it depends on the
 // target: waiting, its own cost, and what the others in the batch add to each of its steps.
 func (c *candidate) timeMS(e *workload.Estimate) float64 {
-	return c.waitMS + c.costMS(e) + fullBatchSlowdown*c.used*e.SlotMS()/c.pace
+	return c.waitMS + c.costMS(e) + (e.EventMS+e.ServiceMS+fullBatchSlowdown*c.used*e.SlotMS())/c.pace
+}
+
+// slowMS returns what a target slower than usual adds to the time to the first event.
+func (c *candidate) slowMS(e *workload.Estimate) float64 {
+	return max(1/c.pace-1, 0) * (e.ReadMS(c.prefixes) + e.EventMS + e.ServiceMS)
 }
 
 // workChoice is one choice by work. Its slices are reused by the next one.
@@ -167,6 +176,8 @@
 		var excess float64
 		c.count, c.unknown, c.workMS = w.b.loads.work(c.ref)
 		c.pace, excess = w.b.speeds.Speed(w.now, c.ref)
+		// Routers that agree on the fastest target would all choose it.
+		c.pace = min(c.pace, 1)
 		c.excluded = w.request.Avoid[targets[i].ID] || !gate.Allow(w.now, &targets[i])
 		if !c.excluded {
 			allowed++
@@ -378,6 +389,9 @@
 		}
 		c := &w.all[i]
 		whole := prefixes == len(w.request.Prefixes)
+		if c.slowMS(e) > elsewhere.slowMS(e)+saved+slowSlackMS {
+			continue // it takes longer here than to read the prompt again
+		}
 		if whole && c.waitMS <= near || c.waitMS <= elsewhere.waitMS+factor*saved/elsewhere.pace {
 			return i
 		}
@@ -412,7 +426,7 @@
 		if v := value(c); v < lowestValue {
 			lowest, lowestValue = i, v
 		}
-		if c.count > loadLimit || c.waitMS > waitLimit {
+		if c.count > loadLimit || c.waitMS+c.slowMS(e) > waitLimit {
 			continue
 		}
 		if score := placement.Score(prompt, placement.HashTarget(c.target.ID), 1); score > rankedScore {
--- a/internal/core/workload/pace.go
+++ b/internal/core/workload/pace.go
@@ -1,7 +1,9 @@
 package workload
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/fleet"
@@ -9,7 +11,7 @@
 
 const (
 	// minPace and maxPace bound what is learned of a target.
-	minPace = 0.2
+	minPace = 0.08
 	maxPace = 3.0
 	// maxSample bounds the logarithm of one observation, so that a single one that waited for
 	// something else does not move the pace far.
@@ -17,7 +19,7 @@
 	// The weights of an observation in the pace. First bytes show more of the waiting than
 	// of the pace.
 	firstByteWeight = 0.04
-	streamWeight    = 0.25
+	streamWeight    = 0.15
 	plainWeight     = 0.1
 	// minPacedEvents is the number of events from which their intervals show the pace.
 	minPacedEvents = 5
@@ -38,6 +40,13 @@
 	errorRatio  = 0.95
 	errorMemory = 0.05
 	minJudged   = 20
+	// slowLogPace is the logarithm of the pace below which other routers are told of a target,
+	// so that digests stay small. maxFresh bounds the targets observed between two digests. maxRemoteWeight bounds the
+	// weight of what other routers observed, and maxLogPace what counts as a pace.
+	slowLogPace     = -0.25
+	maxFresh        = 1024
+	maxRemoteWeight = 0.6
+	maxLogPace      = 5.0
 	// maxExcessRatio bounds the requests that a report adds to the known ones, as a ratio
 	// of the slots.
 	maxExcessRatio = 0.5
@@ -137,11 +146,74 @@
 	t := m.target(j.target)
 	slow = min(max(slow, -j.base-maxSample), -j.base+maxSample)
 	t.judge(j, -slow)
+	t.learn(now, -slow, weight)
+	s, known := m.fresh[j.target]
+	if known || len(m.fresh) < maxFresh {
+		m.fresh[j.target] = s.merge(Speed{Target: j.target, LogPace: -slow, Weight: weight})
+	}
+}
+
+// learn moves the pace towards an observation.
+func (t *target) learn(now time.Time, logPace, weight float64) {
 	current, _ := t.logPaces(now)
-	t.logPace = min(max(current+weight*(-slow-current), math.Log(minPace)), math.Log(maxPace))
+	t.logPace = min(max(current+weight*(logPace-current), math.Log(minPace)), math.Log(maxPace))
 	t.pace, t.seenAt = math.Exp(t.logPace), now
 }
 
+// Speed is what the responses of a target have shown of its pace.
+type Speed struct {
+	Target fleet.Ref
+	// LogPace is the mean logarithm of the pace, and Weight the sum of the weights.
+	LogPace float64
+	Weight  float64
+}
+
+// merge returns the mean of two observations.
+func (s Speed) merge(o Speed) Speed {
+	sum := s.Weight + o.Weight
+	if sum <= 0 {
+		return s
+	}
+	return Speed{Target: o.Target, LogPace: (s.LogPace*s.Weight + o.LogPace*o.Weight) / sum, Weight: sum}
+}
+
+// TakeSpeeds returns what responses to this router have shown of slow targets since the last
+// call. In a large site a router gets a response of a target only every 15 s, all routers
+// together several a second.
+func (m *Model) TakeSpeeds() []Speed {
+	var out []Speed
+	for ref, s := range m.fresh {
+		if t, ok := m.targets.Peek(ref); ok && t.logPace < slowLogPace {
+			out = append(out, s)
+		}
+	}
+	clear(m.fresh)
+	slices.SortFunc(out, func(a, b Speed) int { return cmp.Compare(a.Target, b.Target) })
+	return out
+}
+
+// MergeSpeeds adds observations to those of other routers.
+func MergeSpeeds(sums, more []Speed) []Speed {
+	for _, s := range more {
+		i := slices.IndexFunc(sums, func(o Speed) bool { return o.Target == s.Target })
+		if i < 0 {
+			sums = append(sums, s)
+		} else {
+			sums[i] = sums[i].merge(s)
+		}
+	}
+	return sums
+}
+
+// LearnSpeeds records what responses to other routers have shown.
+func (m *Model) LearnSpeeds(now time.Time, speeds []Speed) {
+	for _, s := range speeds {
+		if s.Weight > 0 && math.Abs(s.LogPace) < maxLogPace {
+			m.target(s.Target).learn(now, s.LogPace, min(s.Weight, maxRemoteWeight))
+		}
+	}
+}
+
 // judge compares the predictions with and without the report of a target with what
 // happened.
 func (t *target) judge(j *Job, actual float64) {
--- a/internal/core/workload/workload.go
+++ b/internal/core/workload/workload.go
@@ -90,6 +90,8 @@
 	routes   *simplelru.LRU[Key, *history]
 	services *simplelru.LRU[fleet.Service, *machine]
 	targets  *simplelru.LRU[fleet.Ref, *target]
+	// fresh holds what responses have shown since the last TakeSpeeds.
+	fresh map[fleet.Ref]Speed
 }
 
 // New returns a model that has seen no responses.
@@ -99,6 +101,7 @@
 		routes:   newLRU[Key, *history](maxRoutes),
 		services: newLRU[fleet.Service, *machine](maxServices),
 		targets:  newLRU[fleet.Ref, *target](maxTargets),
+		fresh:    make(map[fleet.Ref]Speed),
 	}
 }
 
@@ -168,8 +171,11 @@
 	firstAt        time.Time
 	lastAt         time.Time
 	events         int
-	left           float64
-	cost           float64
+	// pacedEvents and pacedAt are the events at the last observation of the pace.
+	pacedEvents int
+	pacedAt     time.Time
+	left        float64
+	cost        float64
 }
 
 // Start describes a send that begins.
@@ -231,11 +237,12 @@
 		return
 	}
 	if j.events == 0 {
-		j.firstAt = now
+		j.firstAt, j.pacedAt, j.pacedEvents = now, now, n
 		m.firstByte(now, j)
 	}
 	j.events += n
 	j.lastAt = now
+	m.observeStream(now, j)
 	// A response longer than expected still has an event to come.
 	events := max(j.estimate.Events-float64(j.events), 1)
 	j.left = min(j.left, max(events*j.estimate.EventMS/float64(j.slots), minCostMS))
@@ -285,12 +292,20 @@
 		lookup(m.routes, routeOf(j.key), newHistory).learnOutput(j.size.OutputHint, j.events)
 		lookup(m.accounts, j.key, newHistory).learnOutput(j.size.OutputHint, j.events)
 	}
-	if j.events < minPacedEvents {
+	if j.events >= minPacedEvents {
+		service.learnEvent(j.batch, milliseconds(j.lastAt.Sub(j.firstAt))/float64(j.events-1))
+	}
+}
+
+// observeStream learns the pace of a target from the time since the last observation.
+func (m *Model) observeStream(now time.Time, j *Job) {
+	n := j.events - j.pacedEvents
+	if !j.key.Engine || n < minPacedEvents {
 		return
 	}
-	actual := milliseconds(j.lastAt.Sub(j.firstAt)) / float64(j.events-1)
-	expected := service.eventMS(j.batch)
-	service.learnEvent(j.batch, actual)
+	actual := milliseconds(now.Sub(j.pacedAt)) / float64(n)
+	j.pacedEvents, j.pacedAt = j.events, now
+	expected := lookup(m.services, j.key.Service, newMachine).eventMS(j.batch)
 	m.learnPace(now, j, math.Log(max(actual, minSampleMS)/expected), streamWeight)
 }
 
--- a/internal/service/forward/digest.go
+++ b/internal/service/forward/digest.go
@@ -11,6 +11,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/quarantine"
 	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
+	"github.com/zinniafork/zinniafork/internal/core/workload"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
 
@@ -60,6 +61,9 @@
 	// Down holds, as Leaving does, the processes that broke off requests and can't be
 	// reached since.
 	Down []uint32 `msgpack:"d,omitempty"`
+	// Speeds holds what responses have shown of slow targets, speedSize bytes each. Routers of
+	// earlier releases neither send nor read it.
+	Speeds []byte `msgpack:"v,omitempty"`
 }
 
 // earlierParts are parts of a long prompt.
@@ -91,6 +95,7 @@
 	limits   []ratelimit.Report
 	brittle  []ratelimit.Report
 	down     []leavingTarget
+	speeds   []workload.Speed
 }
 
 // leavingTarget is the process of a target that said that it is leaving, or that is down,
@@ -120,6 +125,7 @@
 	u.limits = append(u.limits, more.limits...)
 	u.brittle = append(u.brittle, more.brittle...)
 	u.down = append(u.down, more.down...)
+	u.speeds = workload.MergeSpeeds(u.speeds, more.speeds)
 	if u.outcomes == nil {
 		u.outcomes = make(map[fleet.Ref]outlier.Counts)
 	}
@@ -149,6 +155,7 @@
 	out.limits = newest(out.limits, maxReports, &dropped)
 	out.brittle = newest(out.brittle, maxReports, &dropped)
 	out.down = newest(out.down, maxReports, &dropped)
+	out.speeds = newest(out.speeds, maxSpeeds, &dropped)
 	out.parts.Crashes, u.parts.Crashes = quarantine.TakeCrashes(newest(out.parts.Crashes, maxCrashes, &dropped))
 	out.parts.Cleared = newest(out.parts.Cleared, maxReports, &dropped)
 	out.parts.Familiar = newest(out.parts.Familiar, maxReports, &dropped)
@@ -189,6 +196,7 @@
 	}
 	d.Limits = appendLimits(now, enc, u.limits)
 	d.Brittle = appendLimits(now, enc, u.brittle)
+	d.Speeds = appendSpeeds(enc, u.speeds)
 	d.Cleared, d.Familiar, d.Quarantined = u.parts.Cleared, u.parts.Familiar, u.parts.Quarantined
 	d.Loads = enc.Encode(loads)
 	return d
--- a/internal/service/forward/digest_exchange.go
+++ b/internal/service/forward/digest_exchange.go
@@ -117,7 +117,7 @@
 	u := updates{
 		prompts: s.balancer.TakePlacements(), outcomes: s.outliers.TakeLocalCounts(), leaving: s.leaving,
 		parts: s.quarantine.TakeNotices(), limits: s.limits.TakeDue(now),
-		brittle: s.brittle.TakeDue(now), down: s.down,
+		brittle: s.brittle.TakeDue(now), down: s.down, speeds: s.work.takeSpeeds(),
 	}
 	s.leaving, s.down = nil, nil
 	if !tree.IsHub() {
@@ -190,7 +190,9 @@
 	u := updates{
 		prompts: d.prompts(refs), outcomes: d.outcomes(refs), leaving: d.leaving(refs), parts: d.parts(now, refs),
 		limits: d.limits(now, refs), brittle: d.brittle(now, refs), down: decodeProcesses(refs, d.Down),
+		speeds: decodeSpeeds(refs, d.Speeds),
 	}
+	s.work.learnSpeeds(now, u.speeds)
 	s.balancer.AddPlacements(now, u.prompts)
 	s.applyLeaving(now, from, u.leaving)
 	u.parts = s.applyNotices(now, from, u.parts)
