Choose targets of plain services between two random ones

All routers sent requests of a plain service to the target that the last digests show as the least loaded one. Digests are up to 0.45 s old and alike everywhere, and requests take 30 to 60 ms, so all sent to the same target until the next digest.

With QueuePlain, a router draws two targets at random and takes the one with less to do by its own requests in flight, what the target last said of itself (its weight halves every 60 ms) and, at a low weight, relayed loads. Other deployments and engines choose as before.

--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -61,6 +61,10 @@
 	// CachedOnly reports the engines that get only prompts that they have in cache, as
 	// long as another one may get the request; nil for none.
 	CachedOnly func(t *sitestate.AvailableTarget) bool
+	// Pick chooses among targets by their position in place of the least loaded one, for a
+	// request without prefixes. It returns a negative number if no target may get the
+	// request. Nil for the least loaded one.
+	Pick func(eligible []*sitestate.AvailableTarget) int
 }
 
 // prompt returns the identifier of the longest shared prefix, which stands for
@@ -79,6 +83,8 @@
 	Ranked Reason = "ranked"
 	// LeastLoaded: the target has the lowest load per slot.
 	LeastLoaded Reason = "least_loaded"
+	// Picked: Request.Pick chose the target.
+	Picked Reason = "picked"
 	// None: no target may get the request.
 	None Reason = "none"
 	// Overloaded: targets may get requests, but their load is at the limit.
@@ -138,6 +144,9 @@
 		c := b.selectLeastLoaded(allowed, mean)
 		return Choice{Reason: Overloaded, Load: c.Load, Mean: mean}
 	}
+	if len(r.Prefixes) == 0 && r.Pick != nil {
+		return b.selectPicked(r, eligible, mean)
+	}
 	if len(r.Prefixes) == 0 {
 		return b.selectLeastLoaded(eligible, mean)
 	}
@@ -317,6 +326,16 @@
 	return Choice{Target: *t, Reason: LeastLoaded, Load: b.loads.load(t.ID.Ref()), Mean: mean}
 }
 
+// selectPicked returns the target that the request's own choice names.
+func (b *Balancer) selectPicked(r *Request, eligible []*sitestate.AvailableTarget, mean float64) Choice {
+	i := r.Pick(eligible)
+	if i < 0 || i >= len(eligible) {
+		return Choice{Reason: None}
+	}
+	t := eligible[i]
+	return Choice{Target: *t, Reason: Picked, Load: b.loads.load(t.ID.Ref()), Mean: mean}
+}
+
 // RequestStarted records that this router sends a request with the given
 // prefixes to a target.
 func (b *Balancer) RequestStarted(now time.Time, id fleet.Target, prefixes []uint64) {
--- a/internal/core/balance/loads.go
+++ b/internal/core/balance/loads.go
@@ -106,6 +106,9 @@
 // Load returns the number of requests that are known to run at a target.
 func (b *Balancer) Load(id fleet.Ref) float64 { return b.loads.load(id) }
 
+// LocalLoad returns the number of requests of this router at a target.
+func (b *Balancer) LocalLoad(id fleet.Ref) float64 { return float64(b.loads.local[id]) }
+
 // LocalLoads returns the load that this router puts on each target, for its next
 // digest, and remembers it as reported. It also discards expired loads of other
 // routers.
--- /dev/null
+++ b/internal/core/slotqueue/replay_test.go
@@ -0,0 +1,297 @@
+package slotqueue
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/fleet"
+)
+
+// replayLoad is a load on three targets of six slots, as recorded on the bench: waves, clumps
+// and targets at paces that change.
+type replayLoad struct {
+	seed      uint64
+	routers   int
+	rate      float64
+	work      time.Duration
+	objective time.Duration
+	deadline  time.Duration
+	length    time.Duration
+}
+
+var (
+	firstLoad = replayLoad{
+		seed: 1, routers: 61, rate: 143, work: 60 * time.Millisecond,
+		objective: 300 * time.Millisecond, deadline: 3 * time.Second, length: 60 * time.Second,
+	}
+	secondLoad = replayLoad{
+		seed: 2, routers: 32, rate: 122, work: 30 * time.Millisecond,
+		objective: 150 * time.Millisecond, deadline: time.Second, length: 60 * time.Second,
+	}
+)
+
+const (
+	replayTargets = 3
+	replaySlots   = 6
+	replayQueue   = 24
+	replayWave    = 11 * time.Second
+	replayDigests = 300 * time.Millisecond
+	replayRelay   = 150 * time.Millisecond
+	replayHop     = time.Millisecond
+)
+
+// replayRequest is one request of a load.
+type replayRequest struct {
+	id      uint64
+	router  int
+	account fleet.Account
+	at      time.Time
+	// work is its time at a target of the usual pace.
+	work   time.Duration
+	target int
+}
+
+// replayResult counts what came of a load.
+type replayResult struct{ sent, inTime, rejected, late int }
+
+type replayEvent struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type replayEvents []replayEvent
+
+func (e replayEvents) Len() int { return len(e) }
+func (e replayEvents) Less(i, j int) bool {
+	if !e[i].at.Equal(e[j].at) {
+		return e[i].at.Before(e[j].at)
+	}
+	return e[i].seq < e[j].seq
+}
+func (e replayEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *replayEvents) Push(x any)   { *e = append(*e, x.(replayEvent)) }
+func (e *replayEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// replayTarget serves six requests at once and queues 24 in order of arrival.
+type replayTarget struct {
+	running int
+	queue   []*replayRequest
+	pace    float64
+}
+
+// replaySite replays a load. place decides on a request, and ended is told of its end.
+type replaySite struct {
+	load    replayLoad
+	random  *rand.Rand
+	now     time.Time
+	events  replayEvents
+	seq     int
+	targets [replayTargets]replayTarget
+	// own counts the requests on their way by router and target, relayed holds the sum that
+	// all routers know.
+	own     [][replayTargets]float64
+	relayed [replayTargets]float64
+	result  replayResult
+	place   func(r *replayRequest)
+	ended   func(r *replayRequest, rejected bool, f Figures)
+}
+
+func newReplaySite(load replayLoad) *replaySite {
+	s := &replaySite{
+		load: load, random: rand.New(rand.NewPCG(load.seed, 7)), now: time.Unix(0, 0),
+		own:   make([][replayTargets]float64, load.routers),
+		ended: func(*replayRequest, bool, Figures) {},
+	}
+	s.schedule()
+	return s
+}
+
+func (s *replaySite) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.events, replayEvent{at: s.now.Add(d), seq: s.seq, run: run})
+}
+
+// schedule draws the arrivals, the paces and the digests.
+func (s *replaySite) schedule() {
+	for id, at := uint64(1), time.Duration(0); at < s.load.length; {
+		wave := 1 + 0.5*math.Sin(2*math.Pi*float64(at)/float64(replayWave))
+		clump := 1
+		if s.random.IntN(20) == 0 {
+			clump = 2 + s.random.IntN(12)
+		}
+		for range clump {
+			r := &replayRequest{id: id, router: s.random.IntN(s.load.routers), account: s.account()}
+			r.work = time.Duration(float64(s.load.work) * (0.5 + s.random.Float64()))
+			if s.random.IntN(100) == 0 {
+				r.work *= 5
+			}
+			id++
+			s.after(at, func() {
+				r.at = s.now
+				s.result.sent++
+				s.place(r)
+			})
+		}
+		// Clumps make up a third of the requests.
+		at += time.Duration(s.random.ExpFloat64() / (s.load.rate / 1.375 * wave) * float64(time.Second))
+	}
+	for i := range s.targets {
+		s.targets[i].pace = 1
+		s.changePace(i)
+	}
+	s.relay()
+}
+
+// account draws an account, a third of the requests coming from one.
+func (s *replaySite) account() fleet.Account {
+	if s.random.IntN(3) == 0 {
+		return "hot"
+	}
+	return fleet.Account(rune('a' + s.random.IntN(12)))
+}
+
+// changePace gives a target another pace every few seconds.
+func (s *replaySite) changePace(i int) {
+	s.targets[i].pace = []float64{0.6, 1, 1, 1, 1.9}[s.random.IntN(5)]
+	if wait := time.Duration((2 + 4*s.random.Float64()) * float64(time.Second)); s.now.Add(wait).Before(time.Unix(0, 0).Add(s.load.length)) {
+		s.after(wait, func() { s.changePace(i) })
+	}
+}
+
+// relay passes the loads to all routers, as digests do.
+func (s *replaySite) relay() {
+	var sum [replayTargets]float64
+	for _, own := range s.own {
+		for i := range own {
+			sum[i] += own[i]
+		}
+	}
+	s.after(replayRelay, func() { s.relayed = sum })
+	if s.now.Before(time.Unix(0, 0).Add(s.load.length)) {
+		s.after(replayDigests, s.relay)
+	}
+}
+
+// run replays the whole load.
+func (s *replaySite) run() replayResult {
+	for s.events.Len() > 0 {
+		e := heap.Pop(&s.events).(replayEvent)
+		s.now = e.at
+		e.run()
+	}
+	return s.result
+}
+
+// send sends a request to a target.
+func (s *replaySite) send(r *replayRequest, target int) {
+	r.target = target
+	s.own[r.router][target]++
+	s.after(replayHop, func() {
+		t := &s.targets[target]
+		switch {
+		case t.running < replaySlots:
+			s.start(t, r)
+		case len(t.queue) < replayQueue:
+			t.queue = append(t.queue, r)
+		default:
+			s.result.rejected++
+			s.respond(r, true)
+		}
+	})
+}
+
+func (s *replaySite) start(t *replayTarget, r *replayRequest) {
+	t.running++
+	s.after(time.Duration(float64(r.work)*t.pace), func() {
+		t.running--
+		if len(t.queue) > 0 {
+			next := t.queue[0]
+			t.queue = t.queue[1:]
+			s.start(t, next)
+		}
+		s.respond(r, false)
+	})
+}
+
+// respond brings the response of a target to its router.
+func (s *replaySite) respond(r *replayRequest, rejected bool) {
+	t := &s.targets[r.target]
+	f := Figures{Running: t.running, Waiting: len(t.queue), Slots: replaySlots, Slowdown: t.pace}
+	s.after(replayHop, func() {
+		s.own[r.router][r.target]--
+		if !rejected {
+			if s.now.Sub(r.at) <= s.load.objective {
+				s.result.inTime++
+			} else {
+				s.result.late++
+			}
+		}
+		s.ended(r, rejected, f)
+	})
+}
+
+// candidates returns what a router knows of the targets.
+func (s *replaySite) candidates(router int) []Candidate {
+	out := make([]Candidate, replayTargets)
+	for i := range out {
+		out[i] = Candidate{Target: fleet.Ref(i + 1), Slots: replaySlots, Own: s.own[router][i], Others: s.relayed[i]}
+	}
+	return out
+}
+
+// replayLeastLoaded sends each request to the least loaded target by the relayed loads.
+func replayLeastLoaded(load replayLoad) replayResult {
+	s := newReplaySite(load)
+	s.place = func(r *replayRequest) {
+		best, least := 0, math.Inf(1)
+		for i, c := range s.candidates(r.router) {
+			if c.Own+c.Others < least {
+				best, least = i, c.Own+c.Others
+			}
+		}
+		s.send(r, best)
+	}
+	return s.run()
+}
+
+// replayPicked lets each router choose with a Picker.
+func replayPicked(load replayLoad) replayResult {
+	s := newReplaySite(load)
+	pickers := make([]*Picker, load.routers)
+	for i := range pickers {
+		pickers[i] = NewPicker(rand.New(rand.NewPCG(load.seed, uint64(i))))
+	}
+	s.place = func(r *replayRequest) { s.send(r, pickers[r.router].Pick(s.now, s.candidates(r.router))) }
+	s.ended = func(r *replayRequest, _ bool, f Figures) {
+		pickers[r.router].Reported(s.now, fleet.Ref(r.target+1), f, s.own[r.router][r.target])
+	}
+	return s.run()
+}
+
+// scaled returns a load with a multiple of the rate.
+func (l replayLoad) scaled(factor float64) replayLoad {
+	l.rate *= factor
+	return l
+}
+
+// TestPickerAvoidsHerds guards against all routers sending to the target that the same old
+// loads show as the least loaded one.
+func TestPickerAvoidsHerds(t *testing.T) {
+	for name, load := range map[string]replayLoad{
+		"first": firstLoad, "first, load 1.5": firstLoad.scaled(1.5), "second": secondLoad, "second, load 1.5": secondLoad.scaled(1.5),
+	} {
+		old, picked := replayLeastLoaded(load), replayPicked(load)
+		t.Logf("%s: least loaded %+v, two choices %+v", name, old, picked)
+		if picked.inTime <= old.inTime || 2*picked.rejected > old.rejected {
+			t.Errorf("%s: no better than the least loaded target", name)
+		}
+	}
+}
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -12,6 +12,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/attempt"
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
+	"github.com/zinniafork/zinniafork/internal/core/sitestate"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/tracing"
 )
@@ -96,6 +97,9 @@
 	} else {
 		query.MaxLoadPerSlot = r.maxLoadPerSlot()
 	}
+	if r.s.queuesPlain(r.service) {
+		query.Pick = func(eligible []*sitestate.AvailableTarget) int { return r.s.pickPlain(now, eligible) }
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	query.Avoid = r.tried
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -21,6 +21,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/selfreport"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/core/slotqueue"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
@@ -94,6 +95,8 @@
 	slots     *ratelimit.SlotGranter
 	slotAsker *ratelimit.Asker
 	budgets   map[fleet.Service]*retry.WindowBudget
+	// picker chooses targets of plain services with what this router knows.
+	picker *slotqueue.Picker
 	// quarantine keeps the requests and prompt parts that crash targets.
 	quarantine *quarantine.Tracker
 	// paths tells failures of this router's paths from failures of targets.
@@ -215,6 +218,7 @@
 	s.reports = selfreport.New()
 	s.limits, s.granter, s.asker = ratelimit.New(), ratelimit.NewGranter(), ratelimit.NewAsker()
 	s.brittle, s.slots, s.slotAsker = ratelimit.New(), ratelimit.NewSlotGranter(), ratelimit.NewAsker()
+	s.picker = slotqueue.NewPicker(s.rng)
 	s.quarantine = quarantine.New()
 	s.paths, s.probes, s.ctx = reach.New(s.rng), make(chan struct{}, maxProbes), context.Background()
 	s.budgets = make(map[fleet.Service]*retry.WindowBudget)
