Add the state of a router that grants the slots of a plain service

Two random choices can't keep a slot free for a request that is urgent, share slots among accounts or refuse at once what would be late.

core/slotqueue.Grantor holds the grants, what else the targets carry and who waits: requests that can meet their objective first, then priority, then accounts in turn, callers refused before ahead within theirs. A request whose predicted start is too late is refused at once. Targets are chosen by the time at which they would end a request; one that rejects gets half of its requests for 250 ms. Two requests may be granted beyond the slots of a target.

--- /dev/null
+++ b/internal/core/slotqueue/grantor.go
@@ -0,0 +1,321 @@
+package slotqueue
+
+import (
+	"slices"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/fleet"
+)
+
+const (
+	// allowance is the number of requests that a target may be granted beyond its slots while
+	// others wait, so that it does not idle while a release and the next request are on
+	// their way. See docs/design/slot-queue.md for the replays.
+	allowance = 2
+	// maxWaiting bounds the requests that wait. 18 slots of 30 ms serve 600 in a second, the
+	// shortest deadline.
+	maxWaiting = 1024
+	// parkLimit is how long a request keeps its place while nobody waits for the answer.
+	parkLimit = 100 * time.Millisecond
+	// checkPeriod is how often waiting requests are checked.
+	checkPeriod = 20 * time.Millisecond
+	// arrivalWindow is the time over which arrivals are averaged.
+	arrivalWindow = time.Second
+	// spareShare of the capacity has to be left by requests in time for those that wait
+	// although they miss their objective.
+	spareShare = 0.05
+	// minRetryAfter and maxRetryAfter bound the advice to callers that are refused.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// grant is a slot that was granted.
+type grant struct {
+	target  fleet.Ref
+	expires time.Time
+	// queued is true if all slots were taken, so that the request waits at the target.
+	queued bool
+}
+
+// Grantor grants the slots of one service. It is not safe for concurrent use.
+type Grantor struct {
+	targets map[fleet.Ref]*targetState
+	// grants holds the grants by request.
+	grants  map[uint64]grant
+	waiting waitingList
+	// arrivals is the mean number of requests a second, as of arrivalsAt.
+	arrivals   float64
+	arrivalsAt time.Time
+}
+
+// NewGrantor returns a grantor without targets.
+func NewGrantor() *Grantor {
+	return &Grantor{targets: make(map[fleet.Ref]*targetState), grants: make(map[uint64]grant), waiting: newWaitingList()}
+}
+
+// SetTargets sets the targets of the service. What is known to run at a new one counts as load
+// that was not granted.
+func (g *Grantor) SetTargets(now time.Time, targets []Target) {
+	known := make(map[fleet.Ref]bool, len(targets))
+	for _, t := range targets {
+		known[t.Ref] = true
+		state, ok := g.targets[t.Ref]
+		if !ok {
+			state = &targetState{ref: t.Ref, work: g.meanWork(now).Seconds(), foreign: t.Known, foreignAt: now}
+			for _, held := range g.grants {
+				if held.target == t.Ref {
+					state.granted++
+				}
+			}
+			g.targets[t.Ref] = state
+		}
+		state.slots = max(t.Slots, 1)
+	}
+	for ref := range g.targets {
+		if !known[ref] {
+			delete(g.targets, ref)
+		}
+	}
+}
+
+// Known records how many requests are known to run at a target, by the reports of all routers.
+// It counts while the target itself reports nothing.
+func (g *Grantor) Known(now time.Time, ref fleet.Ref, load float64) {
+	t, ok := g.targets[ref]
+	if ok && now.Sub(t.foreignAt) > 2*foreignHalfLife {
+		t.foreign, t.foreignAt = max(load-float64(t.granted), 0), now
+	}
+}
+
+// meanWork returns the mean time of a request over all targets.
+func (g *Grantor) meanWork(now time.Time) time.Duration {
+	if len(g.targets) == 0 {
+		return defaultWork
+	}
+	sum := time.Duration(0)
+	for _, t := range g.targets {
+		sum += t.estimate(now)
+	}
+	return sum / time.Duration(len(g.targets))
+}
+
+// capacity returns the number of requests that the targets can end in a second.
+func (g *Grantor) capacity(now time.Time) float64 {
+	sum := 0.0
+	for _, t := range g.targets {
+		sum += float64(max(t.limit(now), 0)) / max(t.estimate(now).Seconds(), 1e-3)
+	}
+	return max(sum, 1)
+}
+
+// Ask decides on a request. It waits if there is no slot for it now and it may still be in
+// time. One that asks again keeps its place or its grant.
+func (g *Grantor) Ask(now time.Time, r Request) Decision {
+	if held, ok := g.grants[r.ID]; ok {
+		return Decision{Request: r.ID, State: Granted, Target: held.target}
+	}
+	if i := g.waiting.find(r.ID); i != nil {
+		i.parkedAt = time.Time{}
+		return g.decide(now, i)
+	}
+	g.countArrival(now)
+	i := &item{Request: r, arrived: now}
+	g.waiting.add(i)
+	return g.decide(now, i)
+}
+
+// decide grants a request a slot if there is one, or reviews it.
+func (g *Grantor) decide(now time.Time, i *item) Decision {
+	if t, next := g.nextGrant(now); next == i {
+		return g.grantTo(now, t, i)
+	}
+	return g.review(now, i)
+}
+
+// Park keeps the place of a request for which nobody waits for a moment.
+func (g *Grantor) Park(now time.Time, id uint64) {
+	if i := g.waiting.find(id); i != nil {
+		i.parkedAt = now
+	}
+}
+
+// countArrival updates the mean number of requests a second.
+func (g *Grantor) countArrival(now time.Time) {
+	g.arrivals = g.arrivalRate(now) + 1/arrivalWindow.Seconds()
+	g.arrivalsAt = now
+}
+
+// arrivalRate returns the mean number of requests a second.
+func (g *Grantor) arrivalRate(now time.Time) float64 {
+	return g.arrivals * decay(now.Sub(g.arrivalsAt), arrivalHalfLife)
+}
+
+// arrivalHalfLife makes arrivals count for arrivalWindow on average.
+const arrivalHalfLife = arrivalWindow * 693 / 1000
+
+// review refuses a waiting request that would start too late.
+func (g *Grantor) review(now time.Time, i *item) Decision {
+	d := Decision{Request: i.ID, Waited: now.Sub(i.arrived)}
+	d.Position, d.Predicted = g.predict(now, i)
+	switch {
+	case !slices.ContainsFunc(i.Targets, func(ref fleet.Ref) bool { return g.targets[ref] != nil }):
+		d.Reason = NoTarget
+	case now.Add(d.Predicted + g.meanWork(now)).After(i.Deadline):
+		d.Reason = TooLate
+	case len(g.waiting.items) > maxWaiting:
+		d.Reason = Full
+	default:
+		return d
+	}
+	d.State, d.RetryAfter = Refused, g.retryAfter(now)
+	g.waiting.remove(i)
+	return d
+}
+
+// predict returns the number of requests ahead of one that waits, and its predicted wait. One
+// that will miss its objective starts only when those in time leave capacity.
+func (g *Grantor) predict(now time.Time, i *item) (position int, wait time.Duration) {
+	work, capacity := g.meanWork(now), g.capacity(now)
+	position = g.waiting.ahead(now, work, i, false)
+	wait = perSecond(float64(position+1), capacity)
+	if i.meets(now.Add(wait), work) {
+		return position, wait
+	}
+	position = g.waiting.ahead(now, work, i, true)
+	spare := capacity - g.arrivalRate(now)
+	if spare < spareShare*capacity {
+		return position, max(i.Deadline.Sub(now), wait)
+	}
+	return position, perSecond(float64(position+1), spare)
+}
+
+// perSecond returns the time that n requests take at a rate.
+func perSecond(n, rate float64) time.Duration {
+	return time.Duration(n / rate * float64(time.Second))
+}
+
+// retryAfter returns the time until the requests that wait have drained.
+func (g *Grantor) retryAfter(now time.Time) time.Duration {
+	drain := perSecond(float64(len(g.waiting.items)+1), g.capacity(now))
+	return min(max(drain, minRetryAfter), maxRetryAfter)
+}
+
+// grantFree grants the free slots to the requests whose turn it is.
+func (g *Grantor) grantFree(now time.Time) []Decision {
+	var out []Decision
+	for {
+		t, i := g.nextGrant(now)
+		if t == nil {
+			return out
+		}
+		out = append(out, g.grantTo(now, t, i))
+	}
+}
+
+// grantTo grants a slot of a target to a request that waits.
+func (g *Grantor) grantTo(now time.Time, t *targetState, i *item) Decision {
+	g.grants[i.ID] = grant{target: t.ref, expires: i.Deadline, queued: t.granted >= t.limit(now)}
+	t.granted++
+	g.waiting.granted(i.Account)
+	g.waiting.remove(i)
+	return Decision{Request: i.ID, State: Granted, Target: t.ref, Waited: now.Sub(i.arrived)}
+}
+
+// nextGrant returns the target with a free slot that ends a request soonest and the request that
+// gets it.
+func (g *Grantor) nextGrant(now time.Time) (*targetState, *item) {
+	var (
+		best     *targetState
+		bestItem *item
+		bestTime time.Duration
+	)
+	if len(g.waiting.items) == 0 {
+		return nil, nil
+	}
+	for _, t := range g.targets {
+		if t.granted >= max(t.limit(now), 0)+allowance || t.granted >= t.slots+allowance {
+			continue
+		}
+		finish := t.finish(now)
+		if best != nil && (finish > bestTime || finish == bestTime && t.ref > best.ref) {
+			continue
+		}
+		if i := g.waiting.next(now, t.ref, t.estimate(now)); i != nil {
+			best, bestItem, bestTime = t, i, finish
+		}
+	}
+	return best, bestItem
+}
+
+// Release takes a grant back, or ends the wait of a request. It returns the grants to requests
+// that waited.
+func (g *Grantor) Release(now time.Time, r Release) []Decision {
+	held, ok := g.grants[r.Request]
+	if !ok {
+		if i := g.waiting.find(r.Request); i != nil {
+			g.waiting.remove(i)
+		}
+		return nil
+	}
+	delete(g.grants, r.Request)
+	if t := g.targets[held.target]; t != nil {
+		t.granted--
+		if r.Took > 0 && !r.Rejected && !held.queued {
+			t.observe(r.Took)
+		}
+		if r.Figures != nil {
+			t.reported(now, *r.Figures)
+		}
+		if r.Rejected {
+			t.rejected(now)
+		}
+	}
+	return g.grantFree(now)
+}
+
+// Check expires grants, refuses requests that would start too late and grants what is free. It
+// returns the decisions on requests that waited.
+func (g *Grantor) Check(now time.Time) []Decision {
+	for id, held := range g.grants {
+		if !now.Before(held.expires) {
+			delete(g.grants, id)
+			if t := g.targets[held.target]; t != nil {
+				t.granted--
+			}
+		}
+	}
+	out := g.grantFree(now)
+	for _, i := range slices.Clone(g.waiting.items) {
+		if !i.parkedAt.IsZero() {
+			if now.Sub(i.parkedAt) >= parkLimit {
+				g.waiting.remove(i)
+			}
+			continue
+		}
+		if d := g.review(now, i); d.State == Refused {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// NextCheck returns the time until Check is due, and false if there is nothing to check.
+func (g *Grantor) NextCheck(now time.Time) (time.Duration, bool) {
+	if len(g.waiting.items) > 0 {
+		return checkPeriod, true
+	}
+	if len(g.grants) == 0 {
+		return 0, false
+	}
+	first := maxRetryAfter
+	for _, held := range g.grants {
+		first = min(first, held.expires.Sub(now))
+	}
+	return max(first, checkPeriod), true
+}
+
+// Waiting returns the number of requests that wait, Outstanding that of the grants.
+func (g *Grantor) Waiting() int { return len(g.waiting.items) }
+
+// Outstanding returns the number of grants that were neither returned nor have expired.
+func (g *Grantor) Outstanding() int { return len(g.grants) }
--- a/internal/core/slotqueue/replay_test.go
+++ b/internal/core/slotqueue/replay_test.go
@@ -20,16 +20,18 @@
 	objective time.Duration
 	deadline  time.Duration
 	length    time.Duration
+	// clump is the largest number of requests that arrive at once.
+	clump int
 }
 
 var (
 	firstLoad = replayLoad{
 		seed: 1, routers: 61, rate: 143, work: 60 * time.Millisecond,
-		objective: 300 * time.Millisecond, deadline: 3 * time.Second, length: 60 * time.Second,
+		objective: 300 * time.Millisecond, deadline: 3 * time.Second, length: 60 * time.Second, clump: 40,
 	}
 	secondLoad = replayLoad{
 		seed: 2, routers: 32, rate: 122, work: 30 * time.Millisecond,
-		objective: 150 * time.Millisecond, deadline: time.Second, length: 60 * time.Second,
+		objective: 150 * time.Millisecond, deadline: time.Second, length: 60 * time.Second, clump: 40,
 	}
 )
 
@@ -41,6 +43,7 @@
 	replayDigests = 300 * time.Millisecond
 	replayRelay   = 150 * time.Millisecond
 	replayHop     = time.Millisecond
+	clumpEvery    = 40
 )
 
 // replayRequest is one request of a load.
@@ -55,7 +58,7 @@
 }
 
 // replayResult counts what came of a load.
-type replayResult struct{ sent, inTime, rejected, late int }
+type replayResult struct{ sent, inTime, rejected, refused, late int }
 
 type replayEvent struct {
 	at  time.Time
@@ -124,8 +127,8 @@
 	for id, at := uint64(1), time.Duration(0); at < s.load.length; {
 		wave := 1 + 0.5*math.Sin(2*math.Pi*float64(at)/float64(replayWave))
 		clump := 1
-		if s.random.IntN(20) == 0 {
-			clump = 2 + s.random.IntN(12)
+		if s.random.IntN(clumpEvery) == 0 {
+			clump = 1 + s.random.IntN(s.load.clump)
 		}
 		for range clump {
 			r := &replayRequest{id: id, router: s.random.IntN(s.load.routers), account: s.account()}
@@ -140,8 +143,9 @@
 				s.place(r)
 			})
 		}
-		// Clumps make up a third of the requests.
-		at += time.Duration(s.random.ExpFloat64() / (s.load.rate / 1.375 * wave) * float64(time.Second))
+		// One arrival in clumpEvery is a clump.
+		mean := (float64(clumpEvery-1) + float64(s.load.clump+1)/2) / clumpEvery
+		at += time.Duration(s.random.ExpFloat64() / (s.load.rate / mean * wave) * float64(time.Second))
 	}
 	for i := range s.targets {
 		s.targets[i].pace = 1
@@ -276,6 +280,106 @@
 	return s.run()
 }
 
+// replayGranted lets one grantor place all requests. Its messages take a hop each.
+func replayGranted(load replayLoad) replayResult {
+	s := newReplaySite(load)
+	g := NewGrantor()
+	var targets []Target
+	for i := range replayTargets {
+		targets = append(targets, Target{Ref: fleet.Ref(i + 1), Slots: replaySlots})
+	}
+	g.SetTargets(s.now, targets)
+	waiting := make(map[uint64]*replayRequest)
+	sentAt := make(map[*replayRequest]time.Time)
+	act := func(decisions ...Decision) {
+		for _, d := range decisions {
+			r := waiting[d.Request]
+			switch d.State {
+			case Granted:
+				delete(waiting, d.Request)
+				s.after(replayHop, func() {
+					sentAt[r] = s.now
+					s.send(r, int(d.Target)-1)
+				})
+			case Refused:
+				delete(waiting, d.Request)
+				s.result.refused++
+			case Waiting:
+			}
+		}
+	}
+	var check func()
+	checking := false
+	watch := func() {
+		if wait, ok := g.NextCheck(s.now); ok && !checking {
+			checking = true
+			s.after(wait, check)
+		}
+	}
+	check = func() {
+		checking = false
+		act(g.Check(s.now)...)
+		watch()
+	}
+	s.place = func(r *replayRequest) {
+		s.after(replayHop, func() {
+			waiting[r.id] = r
+			act(g.Ask(s.now, Request{
+				ID: r.id, Account: r.account, Objective: r.at.Add(load.objective), Deadline: r.at.Add(load.deadline),
+				Targets: []fleet.Ref{1, 2, 3},
+			}))
+			watch()
+		})
+	}
+	s.ended = func(r *replayRequest, rejected bool, f Figures) {
+		took := s.now.Sub(sentAt[r])
+		s.after(replayHop, func() {
+			act(g.Release(s.now, Release{Request: r.id, Took: took, Rejected: rejected, Figures: &f})...)
+			watch()
+		})
+	}
+	return s.run()
+}
+
+// replayIdeal returns how many requests one queue in front of all slots serves in time that
+// knows the work of each, without messages.
+func replayIdeal(load replayLoad) replayResult {
+	s := newReplaySite(load)
+	var queue []*replayRequest
+	var feed func()
+	feed = func() {
+		for {
+			best := -1
+			for i := range s.targets {
+				if s.targets[i].running < replaySlots && (best < 0 || s.targets[i].pace < s.targets[best].pace) {
+					best = i
+				}
+			}
+			if best < 0 || len(queue) == 0 {
+				return
+			}
+			r := queue[0]
+			queue = queue[1:]
+			if s.now.Sub(r.at)+time.Duration(float64(r.work)*s.targets[best].pace) > load.objective {
+				s.result.refused++
+				continue
+			}
+			r.target = best
+			s.targets[best].running++
+			s.after(time.Duration(float64(r.work)*s.targets[best].pace), func() {
+				s.targets[best].running--
+				s.result.inTime++
+				feed()
+			})
+		}
+	}
+	s.place = func(r *replayRequest) {
+		queue = append(queue, r)
+		feed()
+	}
+	return s.run()
+}
+
 // scaled returns a load with a multiple of the rate.
 func (l replayLoad) scaled(factor float64) replayLoad {
 	l.rate *= factor
@@ -289,7 +393,7 @@
 		"first": firstLoad, "first, load 1.5": firstLoad.scaled(1.5), "second": secondLoad, "second, load 1.5": secondLoad.scaled(1.5),
 	} {
 		old, picked := replayLeastLoaded(load), replayPicked(load)
-		t.Logf("%s: least loaded %+v, two choices %+v", name, old, picked)
+		t.Logf("%s:\n least loaded %+v\n two choices %+v\n granted %+v\n ideal %+v", name, old, picked, replayGranted(load), replayIdeal(load))
 		if picked.inTime <= old.inTime || 2*picked.rejected > old.rejected {
 			t.Errorf("%s: no better than the least loaded target", name)
 		}
--- /dev/null
+++ b/internal/core/slotqueue/target.go
@@ -0,0 +1,113 @@
+package slotqueue
+
+import (
+	"math"
+	"time"
+
+	"github.com/zinniafork/zinniafork/internal/fleet"
+)
+
+const (
+	// defaultWork is the assumed time of a request before one has ended.
+	defaultWork = 50 * time.Millisecond
+	// workWeight is the weight of the last request in the mean time of a target: a change of
+	// pace shows within some 20 requests.
+	workWeight = 0.06
+	// maxWorkFactor bounds one time in relation to the mean. One request in 100 takes five
+	// times as long and tells nothing of the pace.
+	maxWorkFactor = 3
+	// slowdownHalfLife is the age at which a reported slowdown counts half.
+	slowdownHalfLife = 200 * time.Millisecond
+	// maxSlowdownRatio bounds what a report may change: a target may report anything. Only
+	// changes of it count, so that one which always lies changes nothing.
+	maxSlowdownRatio = 2
+	// foreignHalfLife is the age at which requests that were not granted count half.
+	foreignHalfLife = 100 * time.Millisecond
+	// maxForeignRatio times its slots is the most foreign load that a target is believed to
+	// carry, so that one that reports too much still gets requests.
+	maxForeignRatio = 0.8
+	// rejectedPause is how long a target that turned a request away has fewer slots.
+	rejectedPause = 250 * time.Millisecond
+)
+
+// targetState is what the grantor knows of a target.
+type targetState struct {
+	ref     fleet.Ref
+	slots   int
+	granted int
+	// foreign is the load that was not granted, as of foreignAt.
+	foreign   float64
+	foreignAt time.Time
+	// work is the mean time of a request in seconds.
+	work float64
+	// slowdown is the last reported slowdown, as of slowdownAt, and meanSlowdown its mean.
+	slowdown, meanSlowdown float64
+	slowdownAt             time.Time
+	// lowered is the number of slots until loweredUntil, after a rejection.
+	lowered      int
+	loweredUntil time.Time
+}
+
+// limit returns the number of slots that may be granted without the allowance.
+func (t *targetState) limit(now time.Time) int {
+	limit := t.slots
+	if now.Before(t.loweredUntil) {
+		limit = min(limit, t.lowered)
+	}
+	return limit - int(math.Round(t.foreignLoad(now)))
+}
+
+// foreignLoad returns the load that was not granted.
+func (t *targetState) foreignLoad(now time.Time) float64 {
+	f := t.foreign * decay(now.Sub(t.foreignAt), foreignHalfLife)
+	return min(f, maxForeignRatio*float64(t.slots))
+}
+
+// estimate returns the time that a request takes at the target now.
+func (t *targetState) estimate(now time.Time) time.Duration {
+	ratio := 1.0
+	if t.slowdown > 0 && t.meanSlowdown > 0 {
+		ratio = min(max(t.slowdown/t.meanSlowdown, 1.0/maxSlowdownRatio), maxSlowdownRatio)
+		ratio = math.Pow(ratio, decay(now.Sub(t.slowdownAt), slowdownHalfLife))
+	}
+	return time.Duration(t.work * ratio * float64(time.Second))
+}
+
+// finish returns the time until a request that is sent now ends, also when it has to wait at
+// the target.
+func (t *targetState) finish(now time.Time) time.Duration {
+	work := t.estimate(now)
+	if over := t.granted + 1 - t.limit(now); over > 0 {
+		work += work * time.Duration(over) / time.Duration(max(t.slots, 1))
+	}
+	return work
+}
+
+// observe learns the time of a request that did not wait at the target.
+func (t *targetState) observe(took time.Duration) {
+	seconds := min(took.Seconds(), maxWorkFactor*t.work)
+	t.work += workWeight * (seconds - t.work)
+}
+
+// reported takes the figures of a response. They include the granted requests.
+func (t *targetState) reported(now time.Time, f Figures) {
+	if !f.valid() {
+		return
+	}
+	t.foreign = max(float64(f.Running+f.Waiting-t.granted), 0)
+	t.foreignAt = now
+	if f.Slowdown > 0 {
+		s := min(max(f.Slowdown, minSlowdown), maxSlowdown)
+		if t.meanSlowdown == 0 {
+			t.meanSlowdown = s
+		}
+		t.meanSlowdown += workWeight * (s - t.meanSlowdown)
+		t.slowdown, t.slowdownAt = s, now
+	}
+}
+
+// rejected lowers the slots of a target after it turned a request away.
+func (t *targetState) rejected(now time.Time) {
+	t.lowered = max(min(t.granted, t.limit(now))/2, 1)
+	t.loweredUntil = now.Add(rejectedPause)
+}
