Queue requests for plain services at one router

Routers that choose by themselves can't keep slots free, order who waits or refuse at once.

The new service slots asks, before a request is sent, the router that ranks first for the service among the strong live ones (query place). The answer names a target or refuses, and comes when there is a slot.

The test found that a target which rejects gets the whole queue to reject, since each rejection frees a slot: it is now paused for 20 to 640 ms. A rejection by a target that says it is full does not count as a failure of it.

--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,11 +43,13 @@
 	views  map[string]*kerneltest.View
 	client *http.Client
 	serial atomic.Int64
+	// features are the parts of the platform's rules that are in force.
+	features []string
 }
 
 const storeAddress = "10.0.9.9:80"
 
-func startSite(t *testing.T) *siteBed {
+func startSite(t *testing.T, features ...string) *siteBed {
 	b := &siteBed{
 		t:       t,
 		network: kerneltest.NewNetwork(),
@@ -57,6 +60,7 @@
 		servers:  make(map[string]*httpserve.Server),
 		routers:  make(map[string]*kernel.Kernel),
 		views:    make(map[string]*kerneltest.View),
+		features: features,
 	}
 	t.Cleanup(func() { time.Sleep(time.Second) }) // answers without end notice the close
 	b.client = &http.Client{Transport: &http.Transport{DialContext: b.network.DialContext, DisableKeepAlives: true}}
@@ -172,7 +176,9 @@
 directory = "%[1]s:82"
 [metrics]
 listen = "%[1]s:83"
-`, host, storeAddress)
+[features]
+contracts = [%[3]s]
+`, host, storeAddress, quoted(b.features))
 	file, err := settings.Parse("router.toml", []byte(text))
 	must.NoError(b.t, err)
 	logger := logrus.New()
@@ -186,6 +192,15 @@
 	b.t.Cleanup(func() { b.stop(name) })
 }
 
+// quoted lists words in quotation marks.
+func quoted(words []string) string {
+	var out []string
+	for _, word := range words {
+		out = append(out, strconv.Quote(word))
+	}
+	return strings.Join(out, ", ")
+}
+
 // lineCounts counts log lines by router and message. It is safe for concurrent use.
 type lineCounts struct {
 	mu    sync.Mutex
@@ -335,3 +350,9 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) { f(t, startSite(t)) })
 }
+
+// onQueueSite is onSite with requests for plain services queued at one router.
+func onQueueSite(t *testing.T, f func(*testing.T, *siteBed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { f(t, startSite(t, "pressure")) })
+}
--- a/internal/core/slotqueue/grantor.go
+++ b/internal/core/slotqueue/grantor.go
@@ -233,7 +233,7 @@
 		return nil, nil
 	}
 	for _, t := range g.targets {
-		if t.granted >= max(t.limit(now), 0)+allowance || t.granted >= t.slots+allowance {
+		if !t.mayTake(now) {
 			continue
 		}
 		finish := t.finish(now)
@@ -266,8 +266,11 @@
 		if r.Figures != nil {
 			t.reported(now, *r.Figures)
 		}
-		if r.Rejected {
+		switch {
+		case r.Rejected:
 			t.rejected(now)
+		case r.Took > 0:
+			t.pause = 0
 		}
 	}
 	return g.grantFree(now)
--- a/internal/core/slotqueue/target.go
+++ b/internal/core/slotqueue/target.go
@@ -26,8 +26,12 @@
 	// maxForeignRatio times its slots is the most foreign load that a target is believed to
 	// carry, so that one that reports too much still gets requests.
 	maxForeignRatio = 0.8
-	// rejectedPause is how long a target that turned a request away has fewer slots.
-	rejectedPause = 250 * time.Millisecond
+	// A target that turned a request away gets none for minPause, which doubles up to maxPause
+	// while it goes on. Without a pause it would turn away the whole queue, since each
+	// rejection frees a slot at once. It then has fewer slots for loweredFor.
+	minPause   = 20 * time.Millisecond
+	maxPause   = 640 * time.Millisecond
+	loweredFor = 250 * time.Millisecond
 )
 
 // targetState is what the grantor knows of a target.
@@ -43,7 +47,10 @@
 	// slowdown is the last reported slowdown, as of slowdownAt, and meanSlowdown its mean.
 	slowdown, meanSlowdown float64
 	slowdownAt             time.Time
-	// lowered is the number of slots until loweredUntil, after a rejection.
+	// pausedUntil is the end of the last pause, of length pause. After it, lowered is the number
+	// of slots until loweredUntil.
+	pausedUntil  time.Time
+	pause        time.Duration
 	lowered      int
 	loweredUntil time.Time
 }
@@ -106,8 +113,19 @@
 	}
 }
 
-// rejected lowers the slots of a target after it turned a request away.
+// rejected pauses a target after it turned a request away, and lowers its slots. Rejections of
+// what was sent before the pause count once.
 func (t *targetState) rejected(now time.Time) {
+	if now.Before(t.pausedUntil) {
+		return
+	}
+	t.pause = min(max(2*t.pause, minPause), maxPause)
+	t.pausedUntil = now.Add(t.pause)
 	t.lowered = max(min(t.granted, t.limit(now))/2, 1)
-	t.loweredUntil = now.Add(rejectedPause)
+	t.loweredUntil = t.pausedUntil.Add(loweredFor)
+}
+
+// mayTake reports whether a target may be granted one more request.
+func (t *targetState) mayTake(now time.Time) bool {
+	return !now.Before(t.pausedUntil) && t.granted < max(t.limit(now), 0)+allowance && t.granted < t.slots+allowance
 }
--- a/internal/service/forward/limit.go
+++ b/internal/service/forward/limit.go
@@ -30,15 +30,17 @@
 	if begun {
 		return 0
 	}
-	c := overload.Caller{
-		Rank:      r.route.PriorityFor(r.account),
-		Returning: r.Timeout > 0 && float64(r.Timeout) < returningRatio*float64(r.route.Timeout),
-	}
+	c := overload.Caller{Rank: r.route.PriorityFor(r.account), Returning: r.returning()}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	return r.s.limiter(r.service.Name).LoadPerSlot(c)
 }
 
+// returning reports whether the caller was refused before.
+func (r *request) returning() bool {
+	return r.Timeout > 0 && float64(r.Timeout) < returningRatio*float64(r.route.Timeout)
+}
+
 // decided records whether a service admitted or refused a request.
 func (s *Service) decided(now time.Time, name fleet.Service, refused bool) {
 	s.mu.Lock()
--- a/internal/service/forward/refuse.go
+++ b/internal/service/forward/refuse.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
+	"github.com/zinniafork/zinniafork/internal/service/slots"
 )
 
 // Retry-After values for refused callers.
@@ -45,6 +46,9 @@
 	if errors.As(r.lastErr, new(errQuarantined)) {
 		return quarantineRetryAfter
 	}
+	if p := r.cur.placed; p != nil && p.Outcome == slots.Refused {
+		return p.RetryAfter
+	}
 	if r.versionGone() {
 		return originLostRetryAfter
 	}
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -12,8 +12,8 @@
 	"github.com/zinniafork/zinniafork/internal/core/attempt"
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
-	"github.com/zinniafork/zinniafork/internal/core/sitestate"
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/slots"
 	"github.com/zinniafork/zinniafork/internal/tracing"
 )
 
@@ -44,6 +44,9 @@
 	limit   float64
 	// slot is the slot that the send has taken, nil if its target is not brittle.
 	slot *slotGrant
+	// placed is the answer of the router that grants the slots of a plain service, nil if none
+	// was asked.
+	placed *slots.Placement
 	// via is the router that relayed the request, empty for a send straight to the target.
 	// It is set with resp.
 	via fleet.VM
@@ -66,10 +69,19 @@
 // chooses again if there is no grant. The send has no target if none may get the request.
 // It also returns the number of available targets.
 func (r *request) choose(ctx context.Context, now time.Time) (*send, int) {
+	if r.s.queuesPlain(r.service) {
+		return r.choosePlain(ctx, now)
+	}
+	return r.chooseHere(ctx, now, nil)
+}
+
+// chooseHere chooses with what this router knows. Pick chooses among the targets in place of the
+// balancer, nil for none.
+func (r *request) chooseHere(ctx context.Context, now time.Time, pick picker) (*send, int) {
 	var rule limitRule
 	for asked := 0; ; asked++ {
 		rule.noneLimited = asked >= maxGrantQueries
-		s, available, needsGrant := r.tryChoose(now, rule)
+		s, available, needsGrant := r.tryChoose(now, rule, pick)
 		if rule.granted != nil && s.target() == "" {
 			r.s.releaseSlot(rule.slot, false)
 			rule.granted, rule.slot = nil, nil // the target may get no request any more
@@ -90,16 +102,13 @@
 
 // tryChoose chooses a target under a rule for those that name a limit. It returns true if
 // the target needs a grant, which is not recorded as a start.
-func (r *request) tryChoose(now time.Time, rule limitRule) (s *send, available int, needsGrant bool) {
-	query := &balance.Request{Prefixes: r.Prefixes}
+func (r *request) tryChoose(now time.Time, rule limitRule, pick picker) (s *send, available int, needsGrant bool) {
+	query := &balance.Request{Prefixes: r.Prefixes, Pick: pick}
 	if !r.service.Engine {
 		query.Prefixes = nil
 	} else {
 		query.MaxLoadPerSlot = r.maxLoadPerSlot()
 	}
-	if r.s.queuesPlain(r.service) {
-		query.Pick = func(eligible []*sitestate.AvailableTarget) int { return r.s.pickPlain(now, eligible) }
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	query.Avoid = r.tried
@@ -130,7 +139,7 @@
 		r.s.decided(now, r.service.Name, s.choice.Reason == balance.Overloaded || s.choice.Reason == limitUsedUp)
 	}
 	if s.target() == "" {
-		r.lastErr = errNoTarget{targets: available, reason: s.choice.Reason}
+		r.lastErr = s.noTargetError(available)
 		return r.noTarget()
 	}
 	if !r.isRetry() {
@@ -345,7 +354,7 @@
 	if s.resp.Misdirected {
 		return attempt.Misdirected, outlier.Unreachable, true
 	}
-	unexplained := s.choice.Load < float64(s.choice.Target.Slots) && !s.resp.Leaving && s.resp.RetryAfter == 0
+	unexplained := s.choice.Load < float64(s.choice.Target.Slots) && !s.resp.Leaving && s.resp.RetryAfter == 0 && !s.saysFull()
 	return attempt.Refused, outlier.Failed, unexplained
 }
 
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -233,6 +233,7 @@
 		fields["load"] = choice.Load
 		fields["mean"] = choice.Mean
 	}
+	r.cur.addPlacement(fields)
 	if r.cur.limited {
 		fields["rate_limit"] = r.cur.limit
 	}
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -29,6 +29,7 @@
 	"github.com/zinniafork/zinniafork/internal/service/origins"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/service/site"
+	"github.com/zinniafork/zinniafork/internal/service/slots"
 )
 
 func init() {
@@ -59,6 +60,7 @@
 	partLog       partLog
 	targets       TargetClient
 	features      Features
+	placer        slots.Placer
 	origins       origins.Origins
 	peers         peer.Peers
 	members       members.Membership
@@ -181,6 +183,9 @@
 	if s.features, err = kernel.Lookup[Features](c, FeaturesName); err != nil {
 		return err
 	}
+	if s.placer, err = kernel.Lookup[slots.Placer](c, slots.Name); err != nil {
+		return err
+	}
 	if s.origins, err = kernel.Lookup[origins.Origins](c, origins.Name); err != nil {
 		return err
 	}
@@ -198,6 +203,7 @@
 	s.partLog = newPartLog()
 	s.routers = 1
 	s.handledJoins = make(map[fleet.VM]fleet.Incarnation)
+	s.placer.UseLoads(s.loadOf)
 	s.site.Watch(s.siteChanged)
 	s.members.Watch(s.membersChanged)
 	s.peers.HandleControl(peer.KindLoad, s.handleDigest)
--- a/internal/service/peer/peer.go
+++ b/internal/service/peer/peer.go
@@ -28,6 +28,9 @@
 	KindSnapshot  Kind = "snapshot"
 	// KindSlotRelease gives back what a query of KindSlot has granted.
 	KindSlotRelease Kind = "slot_release"
+	// KindPlace asks for a slot of a plain service, KindPlaceRelease gives it back.
+	KindPlace        Kind = "place"
+	KindPlaceRelease Kind = "place_release"
 )
 
 // KindTransport counts what the connections themselves need: hello, ping and
--- a/internal/standin/workerd/options.go
+++ b/internal/standin/workerd/options.go
@@ -11,6 +11,9 @@
 	Born func() int64
 	// Slots is the number of requests that run at once; more are refused.
 	Slots int
+	// Load returns the load that the worker reports, given the requests that run; nil for
+	// none.
+	Load func(running int) string
 	// Work is the time of a plain request, and that before each event of a
 	// stream.
 	Work time.Duration
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -216,6 +216,7 @@
 	}
 	s.nameLimit(h)
 	s.nameBrittle(h)
+	s.reportLoad(h)
 	run, fault, ok := s.begin(r, string(body))
 	if !ok {
 		s.fallOver()
@@ -263,6 +264,16 @@
 	}
 }
 
+// reportLoad tells the load of the worker, if it is to.
+func (s *Server) reportLoad(h http.Header) {
+	if s.opt.Load == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.Set("X-Server-Load", s.opt.Load(s.running))
+}
+
 // refuse answers that the request was not run.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, fault Fault) {
 	w.Header().Set("X-Not-Run", "1")
