Ask the next router for a slot when the grantor is lost

In a site under a false clock, 44 of 60 orders were refused when the grantor was killed while they waited: all chose by themselves at once by the same old loads, and the next grantor refused what it could not place at once, since slots that others held for the moment did not count as capacity.

After a connection error, and within 0.6 of the time to the objective also after no answer, the next router in rank is asked. Predictions count all slots of usable targets.

--- a/internal/app/site_slots_test.go
+++ b/internal/app/site_slots_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/zinniafork/zinniafork/internal/kernel/kerneltest"
 	"github.com/zinniafork/zinniafork/internal/standin/workerd"
 )
 
@@ -90,3 +92,77 @@
 		b.grantor()
 	})
 }
+
+// TestRequestsSurviveTheLossOfTheGrantor guards against orders that hang, fail or run twice when
+// the router that grants the slots ends, falls silent, is cut off or restarts while they wait.
+func TestRequestsSurviveTheLossOfTheGrantor(t *testing.T) {
+	losses := map[string]func(b *siteBed, grantor string, others []string){
+		"killed":  func(b *siteBed, grantor string, _ []string) { b.stop(grantor) },
+		"frozen":  func(b *siteBed, grantor string, others []string) { b.cutPeers(kerneltest.CutHang, grantor, others) },
+		"cut off": func(b *siteBed, grantor string, others []string) { b.cutPeers(kerneltest.CutReset, grantor, others) },
+		"restarted": func(b *siteBed, grantor string, _ []string) {
+			b.stop(grantor)
+			b.router(grantor)
+		},
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			onQueueSite(t, func(t *testing.T, b *siteBed) {
+				b.queueWorkers()
+				b.clump(24, "1", "2", "3")
+				b.wait(time.Second)
+				grantor := b.grantor()
+				others := slices.DeleteFunc([]string{"1", "2", "3"}, func(r string) bool { return r == grantor })
+				ended := make(chan []orderResult, 1)
+				go func() { ended <- b.clump(60, others...) }()
+				b.wait(15 * time.Millisecond) // requests run and wait
+				lose(b, grantor, others)
+				for _, r := range <-ended {
+					must.True(t, r.status == 200 || r.status == 503, must.Sprint(r.status, r.err))
+					must.Less(t, time.Second, r.took, must.Sprint("of a deadline of 3 s"))
+				}
+				b.wait(3 * time.Second)
+				served := 0
+				for _, r := range b.clump(30, others...) {
+					if r.status == 200 {
+						served++
+					}
+				}
+				must.Eq(t, 30, served, must.Sprint("by the next grantor"))
+				b.ranOnce()
+			})
+		})
+	}
+}
+
+// cutPeers cuts routers off from one router, in both directions.
+func (b *siteBed) cutPeers(cut kerneltest.Cut, from string, routers []string) {
+	var addresses []string
+	for _, r := range routers {
+		b.views[r].Partition(cut, "10.0.0."+from+":7000")
+		addresses = append(addresses, "10.0.0."+r+":7000")
+	}
+	b.views[from].Partition(cut, addresses...)
+}
+
+// TestTargetThatLiesGetsLittle guards against a target that reports to be idle while it turns
+// requests away: it may not take the queue away from the other one.
+func TestTargetThatLiesGetsLittle(t *testing.T) {
+	onQueueSite(t, func(t *testing.T, b *siteBed) {
+		b.queueWorkers()
+		b.restartWorker("p1", "plain", workerd.Options{Slots: 2, Work: 30 * time.Millisecond, Load: func(int) string { return "0,0,6,60" }})
+		b.wait(time.Second)
+		sent, served := 0, 0
+		for range 20 {
+			for _, r := range b.clump(12, "1", "2", "3") {
+				sent++
+				if r.status == 200 {
+					served++
+				}
+			}
+			b.wait(50 * time.Millisecond)
+		}
+		must.GreaterEq(t, sent*9/10, served, must.Sprint("of ", sent))
+		b.ranOnce()
+	})
+}
--- a/internal/core/slotqueue/grantor.go
+++ b/internal/core/slotqueue/grantor.go
@@ -101,12 +101,14 @@
 	return sum / time.Duration(len(g.targets))
 }
 
-// capacity returns the number of requests that the targets can end in a second.
+// capacity returns the number of requests that the targets can end in a second. Slots that are
+// taken by others or lowered for the moment count: they are back before a request that waits is
+// too late.
 func (g *Grantor) capacity(now time.Time) float64 {
 	sum := 0.0
 	usable, _ := g.usable(now)
 	for _, t := range usable {
-		sum += float64(max(t.limit(now), 0)) / max(t.estimate(now).Seconds(), 1e-3)
+		sum += float64(t.slots) / max(t.estimate(now).Seconds(), 1e-3)
 	}
 	return max(sum, 1)
 }
--- a/internal/service/slots/requester.go
+++ b/internal/service/slots/requester.go
@@ -24,9 +24,11 @@
 	// maxGrantAge is the age from which a grant is not used: the process may have been paused
 	// since, and the slot be taken by another request.
 	maxGrantAge = 150 * time.Millisecond
-	// maxGrantors is the number of routers that one request asks, when they can't be reached
-	// or are of an earlier release.
+	// maxGrantors is the number of routers that one request asks. After one that did not answer
+	// in time, the next is asked only within nextShare of the time to the objective: without
+	// any grantor, waiting requests would all choose at once by the same old loads.
 	maxGrantors = 2
+	nextShare   = 0.6
 	// retrySpread times the advised time is added at random, so that callers that were refused
 	// do not return all at once.
 	retrySpread = 1.0
@@ -44,19 +46,21 @@
 		s.metrics.placed("calm")
 		return Placement{service: q.Service}
 	}
-	p := Placement{service: q.Service, id: id}
+	p, decided := Placement{service: q.Service, id: id}, false
 	for range maxGrantors {
 		s.mu.Lock()
 		p.Grantor = s.grantorOf(q.Service)
 		s.mu.Unlock()
 		if p.Grantor == "" {
-			s.metrics.placed("no_grantor")
 			break
 		}
-		if s.askGrantor(ctx, q, &p) {
+		if decided = s.askGrantor(ctx, q, &p); decided {
 			break
 		}
 	}
+	if !decided {
+		s.metrics.placed("no_grantor")
+	}
 	p.Waited = s.clock.Now().Sub(begun)
 	s.metrics.waited(p.Waited)
 	return p
@@ -86,7 +90,7 @@
 		}
 		now := s.clock.Now()
 		if err != nil {
-			return s.failed(asked, p, err)
+			return s.failed(asked, q, p, err)
 		}
 		s.mu.Lock()
 		s.asker.Answered(p.Grantor)
@@ -139,9 +143,9 @@
 	return reply, wire.Unmarshal(data, &reply)
 }
 
-// failed records that a router did not answer. It returns false if the next one may be asked at
-// once, since hardly any time was lost.
-func (s *Service) failed(asked time.Time, p *Placement, err error) bool {
+// failed records that a router did not answer. It returns false if there is time to ask the next
+// one.
+func (s *Service) failed(asked time.Time, q *Query, p *Placement, err error) bool {
 	now, e := s.clock.Now(), call.AsError(err)
 	unsupported := e.Code == call.CodeNotFound
 	s.mu.Lock()
@@ -151,10 +155,13 @@
 		s.logger.WithError(err).WithField("peer", p.Grantor).Warn("Router grants no slots.")
 	}
 	s.metrics.failed(string(e.Code))
-	if e.Run == call.RunNot && now.Sub(asked) < minHold {
+	timedOut := e.Code == call.CodeCanceled || e.Code == call.CodeDeadline
+	if timedOut {
+		s.giveUp(p)
+	}
+	if left := q.Objective.Sub(now); !timedOut || left > time.Duration((1-nextShare)*float64(q.Objective.Sub(asked))) {
 		return false
 	}
-	s.giveUp(p)
 	s.metrics.placed("no_answer")
 	return true
 }
