Queue plain services by their slots for each router

The setting [slots] max_slots_per_router replaces Features.QueuePlain: a service that is no engine is queued while its targets have fewer slots in all than that times the live routers, and until they have 1.25 times as many.

A target that turns requests away although it reports free slots now counts as failing. At most 256 requests wait (1,024 before): a check looks at each against all others.

--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -43,13 +42,14 @@
 	views  map[string]*kerneltest.View
 	client *http.Client
 	serial atomic.Int64
-	// features are the parts of the platform's rules that are in force.
-	features []string
+	// slotsPerRouter is the number of slots for each router below which the requests for plain
+	// services are queued at one router.
+	slotsPerRouter int
 }
 
 const storeAddress = "10.0.9.9:80"
 
-func startSite(t *testing.T, features ...string) *siteBed {
+func startSite(t *testing.T, slotsPerRouter int) *siteBed {
 	b := &siteBed{
 		t:       t,
 		network: kerneltest.NewNetwork(),
@@ -60,7 +60,8 @@
 		servers:  make(map[string]*httpserve.Server),
 		routers:  make(map[string]*kernel.Kernel),
 		views:    make(map[string]*kerneltest.View),
-		features: features,
+
+		slotsPerRouter: slotsPerRouter,
 	}
 	t.Cleanup(func() { time.Sleep(time.Second) }) // answers without end notice the close
 	b.client = &http.Client{Transport: &http.Transport{DialContext: b.network.DialContext, DisableKeepAlives: true}}
@@ -176,9 +177,9 @@
 directory = "%[1]s:82"
 [metrics]
 listen = "%[1]s:83"
-[features]
-contracts = [%[3]s]
-`, host, storeAddress, quoted(b.features))
+[slots]
+max_slots_per_router = %[3]d
+`, host, storeAddress, b.slotsPerRouter)
 	file, err := settings.Parse("router.toml", []byte(text))
 	must.NoError(b.t, err)
 	logger := logrus.New()
@@ -192,15 +193,6 @@
 	b.t.Cleanup(func() { b.stop(name) })
 }
 
-// quoted lists words in quotation marks.
-func quoted(words []string) string {
-	var out []string
-	for _, word := range words {
-		out = append(out, strconv.Quote(word))
-	}
-	return strings.Join(out, ", ")
-}
-
 // lineCounts counts log lines by router and message. It is safe for concurrent use.
 type lineCounts struct {
 	mu    sync.Mutex
@@ -348,11 +340,11 @@
 
 func onSite(t *testing.T, f func(*testing.T, *siteBed)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) { f(t, startSite(t)) })
+	synctest.Test(t, func(t *testing.T) { f(t, startSite(t, 0)) })
 }
 
 // onQueueSite is onSite with requests for plain services queued at one router.
 func onQueueSite(t *testing.T, f func(*testing.T, *siteBed)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) { f(t, startSite(t, "pressure")) })
+	synctest.Test(t, func(t *testing.T) { f(t, startSite(t, 5)) })
 }
--- a/internal/core/slotqueue/grantor.go
+++ b/internal/core/slotqueue/grantor.go
@@ -12,9 +12,9 @@
 	// others wait, so that it does not idle while a release and the next request are on
 	// their way. See docs/design/slot-queue.md for the replays.
 	allowance = 2
-	// maxWaiting bounds the requests that wait. 18 slots of 30 ms serve 600 in a second, the
-	// shortest deadline.
-	maxWaiting = 1024
+	// maxWaiting bounds the requests that wait, and so the time of a check. 18 slots of 30 ms
+	// serve 90 within an objective of 150 ms.
+	maxWaiting = 256
 	// parkLimit is how long a request keeps its place while nobody waits for the answer.
 	parkLimit = 100 * time.Millisecond
 	// checkPeriod is how often waiting requests are checked.
@@ -308,6 +308,10 @@
 			t.reported(now, *r.Figures)
 		}
 		switch {
+		case r.Rejected && r.Figures != nil && r.Figures.Running+r.Figures.Waiting < t.slots:
+			// It turns requests away although it has free slots.
+			t.rejected(now)
+			t.health.failed(now, held.from)
 		case r.Rejected:
 			t.rejected(now)
 		case r.Failed:
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -134,7 +134,6 @@
 	}
 	now := s.clock.Now()
 	s.mu.Lock()
-	s.takeLoad(now, t, resp)
 	s.reports.ReportPause(now, t.ID.Ref(), t.Born, resp.RetryAfter)
 	isNew := resp.Leaving && s.reports.ReportLeaving(now, t.ID.Ref(), t.Born)
 	if isNew {
--- a/internal/service/forward/forward.go
+++ b/internal/service/forward/forward.go
@@ -34,9 +34,6 @@
 // Features are the features that a deployment asks for. They do not change while the process
 // runs.
 type Features interface {
-	// QueuePlain reports whether requests for plain services with few slots are queued at one
-	// router.
-	QueuePlain() bool
 	// WorkLoad reports whether the load of targets is measured as their remaining work.
 	WorkLoad() bool
 	// Rollouts reports whether orders for staged roll-outs are followed.
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -40,7 +40,7 @@
 
 // queuesPlain reports whether requests for a service are placed by slots.
 func (s *Service) queuesPlain(service *routing.Service) bool {
-	return !service.Engine && s.features.QueuePlain()
+	return !service.Engine && s.placer.Places(service.Name)
 }
 
 // loadOf returns the known load of a target.
@@ -139,11 +139,6 @@
 		return
 	}
 	result := slots.Result{Failed: failed}
-	if failed {
-		s.mu.Lock()
-		s.picker.Failed(now, ended.target().Ref())
-		s.mu.Unlock()
-	}
 	if resp := ended.resp; resp != nil {
 		result.Rejected = resp.NotRun
 		if !resp.NotRun && !resp.Misdirected {
@@ -154,9 +149,22 @@
 			result.Figures = &f
 		}
 	}
+	s.learnPicked(now, ended.target().Ref(), result)
 	s.placer.Return(ended.placed, result)
 }
 
+// learnPicked records the outcome of a request, for choices with what this router knows.
+func (s *Service) learnPicked(now time.Time, ref fleet.Ref, result slots.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if result.Failed {
+		s.picker.Failed(now, ref)
+	}
+	if result.Figures != nil {
+		s.picker.Reported(now, ref, *result.Figures, s.balancer.LocalLoad(ref))
+	}
+}
+
 // saysFull reports whether a target of a plain service that turned a request away says that its
 // slots are taken, so that the refusal is no failure. A target that always says so is bounded by
 // the router that grants its slots.
@@ -203,12 +211,3 @@
 	}
 	return s.picker.Pick(now, candidates)
 }
-
-// takeLoad records the load that a target of a plain service reports. The caller holds the
-// lock.
-func (s *Service) takeLoad(now time.Time, t *sitestate.AvailableTarget, resp *Response) {
-	if resp.Load == nil || !s.features.QueuePlain() {
-		return
-	}
-	s.picker.Reported(now, t.ID.Ref(), figuresOf(resp.Load), s.balancer.LocalLoad(t.ID.Ref()))
-}
--- a/internal/service/slots/service.go
+++ b/internal/service/slots/service.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
@@ -19,8 +20,18 @@
 
 func init() { kernel.Register(Name, func() kernel.Service { return new(Service) }) }
 
+// Settings are the process settings of placing. All routers need the same.
+type Settings struct {
+	// MaxSlotsPerRouter is the number of slots for each live router below which the slots of a
+	// service are granted by one router, zero for no services. Routers that have few requests
+	// in flight know too little of targets with few slots.
+	MaxSlotsPerRouter float64 `toml:"max_slots_per_router"`
+}
+
 // Service implements Placer.
 type Service struct {
+	settings Settings
+
 	site    site.View
 	peers   peer.Peers
 	self    fleet.VM
@@ -29,8 +40,10 @@
 	metrics slotMetrics
 	load    func(fleet.Ref) float64
 
-	// routers are the live routers that may grant slots.
+	// routers are the live routers that may grant slots, and alive is the number of routers
+	// that may send requests.
 	routers atomic.Pointer[[]slotqueue.Router]
+	alive   atomic.Int64
 
 	// mu guards the fields below. It is never held while a queue is locked.
 	mu     sync.Mutex
@@ -41,6 +54,8 @@
 	ranked    map[fleet.Service][]fleet.VM
 	rankedFor *[]slotqueue.Router
 	queues    map[fleet.Service]*queue
+	// scopes holds which services are placed.
+	scopes map[fleet.Service]*slotqueue.Scope
 }
 
 // Name returns the name of the service.
@@ -48,6 +63,9 @@
 
 // Provision looks up the services that placing depends on.
 func (s *Service) Provision(c *kernel.Context) error {
+	if err := c.Settings(&s.settings); err != nil {
+		return err
+	}
 	id, err := kernel.Lookup[identity.Identity](c, identity.Name)
 	if err != nil {
 		return err
@@ -69,7 +87,9 @@
 	s.random = rand.New(rand.NewPCG(c.Seed^xxhash.Sum64String(string(s.self)), uint64(id.Incarnation())))
 	s.asker = slotqueue.NewAsker()
 	s.ranked, s.queues = make(map[fleet.Service][]fleet.VM), make(map[fleet.Service]*queue)
+	s.scopes = make(map[fleet.Service]*slotqueue.Scope)
 	s.routers.Store(&[]slotqueue.Router{{VM: s.self, Weight: id.Self().Weight}})
+	s.alive.Store(1)
 	membership.Watch(s.membersChanged)
 	s.peers.HandleQuery(peer.KindPlace, s.handlePlace)
 	s.peers.HandleControl(peer.KindPlaceRelease, s.handleRelease)
@@ -83,12 +103,42 @@
 // that leave have no time for a queue.
 func (s *Service) membersChanged(view *members.Snapshot) {
 	var routers []slotqueue.Router
+	alive := 0
 	for _, m := range view.Members {
+		if m.Status == members.StateAlive || m.Status == members.StateSuspect {
+			alive++
+		}
 		if m.Status == members.StateAlive {
 			routers = append(routers, slotqueue.Router{VM: m.VM, Weight: m.Weight})
 		}
 	}
 	s.routers.Store(&routers)
+	s.alive.Store(int64(max(alive, 1)))
+}
+
+// scopePeriod is how often it is looked at whether a service is placed.
+const scopePeriod = time.Second
+
+// Places reports whether requests of a service ask for a slot.
+func (s *Service) Places(service fleet.Service) bool {
+	if s.settings.MaxSlotsPerRouter <= 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	scope, ok := s.scopes[service]
+	if !ok {
+		scope = new(slotqueue.Scope)
+		s.scopes[service] = scope
+	}
+	if now := s.clock.Now(); scope.Due(now, scopePeriod) {
+		slots := 0
+		for _, t := range s.site.Available(service) {
+			slots += t.Slots
+		}
+		scope.Update(now, float64(slots), s.settings.MaxSlotsPerRouter*float64(s.alive.Load()))
+	}
+	return scope.Placed()
 }
 
 // grantorOf returns the router that grants the slots of a service, empty if none answers. The
--- a/internal/service/slots/slots.go
+++ b/internal/service/slots/slots.go
@@ -77,6 +77,9 @@
 
 // Placer places requests.
 type Placer interface {
+	// Places reports whether requests of a service ask for a slot: those of services with
+	// fewer slots than there are routers, as far as the settings say.
+	Places(service fleet.Service) bool
 	// Place returns where a request may be sent, and waits for a slot if that takes a while.
 	Place(ctx context.Context, q *Query) Placement
 	// Return gives the grant of a placement back. It does nothing for other outcomes.
