--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -177,6 +177,7 @@
 directory = "%[1]s:82"
 [metrics]
 listen = "%[1]s:83"
+configuration = true
 [slots]
 max_slots_per_router = %[3]d
 `, host, storeAddress, b.slotsPerRouter)
