Try targets that fail with one request at a time

While all failed, failures did not count, and after a pause a target got requests of all slots at once.

Rejections use the same trial. What was granted before a trial tells nothing of it. Responses that tell of an error count as a share of failures only, as a service may answer so at all its targets.

--- a/internal/core/slotqueue/grantor.go
+++ b/internal/core/slotqueue/grantor.go
@@ -108,7 +108,11 @@
 	sum := 0.0
 	usable, _ := g.usable(now)
 	for _, t := range usable {
-		sum += float64(t.slots) / max(t.estimate(now).Seconds(), 1e-3)
+		slots := t.slots
+		if t.health.trial > 0 {
+			slots = min(slots, t.health.trial)
+		}
+		sum += float64(slots) / max(t.estimate(now).Seconds(), 1e-3)
 	}
 	return max(sum, 1)
 }
@@ -239,52 +243,45 @@
 	}
 	usable, reliable := g.usable(now)
 	for _, t := range usable {
-		if !t.mayTake(now) {
+		if !t.mayTake(now, t.granting) {
 			continue
 		}
 		finish := t.finish(now)
 		if best != nil && (finish > bestTime || finish == bestTime && t.ref > best.ref) {
 			continue
 		}
-		offer := offer{target: t.ref, work: t.estimate(now), reliable: reliable}
-		if t.health.onTrial() {
-			if t.granted > 0 && len(reliable) > 0 {
-				continue
-			}
-			offer.health = &t.health
-		}
-		offer.unreliable = offer.health != nil || !slices.Contains(reliable, t)
-		if i := g.waiting.next(now, &offer); i != nil {
+		i := g.waiting.next(now, &offer{
+			target: t.ref, work: t.estimate(now), reliable: reliable, unreliable: !slices.Contains(reliable, t),
+			repeatable: t.health.wantsRepeatable(now),
+		})
+		if i != nil {
 			best, bestItem, bestTime = t, i, finish
 		}
 	}
 	return best, bestItem
 }
 
-// usable returns the targets that may be granted, and those of them that do not fail. If all
-// fail, failures do not count.
+// usable returns the targets that may be granted, and those of them that do not fail.
 func (g *Grantor) usable(now time.Time) (targets, reliable []*targetState) {
-	granted := make(map[fleet.Ref][]time.Time, len(g.targets))
+	least := 1.0
+	for _, t := range g.targets {
+		t.granting = t.granting[:0]
+		least = min(least, t.health.share(now))
+	}
 	for _, held := range g.grants {
-		granted[held.target] = append(granted[held.target], held.at)
+		if t := g.targets[held.target]; t != nil {
+			t.granting = append(t.granting, held.at)
+		}
 	}
-	all, least := make([]*targetState, 0, len(g.targets)), 1.0
 	for _, t := range g.targets {
-		all = append(all, t)
-		least = min(least, t.health.share(now))
-		if t.health.silent(now, granted[t.ref], t.estimate(now)) || t.health.paused(now) {
+		if t.health.paused(now) || t.health.silent(now, t.granting, t.estimate(now)) {
 			continue
 		}
 		targets = append(targets, t)
-	}
-	for _, t := range targets {
-		if !t.health.onTrial() && t.health.share(now) < unreliableShare+unreliableFactor*least {
+		if t.health.trial == 0 && t.health.share(now) < unreliableShare+unreliableFactor*least {
 			reliable = append(reliable, t)
 		}
 	}
-	if len(targets) == 0 {
-		return all, nil
-	}
 	return targets, reliable
 }
 
@@ -301,24 +298,20 @@
 	delete(g.grants, r.Request)
 	if t := g.targets[held.target]; t != nil {
 		t.granted--
-		if r.Took > 0 && !r.Rejected && !held.queued {
+		if r.Took > 0 && !r.Rejected && !r.Broken && !held.queued {
 			t.observe(r.Took)
 		}
 		if r.Figures != nil {
 			t.reported(now, *r.Figures)
 		}
 		switch {
-		case r.Rejected && r.Figures != nil && r.Figures.Running+r.Figures.Waiting < t.slots:
-			// It turns requests away although it has free slots.
-			t.rejected(now)
-			t.health.failed(now, held.from)
+		case r.Rejected && r.Figures != nil && r.Figures.Running+r.Figures.Waiting < t.slots, r.Broken:
+			// It breaks requests, or turns them away although it has free slots.
+			t.health.broke(now, held.at, held.from)
 		case r.Rejected:
-			t.rejected(now)
-		case r.Failed:
-			t.health.failed(now, held.from)
+			t.health.rejected(now, held.at)
 		case r.Took > 0:
-			t.pause = 0
-			t.health.answered(now)
+			t.health.answered(now, held.at, t.slots, r.Error)
 		}
 	}
 	return g.grantFree(now)
--- a/internal/core/slotqueue/replay_test.go
+++ b/internal/core/slotqueue/replay_test.go
@@ -104,7 +104,7 @@
 		})
 	}
 	s.ended = func(r *replayRequest, o replayOutcome, f Figures) {
-		release := Release{Request: r.id, Took: s.now.Sub(sentAt[r]), Rejected: o == turnedAway, Failed: o == broken}
+		release := Release{Request: r.id, Took: s.now.Sub(sentAt[r]), Rejected: o == turnedAway, Broken: o == broken}
 		if o != broken {
 			release.Figures = &f
 		}
--- a/internal/core/slotqueue/target.go
+++ b/internal/core/slotqueue/target.go
@@ -26,12 +26,6 @@
 	// maxForeignRatio times its slots is the most foreign load that a target is believed to
 	// carry, so that one that reports too much still gets requests.
 	maxForeignRatio = 0.8
-	// A target that turned a request away gets none for minPause, which doubles up to maxPause
-	// while it goes on. Without a pause it would turn away the whole queue, since each
-	// rejection frees a slot at once. It then has fewer slots for loweredFor.
-	minPause   = 20 * time.Millisecond
-	maxPause   = 640 * time.Millisecond
-	loweredFor = 250 * time.Millisecond
 )
 
 // targetState is what the grantor knows of a target.
@@ -39,7 +33,9 @@
 	ref     fleet.Ref
 	slots   int
 	granted int
-	health  health
+	// granting holds the times of the grants while a decision is made.
+	granting []time.Time
+	health   health
 	// foreign is the load that was not granted, as of foreignAt.
 	foreign   float64
 	foreignAt time.Time
@@ -48,21 +44,11 @@
 	// slowdown is the last reported slowdown, as of slowdownAt, and meanSlowdown its mean.
 	slowdown, meanSlowdown float64
 	slowdownAt             time.Time
-	// pausedUntil is the end of the last pause, of length pause. After it, lowered is the number
-	// of slots until loweredUntil.
-	pausedUntil  time.Time
-	pause        time.Duration
-	lowered      int
-	loweredUntil time.Time
 }
 
 // limit returns the number of slots that may be granted without the allowance.
 func (t *targetState) limit(now time.Time) int {
-	limit := t.slots
-	if now.Before(t.loweredUntil) {
-		limit = min(limit, t.lowered)
-	}
-	return limit - int(math.Round(t.foreignLoad(now)))
+	return t.slots - int(math.Round(t.foreignLoad(now)))
 }
 
 // foreignLoad returns the load that was not granted.
@@ -114,19 +100,11 @@
 	}
 }
 
-// rejected pauses a target after it turned a request away, and lowers its slots. Rejections of
-// what was sent before the pause count once.
-func (t *targetState) rejected(now time.Time) {
-	if now.Before(t.pausedUntil) {
-		return
+// mayTake reports whether a target may be granted one more request, given when its grants were
+// made.
+func (t *targetState) mayTake(now time.Time, granted []time.Time) bool {
+	if t.health.trial > 0 {
+		return t.health.mayTry(now, granted)
 	}
-	t.pause = min(max(2*t.pause, minPause), maxPause)
-	t.pausedUntil = now.Add(t.pause)
-	t.lowered = max(min(t.granted, t.limit(now))/2, 1)
-	t.loweredUntil = t.pausedUntil.Add(loweredFor)
-}
-
-// mayTake reports whether a target may be granted one more request.
-func (t *targetState) mayTake(now time.Time) bool {
-	return !now.Before(t.pausedUntil) && t.granted < max(t.limit(now), 0)+allowance && t.granted < t.slots+allowance
+	return t.granted < max(t.limit(now), 0)+allowance && t.granted < t.slots+allowance
 }
--- a/internal/core/slotqueue/waiting.go
+++ b/internal/core/slotqueue/waiting.go
@@ -84,10 +84,9 @@
 	// do not fail.
 	work     time.Duration
 	reliable []*targetState
-	// unreliable is true if the target fails some requests. health is set if it has to show
-	// that it serves again.
-	unreliable bool
-	health     *health
+	// unreliable is true if the target fails some requests, repeatable if it gets only
+	// requests that may be repeated.
+	unreliable, repeatable bool
 }
 
 // suits reports whether a request may take an offer. It waits for another target if it would miss
@@ -96,20 +95,15 @@
 	if !i.parkedAt.IsZero() || !slices.Contains(i.Targets, o.target) || now.Add(o.work).After(i.Deadline) {
 		return false
 	}
-	if !o.unreliable && i.meets(now, o.work) {
+	switch {
+	case !o.unreliable && i.meets(now, o.work):
 		return true
+	case o.repeatable:
+		return i.Repeatable
 	}
-	others, inTime := false, false
-	for _, t := range o.reliable {
-		if slices.Contains(i.Targets, t.ref) {
-			others = true
-			inTime = inTime || i.meets(now, t.estimate(now))
-		}
-	}
-	if o.health != nil && others {
-		return o.health.mayTry(now, i.Repeatable)
-	}
-	return !inTime
+	return !slices.ContainsFunc(o.reliable, func(t *targetState) bool {
+		return slices.Contains(i.Targets, t.ref) && i.meets(now, t.estimate(now))
+	})
 }
 
 // next returns the request that gets an offer, nil if there is none.
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -191,7 +191,8 @@
 // or against the target, and neither does a failure of the path to it.
 func (s *Service) sendEnded(now time.Time, ended *send, outcome outlier.Outcome, observed bool) {
 	defer s.releaseSlot(ended.slot, ended.resp != nil && ended.resp.NotRun)
-	defer s.returnPlaced(now, ended, observed && !ended.pathFailed && outcome != outlier.OK)
+	failed := false
+	defer func() { s.returnPlaced(now, ended, failed) }()
 	id, service := ended.target(), ended.choice.Target.Service
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -201,6 +202,7 @@
 	if outcome != outlier.OK && (ended.pathFailed || ended.via == "" && s.paths.IsCut(service)) {
 		observed = false
 	}
+	failed = observed && outcome != outlier.OK
 	if !observed {
 		s.outliers.CancelTrial(id.Ref())
 		return
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -138,9 +139,11 @@
 	if ended.placed == nil {
 		return
 	}
-	result := slots.Result{Failed: failed}
+	result := slots.Result{Broken: failed}
 	if resp := ended.resp; resp != nil {
 		result.Rejected = resp.NotRun
+		result.Error = failed && resp.Stamped && resp.Status >= http.StatusInternalServerError && !resp.NotRun
+		result.Broken = failed && !result.Error && !result.Rejected
 		if !resp.NotRun && !resp.Misdirected {
 			result.Took = now.Sub(ended.startedAt)
 		}
@@ -157,7 +160,7 @@
 func (s *Service) learnPicked(now time.Time, ref fleet.Ref, result slots.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if result.Failed {
+	if result.Broken {
 		s.picker.Failed(now, ref)
 	}
 	if result.Figures != nil {
--- a/internal/service/slots/requester.go
+++ b/internal/service/slots/requester.go
@@ -199,7 +199,7 @@
 	if p.Outcome == Granted {
 		s.sendRelease(p, r)
 	}
-	if r.Rejected || r.Failed {
+	if r.Rejected || r.Broken {
 		s.mu.Lock()
 		s.asker.Contended(s.clock.Now(), p.service)
 		s.mu.Unlock()
