Shut targets out for less, and let late requests wait

On the second deployment sound targets answer 14 of 100 lookups with a plain 500. These counted as failures, so that one of two remaining targets got nothing for seconds and the queue refused 270 requests in 2 s.

Only what breaks counts: no whole response, a refusal with free slots, or a 503 that may have run. A target is tried one request at a time from two such in a row on, paused from three on, for 0.1 to 0.2 s, and used as before after two responses. Shares of failures are forgotten by half in 1 s; an overdue request counts at once. Requests that miss their objective are predicted at what those in time leave, at least 0.3 of the capacity.

--- a/internal/core/slotqueue/grantor.go
+++ b/internal/core/slotqueue/grantor.go
@@ -12,18 +12,20 @@
 	// others wait, so that it does not idle while a release and the next request are on
 	// their way. See docs/design/slot-queue.md for the replays.
 	allowance = 2
-	// maxWaiting bounds the requests that wait, and so the time of a check. 18 slots of 30 ms
-	// serve 90 within an objective of 150 ms.
-	maxWaiting = 256
+	// maxWaiting bounds the requests that wait. 18 slots of 60 ms serve 900 within a deadline
+	// of 3 s, and 270 with spareShare.
+	maxWaiting = 512
 	// parkLimit is how long a request keeps its place while nobody waits for the answer.
 	parkLimit = 100 * time.Millisecond
 	// checkPeriod is how often waiting requests are checked.
 	checkPeriod = 20 * time.Millisecond
 	// arrivalWindow is the time over which arrivals are averaged.
 	arrivalWindow = time.Second
-	// spareShare of the capacity has to be left by requests in time for those that wait
-	// although they miss their objective.
-	spareShare = 0.05
+	// spareShare of the capacity is what requests that miss their objective get at least, over
+	// a while: those that would be in time come in waves.
+	spareShare = 0.3
+	// reviewsPerCheck bounds the requests that one check looks at against all others.
+	reviewsPerCheck = 64
 	// minRetryAfter and maxRetryAfter bound the advice to callers that are refused.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
@@ -37,6 +39,8 @@
 	expires time.Time
 	// queued is true if all slots were taken, so that the request waits at the target.
 	queued bool
+	// overdue is true once the target has taken so long that it is likely to have failed.
+	overdue bool
 }
 
 // Grantor grants the slots of one service. It is not safe for concurrent use.
@@ -191,10 +195,7 @@
 		return position, wait
 	}
 	position = g.waiting.ahead(now, work, i, true)
-	spare := capacity - g.arrivalRate(now)
-	if spare < spareShare*capacity {
-		return position, max(i.Deadline.Sub(now), wait)
-	}
+	spare := max(capacity-g.arrivalRate(now), spareShare*capacity)
 	return position, perSecond(float64(position+1), spare)
 }
 
@@ -252,7 +253,7 @@
 		}
 		i := g.waiting.next(now, &offer{
 			target: t.ref, work: t.estimate(now), reliable: reliable, unreliable: !slices.Contains(reliable, t),
-			repeatable: t.health.wantsRepeatable(now),
+			repeatable: t.health.wantsRepeatable(now), doubtful: t.health.share(now) >= doubtfulShare,
 		})
 		if i != nil {
 			best, bestItem, bestTime = t, i, finish
@@ -268,9 +269,15 @@
 		t.granting = t.granting[:0]
 		least = min(least, t.health.share(now))
 	}
-	for _, held := range g.grants {
-		if t := g.targets[held.target]; t != nil {
-			t.granting = append(t.granting, held.at)
+	for id, held := range g.grants {
+		t := g.targets[held.target]
+		if t == nil {
+			continue
+		}
+		t.granting = append(t.granting, held.at)
+		if !held.overdue && t.health.isOverdue(now, held.at, t.estimate(now)) {
+			held.overdue = true
+			g.grants[id] = held
 		}
 	}
 	for _, t := range g.targets {
@@ -311,7 +318,7 @@
 		case r.Rejected:
 			t.health.rejected(now, held.at)
 		case r.Took > 0:
-			t.health.answered(now, held.at, t.slots, r.Error)
+			t.health.answered(now, held.at, t.slots)
 		}
 	}
 	return g.grantFree(now)
@@ -329,7 +336,11 @@
 		}
 	}
 	out := g.grantFree(now)
-	for _, i := range slices.Clone(g.waiting.items) {
+	work := g.meanWork(now)
+	for n, i := range slices.Clone(g.waiting.items) {
+		if n >= reviewsPerCheck && !now.Add(work).After(i.Deadline) {
+			continue
+		}
 		if !i.parkedAt.IsZero() {
 			if now.Sub(i.parkedAt) >= parkLimit {
 				g.waiting.remove(i)
--- a/internal/core/slotqueue/health.go
+++ b/internal/core/slotqueue/health.go
@@ -7,12 +7,15 @@
 )
 
 const (
-	// A target that broke pauseStreak requests in a row gets none for minFailPause, which
-	// doubles up to maxFailPause while it goes on. One that fails at once looks idle, and would
-	// otherwise get more than the others.
-	pauseStreak  = 2
+	// A target that broke trialStreak requests in a row is tried with one request at a time, and
+	// gets none for minFailPause from pauseStreak on, which doubles up to maxFailPause while it
+	// goes on. One that fails at once looks idle, and would otherwise get more than the others.
+	trialStreak  = 2
+	pauseStreak  = 3
 	minFailPause = 100 * time.Millisecond
-	maxFailPause = 800 * time.Millisecond
+	maxFailPause = 200 * time.Millisecond
+	// trialGrowth times as many requests are tried after each response.
+	trialGrowth = 3
 	// A target that turned a request away gets none for minRejectPause, which doubles up to
 	// maxRejectPause. Without a pause it would turn away the whole queue, since each rejection
 	// frees a slot at once.
@@ -26,16 +29,22 @@
 	silentGrants = 2
 	silentFactor = 2.5
 	silentSlack  = 20 * time.Millisecond
+	// A grant that is older than overdueFactor times the mean time of a request counts as a
+	// failure at once. One request in 100 takes five times as long.
+	overdueFactor = 6
 	// failWeight is the weight of the last request in the share of failures, and failCost what
 	// a certain failure counts in times of a request. A target that gets no requests is
 	// forgiven by half in failHalfLife.
-	failWeight   = 0.05
-	failCost     = 30
-	failHalfLife = 2 * time.Second
+	failWeight   = 0.1
+	failCost     = 15
+	failHalfLife = time.Second
 	// unreliableShare more failures than unreliableFactor times those of the best target make a
 	// request wait for another one, if that may still be in time.
-	unreliableShare  = 0.04
+	unreliableShare  = 0.08
 	unreliableFactor = 2
+	// doubtfulShare is the share of failures from which a request that may not be repeated waits
+	// as long as another target may serve it at all.
+	doubtfulShare = 0.5
 )
 
 // health is what is known of the failures of a target.
@@ -47,7 +56,7 @@
 	// rejections is the number of pauses for rejections in a row.
 	rejections int
 	// trial is the number of requests that may be granted at once since trialSince, zero if the
-	// target is not on trial. It doubles with each response.
+	// target is not on trial. It grows with each response.
 	trial      int
 	trialSince time.Time
 	// repeatable is true until a response shows that the target does not break requests.
@@ -62,16 +71,18 @@
 // broke records that the target broke a request of a router, which was granted at a time.
 func (h *health) broke(now, granted time.Time, from fleet.VM) {
 	h.observe(now, 1)
-	if h.streak > 0 && from == h.failedFrom || h.streak >= pauseStreak && granted.Before(h.trialSince) {
+	if h.streak > 0 && from == h.failedFrom || h.trial > 0 && granted.Before(h.trialSince) {
 		return // it tells nothing new
 	}
 	h.streak, h.failedFrom = h.streak+1, from
-	if h.streak < pauseStreak {
+	switch {
+	case h.streak < trialStreak:
+	case h.streak < pauseStreak:
 		h.try(now)
-		return
+	default:
+		h.repeatable = true
+		h.try(now.Add(min(minFailPause<<min(h.streak-pauseStreak, 8), maxFailPause)))
 	}
-	h.repeatable = true
-	h.try(now.Add(min(minFailPause<<min(h.streak-pauseStreak, 8), maxFailPause)))
 }
 
 // rejected records that the target turned a request away, which was granted at a time.
@@ -92,19 +103,18 @@
 }
 
 // answered records a response to a request that was granted at a time. It ends the trial of a
-// target once it has shown to serve slots at once. A response may itself tell of an error.
-func (h *health) answered(now, granted time.Time, slots int, isError bool) {
-	if isError {
-		h.observe(now, 1)
-	} else {
-		h.observe(now, 0)
-	}
+// target once it has shown to serve slots at once.
+func (h *health) answered(now, granted time.Time, slots int) {
+	h.observe(now, 0)
 	h.answeredAt = now
+	if h.trial == 0 {
+		h.streak = 0
+	}
 	if h.trial == 0 || granted.Before(h.trialSince) {
 		return
 	}
 	h.repeatable = false
-	if h.trial *= 2; h.trial >= slots {
+	if h.trial *= trialGrowth; h.trial >= slots {
 		h.trial, h.streak, h.rejections = 0, 0, 0
 	}
 }
@@ -120,6 +130,16 @@
 	h.failShareAt = now
 }
 
+// isOverdue reports whether a request that was granted at a time is likely to have failed, given
+// the mean time of one, and counts it as a failure.
+func (h *health) isOverdue(now, granted time.Time, work time.Duration) bool {
+	if now.Sub(granted) <= overdueFactor*work {
+		return false
+	}
+	h.observe(now, 1)
+	return true
+}
+
 // paused reports whether the target gets no requests.
 func (h *health) paused(now time.Time) bool { return h.trial > 0 && now.Before(h.trialSince) }
 
--- a/internal/core/slotqueue/slotqueue.go
+++ b/internal/core/slotqueue/slotqueue.go
@@ -76,10 +76,9 @@
 	Request uint64
 	// Took is the time that the target took, zero if it is unknown.
 	Took time.Duration
-	// Rejected is true if the target turned the request away, Broken if it broke it, and Error if
-	// its response tells of an error. A service may answer with a share of errors at all its
-	// targets, which says little of one.
-	Rejected, Broken, Error bool
+	// Rejected is true if the target turned the request away, Broken if it broke it. A whole
+	// response is none of them, even if it tells of an error.
+	Rejected, Broken bool
 	// Figures are what the target said of its load, nil for nothing.
 	Figures *Figures
 }
--- a/internal/core/slotqueue/waiting.go
+++ b/internal/core/slotqueue/waiting.go
@@ -84,9 +84,9 @@
 	// do not fail.
 	work     time.Duration
 	reliable []*targetState
-	// unreliable is true if the target fails some requests, repeatable if it gets only
-	// requests that may be repeated.
-	unreliable, repeatable bool
+	// unreliable is true if the target fails some requests, doubtful if it fails most, and
+	// repeatable if it gets only requests that may be repeated.
+	unreliable, doubtful, repeatable bool
 }
 
 // suits reports whether a request may take an offer. It waits for another target if it would miss
@@ -102,7 +102,8 @@
 		return i.Repeatable
 	}
 	return !slices.ContainsFunc(o.reliable, func(t *targetState) bool {
-		return slices.Contains(i.Targets, t.ref) && i.meets(now, t.estimate(now))
+		waits := o.doubtful && !i.Repeatable || i.meets(now, t.estimate(now))
+		return waits && slices.Contains(i.Targets, t.ref)
 	})
 }
 
--- a/internal/service/slots/codec.go
+++ b/internal/service/slots/codec.go
@@ -47,7 +47,6 @@
 	TookMicros int64    `msgpack:"m,omitempty"`
 	Rejected   bool     `msgpack:"x,omitempty"`
 	Broken     bool     `msgpack:"b,omitempty"`
-	Error      bool     `msgpack:"e,omitempty"`
 	Figures    *figures `msgpack:"f,omitempty"`
 }
 
@@ -61,7 +60,7 @@
 
 // newRelease encodes the result of a request.
 func newRelease(service fleet.Service, id uint64, r Result) placeRelease {
-	m := placeRelease{ID: id, Service: service, TookMicros: r.Took.Microseconds(), Rejected: r.Rejected, Broken: r.Broken, Error: r.Error}
+	m := placeRelease{ID: id, Service: service, TookMicros: r.Took.Microseconds(), Rejected: r.Rejected, Broken: r.Broken}
 	if f := r.Figures; f != nil {
 		m.Figures = &figures{Running: f.Running, Waiting: f.Waiting, Slots: f.Slots, Slowdown: int(math.Round(100 * f.Slowdown))}
 	}
@@ -70,7 +69,7 @@
 
 // release decodes the result of a request.
 func (m *placeRelease) release() slotqueue.Release {
-	r := slotqueue.Release{Request: m.ID, Took: time.Duration(m.TookMicros) * time.Microsecond, Rejected: m.Rejected, Broken: m.Broken, Error: m.Error}
+	r := slotqueue.Release{Request: m.ID, Took: time.Duration(m.TookMicros) * time.Microsecond, Rejected: m.Rejected, Broken: m.Broken}
 	if f := m.Figures; f != nil {
 		r.Figures = &slotqueue.Figures{Running: f.Running, Waiting: f.Waiting, Slots: f.Slots, Slowdown: float64(f.Slowdown) / 100}
 	}
--- a/internal/service/slots/requester.go
+++ b/internal/service/slots/requester.go
@@ -32,6 +32,9 @@
 	// retrySpread times the advised time is added at random, so that callers that were refused
 	// do not return all at once.
 	retrySpread = 1.0
+	// maxRetryShare of the time to the deadline is the longest advice: callers come back once,
+	// and a request that comes back late is of no use.
+	maxRetryShare = 0.33
 )
 
 // Place returns where a request may be sent. It waits for a slot while the grantor says that the
@@ -99,7 +102,7 @@
 		}
 		s.mu.Unlock()
 		if reply.State != slotqueue.Waiting {
-			s.decided(now, asked, p, reply)
+			s.decided(now, asked, q, p, reply)
 			return true
 		}
 	}
@@ -172,7 +175,7 @@
 
 // decided takes the decision of a grantor. A grant that is too old is returned, and a grantor that
 // does not know the targets yet decides nothing.
-func (s *Service) decided(now, asked time.Time, p *Placement, reply placeReply) {
+func (s *Service) decided(now, asked time.Time, q *Query, p *Placement, reply placeReply) {
 	p.Position, p.Predicted = reply.Position, duration(reply.Predicted)
 	age := now.Sub(asked) - duration(reply.Held)
 	switch {
@@ -189,7 +192,8 @@
 		s.mu.Lock()
 		spread := 1 + retrySpread*s.random.Float64()
 		s.mu.Unlock()
-		p.RetryAfter = time.Duration(spread * float64(duration(reply.RetryAfter)))
+		after := time.Duration(spread * float64(duration(reply.RetryAfter)))
+		p.RetryAfter = min(after, time.Duration(maxRetryShare*float64(q.Deadline.Sub(now))))
 		s.metrics.placed("refused")
 	}
 }
--- a/internal/service/slots/slots.go
+++ b/internal/service/slots/slots.go
@@ -69,9 +69,8 @@
 type Result struct {
 	// Took is the time that the target took, zero if it is unknown.
 	Took time.Duration
-	// Rejected is true if the target turned the request away, Broken if it broke it, and Error if
-	// its response tells of an error.
-	Rejected, Broken, Error bool
+	// Rejected is true if the target turned the request away, Broken if it broke it.
+	Rejected, Broken bool
 	// Figures are what the target said of its load, nil for nothing.
 	Figures *slotqueue.Figures
 }
