--- a/internal/core/slotqueue/grantor.go
+++ b/internal/core/slotqueue/grantor.go
@@ -1,6 +1,7 @@
 package slotqueue
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -46,6 +47,8 @@
 // Grantor grants the slots of one service. It is not safe for concurrent use.
 type Grantor struct {
 	targets map[fleet.Ref]*targetState
+	// ordered holds the targets by ref, so that decisions do not depend on the order of a map.
+	ordered []*targetState
 	// grants holds the grants by request.
 	grants  map[uint64]grant
 	waiting waitingList
@@ -77,11 +80,15 @@
 		}
 		state.slots = max(t.Slots, 1)
 	}
-	for ref := range g.targets {
+	g.ordered = g.ordered[:0]
+	for ref, t := range g.targets {
 		if !known[ref] {
 			delete(g.targets, ref)
+			continue
 		}
+		g.ordered = append(g.ordered, t)
 	}
+	slices.SortFunc(g.ordered, func(a, b *targetState) int { return cmp.Compare(a.ref, b.ref) })
 }
 
 // Known records how many requests are known to run at a target, by the reports of all routers.
@@ -95,14 +102,14 @@
 
 // meanWork returns the mean time of a request over all targets.
 func (g *Grantor) meanWork(now time.Time) time.Duration {
-	if len(g.targets) == 0 {
+	if len(g.ordered) == 0 {
 		return defaultWork
 	}
 	sum := time.Duration(0)
-	for _, t := range g.targets {
+	for _, t := range g.ordered {
 		sum += t.estimate(now)
 	}
-	return sum / time.Duration(len(g.targets))
+	return sum / time.Duration(len(g.ordered))
 }
 
 // capacity returns the number of requests that the targets can end in a second. Slots that are
@@ -265,7 +272,7 @@
 // usable returns the targets that may be granted, and those of them that do not fail.
 func (g *Grantor) usable(now time.Time) (targets, reliable []*targetState) {
 	least := 1.0
-	for _, t := range g.targets {
+	for _, t := range g.ordered {
 		t.granting = t.granting[:0]
 		least = min(least, t.health.share(now))
 	}
@@ -280,7 +287,7 @@
 			g.grants[id] = held
 		}
 	}
-	for _, t := range g.targets {
+	for _, t := range g.ordered {
 		if t.health.paused(now) || t.health.silent(now, t.granting, t.estimate(now)) {
 			continue
 		}
--- a/internal/core/slotqueue/target.go
+++ b/internal/core/slotqueue/target.go
@@ -10,6 +10,8 @@
 const (
 	// defaultWork is the assumed time of a request before one has ended.
 	defaultWork = 50 * time.Millisecond
+	// minWork is the least time of a request: one that fails at once tells nothing.
+	minWork = time.Millisecond
 	// workWeight is the weight of the last request in the mean time of a target: a change of
 	// pace shows within some ten requests.
 	workWeight = 0.12
@@ -79,7 +81,7 @@
 
 // observe learns the time of a request that did not wait at the target.
 func (t *targetState) observe(took time.Duration) {
-	seconds := min(took.Seconds(), maxWorkFactor*t.work)
+	seconds := min(max(took, minWork).Seconds(), maxWorkFactor*t.work)
 	t.work += workWeight * (seconds - t.work)
 }
 
