Learn the pace of busy targets, and of requests that never end

And the orders that a mute target held expired at the grantor before the failure was reported, so that it got eight more at once.

Times now count by the requests that waited ahead, and an overdue grant that expires counts as broken.

--- a/internal/core/slotqueue/grantor.go
+++ b/internal/core/slotqueue/grantor.go
@@ -38,8 +38,9 @@
 	from    fleet.VM
 	at      time.Time
 	expires time.Time
-	// queued is true if all slots were taken, so that the request waits at the target.
-	queued bool
+	// ahead is the number of requests that wait at the target with this one included, zero if
+	// it had a free slot.
+	ahead int
 	// overdue is true once the target has taken so long that it is likely to have failed.
 	overdue bool
 }
@@ -231,7 +232,7 @@
 
 // grantTo grants a slot of a target to a request that waits.
 func (g *Grantor) grantTo(now time.Time, t *targetState, i *item) Decision {
-	g.grants[i.ID] = grant{target: t.ref, from: i.From, at: now, expires: i.Deadline, queued: t.granted >= t.limit(now)}
+	g.grants[i.ID] = grant{target: t.ref, from: i.From, at: now, expires: i.Deadline, ahead: max(t.granted+1-t.limit(now), 0)}
 	t.granted++
 	g.waiting.granted(i.Account)
 	g.waiting.remove(i)
@@ -312,8 +313,8 @@
 	delete(g.grants, r.Request)
 	if t := g.targets[held.target]; t != nil {
 		t.granted--
-		if r.Took > 0 && !r.Rejected && !r.Broken && !held.queued {
-			t.observe(r.Took)
+		if r.Took > 0 && !r.Rejected && !r.Broken {
+			t.observe(r.Took, held.ahead)
 		}
 		if r.Figures != nil {
 			t.reported(now, *r.Figures)
@@ -339,6 +340,9 @@
 			delete(g.grants, id)
 			if t := g.targets[held.target]; t != nil {
 				t.granted--
+				if held.overdue {
+					t.health.broke(now, held.at, held.from)
+				}
 			}
 		}
 	}
--- a/internal/core/slotqueue/target.go
+++ b/internal/core/slotqueue/target.go
@@ -79,9 +79,11 @@
 	return work + time.Duration(failCost*t.health.share(now)*float64(work))
 }
 
-// observe learns the time of a request that did not wait at the target.
-func (t *targetState) observe(took time.Duration) {
-	seconds := min(max(took, minWork).Seconds(), maxWorkFactor*t.work)
+// observe learns the time of a request, with ahead requests that waited at the target when it was
+// granted. Each of these takes a slot's part of the time: in a busy spell, all requests wait.
+func (t *targetState) observe(took time.Duration, ahead int) {
+	alone := took.Seconds() / (1 + float64(ahead)/float64(max(t.slots, 1)))
+	seconds := min(max(alone, minWork.Seconds()), maxWorkFactor*t.work)
 	t.work += workWeight * (seconds - t.work)
 }
 
