--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -345,3 +345,9 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) { f(t, startSite(t)) })
 }
+
+// onQueueSite is onSite with requests for plain services queued at one router.
+func onQueueSite(t *testing.T, f func(*testing.T, *siteBed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { f(t, startSiteWith(t, "[slots]\nmax_slots_per_router = 5\n")) })
+}
--- a/internal/core/balance/balance.go
+++ b/internal/core/balance/balance.go
@@ -68,6 +68,10 @@
 	// Estimate is the expected cost of the request. If it is nil, loads are compared in
 	// requests per slot.
 	Estimate *workload.Estimate
+	// Pick chooses among targets by their position in place of the least loaded one, for a
+	// request without prefixes. It returns a negative number if no target may get the
+	// request. Nil for the least loaded one.
+	Pick func(eligible []*sitestate.AvailableTarget) int
 }
 
 // prompt returns the identifier of the longest shared prefix, which stands for
@@ -86,6 +90,8 @@
 	Ranked Reason = "ranked"
 	// LeastLoaded: the target has the lowest load per slot.
 	LeastLoaded Reason = "least_loaded"
+	// Picked: Request.Pick chose the target.
+	Picked Reason = "picked"
 	// None: no target may get the request.
 	None Reason = "none"
 	// Overloaded: targets may get requests, but their load is at the limit.
@@ -140,7 +146,7 @@
 // Choose returns the target for a request, or a Choice without a target and with
 // the reason None or Overloaded if no target may get it.
 func (b *Balancer) Choose(now time.Time, r *Request, targets []sitestate.AvailableTarget, gate Gate) Choice {
-	if r.Estimate != nil && b.speeds != nil {
+	if r.Estimate != nil && r.Pick == nil && b.speeds != nil {
 		return b.chooseByWork(now, r, targets, gate)
 	}
 	allowed := b.eligible(now, r, targets, gate)
@@ -153,6 +159,9 @@
 		c := b.selectLeastLoaded(allowed, mean)
 		return Choice{Reason: Overloaded, Load: c.Load, Mean: mean}
 	}
+	if len(r.Prefixes) == 0 && r.Pick != nil {
+		return b.selectPicked(r, eligible, mean)
+	}
 	if len(r.Prefixes) == 0 {
 		return b.selectLeastLoaded(eligible, mean)
 	}
@@ -332,6 +341,16 @@
 	return Choice{Target: *t, Reason: LeastLoaded, Load: b.loads.load(t.ID.Ref()), Mean: mean}
 }
 
+// selectPicked returns the target that the request's own choice names.
+func (b *Balancer) selectPicked(r *Request, eligible []*sitestate.AvailableTarget, mean float64) Choice {
+	i := r.Pick(eligible)
+	if i < 0 || i >= len(eligible) {
+		return Choice{Reason: None}
+	}
+	t := eligible[i]
+	return Choice{Target: *t, Reason: Picked, Load: b.loads.load(t.ID.Ref()), Mean: mean}
+}
+
 // RequestStarted records that this router sends a request with the given
 // prefixes to a target.
 func (b *Balancer) RequestStarted(now time.Time, id fleet.Target, prefixes []uint64) {
--- a/internal/core/balance/loads.go
+++ b/internal/core/balance/loads.go
@@ -164,6 +164,15 @@
 // Load returns the number of requests that are known to run at a target.
 func (b *Balancer) Load(id fleet.Ref) float64 { return b.loads.load(id) }
 
+// LocalLoad returns the number of requests of this router at a target.
+func (b *Balancer) LocalLoad(id fleet.Ref) float64 {
+	t, ok := b.loads.targets[id]
+	if !ok {
+		return 0
+	}
+	return float64(t.local)
+}
+
 // LocalLoads returns the load that this router puts on each target, for its next
 // digest, and remembers it as reported. It also discards expired loads of other
 // routers.
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -14,6 +14,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/service/rollout"
+	"github.com/zinniafork/zinniafork/internal/service/slots"
 	"github.com/zinniafork/zinniafork/internal/tracing"
 )
 
@@ -44,6 +45,9 @@
 	limit   float64
 	// slot is the slot that the send has taken, nil if its target is not brittle.
 	slot *slotGrant
+	// placed is the answer of the router that grants the slots of a plain service, nil if none
+	// was asked.
+	placed *slots.Placement
 	// via is the router that relayed the request, empty for a send straight to the target.
 	// It is set with resp.
 	via fleet.VM
@@ -70,10 +74,19 @@
 // chooses again if there is no grant. The send has no target if none may get the request.
 // It also returns the number of available targets.
 func (r *request) chooseUnder(ctx context.Context, now time.Time, versions *rollout.Rule) (*send, int) {
+	if r.s.queuesPlain(r.service) {
+		return r.choosePlain(ctx, now, versions)
+	}
+	return r.chooseHere(ctx, now, nil, versions)
+}
+
+// chooseHere chooses with what this router knows. Pick chooses among the targets in place of the
+// balancer, nil for none.
+func (r *request) chooseHere(ctx context.Context, now time.Time, pick picker, versions *rollout.Rule) (*send, int) {
 	var rule limitRule
 	for asked := 0; ; asked++ {
 		rule.noneLimited = asked >= maxGrantQueries
-		s, available, needsGrant := r.tryChoose(now, rule, versions)
+		s, available, needsGrant := r.tryChoose(now, rule, pick, versions)
 		if rule.granted != nil && s.target() == "" {
 			r.s.releaseSlot(rule.slot, false)
 			rule.granted, rule.slot = nil, nil // the target may get no request any more
@@ -94,8 +107,8 @@
 
 // tryChoose chooses a target under a rule for those that name a limit. It returns true if
 // the target needs a grant, which is not recorded as a start.
-func (r *request) tryChoose(now time.Time, rule limitRule, versions *rollout.Rule) (s *send, available int, needsGrant bool) {
-	query := &balance.Request{Prefixes: r.Prefixes}
+func (r *request) tryChoose(now time.Time, rule limitRule, pick picker, versions *rollout.Rule) (s *send, available int, needsGrant bool) {
+	query := &balance.Request{Prefixes: r.Prefixes, Pick: pick}
 	if !r.service.Engine {
 		query.Prefixes = nil
 	} else {
@@ -133,7 +146,7 @@
 		r.s.decided(now, r.service.Name, s.choice.Reason == balance.Overloaded || s.choice.Reason == limitUsedUp)
 	}
 	if s.target() == "" {
-		r.lastErr = errNoTarget{targets: available, reason: s.choice.Reason}
+		r.lastErr = s.noTargetError(available)
 		return r.noTarget()
 	}
 	if !r.isRetry() {
@@ -348,7 +361,7 @@
 	if s.resp.Misdirected {
 		return attempt.Misdirected, outlier.Unreachable, true
 	}
-	unexplained := s.choice.Load < float64(s.choice.Target.Slots) && !s.resp.Leaving && s.resp.RetryAfter == 0
+	unexplained := s.choice.Load < float64(s.choice.Target.Slots) && !s.resp.Leaving && s.resp.RetryAfter == 0 && !s.saysFull()
 	return attempt.Refused, outlier.Failed, unexplained
 }
 
