Accept keys with a tab inside

A key with a tab inside was reported as one that a header can't carry. net/http accepts tabs within a value, so that requests with the key are admitted.

--- a/internal/routecheck/services.go
+++ b/internal/routecheck/services.go
@@ -130,7 +130,7 @@
 		switch owner := owners[key]; {
 		case key == "":
 			k.Error("key_empty", path, "an empty key admits requests without a key as account %q", string(k.c.Accounts[owner].Name))
-		case strings.TrimSpace(key) != key || strings.ContainsFunc(key, isControl):
+		case !isSendable(key):
 			k.NeverMatches("key_not_sendable", path, "the key has spaces at its ends or control characters, which a header can't carry")
 			continue
 		case owner != index:
@@ -147,6 +147,12 @@
 	return own
 }
 
+// isSendable reports whether a request can carry a key: a header has no control
+// characters but tabs, and routers cut off space around the key.
+func isSendable(key string) bool {
+	return strings.TrimSpace(key) == key && !strings.ContainsFunc(key, func(r rune) bool { return r != '\t' && isControl(r) })
+}
+
 // sharedKey reports a key of two accounts: one caller is taken for another.
 func (k *checker) sharedKey(path string, a, owner fleet.Account) {
 	if a != owner {
