Count requests of a service by the routes in force

A route that another one replaces counted as a user of its services and as one that asks for keys, so that a service or an account without requests was not reported, and cold rates were compared with its timeout. A missing service was said to get 503 also where a weight of zero sends it no requests.

--- a/internal/routecheck/check.go
+++ b/internal/routecheck/check.go
@@ -33,7 +33,9 @@
 	// services holds the index of the row in force by name; rows with the same
 	// name before it are not used.
 	services map[fleet.Service]int
-	// users are the indices of the routes that use a service.
+	// hidden tells which routes another one replaces.
+	hidden []bool
+	// users are the indices of the routes that send requests to a service.
 	users map[fleet.Service][]int
 }
 
@@ -43,6 +45,7 @@
 	k := &checker{
 		c: c, deployment: d,
 		services: make(map[fleet.Service]int, len(c.Services)),
+		hidden:   make([]bool, len(c.Routes)),
 		users:    make(map[fleet.Service][]int),
 	}
 	for i := range c.Services {
--- a/internal/routecheck/routes.go
+++ b/internal/routecheck/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/url"
+	"slices"
 	"strings"
 	"unicode"
 
@@ -31,6 +32,7 @@
 		path := entry("Routes", i)
 		k.name(names, "Routes", i, r.Name)
 		if j := last[place{r.Host, r.Prefix}]; j != i {
+			k.hidden[i] = true
 			k.NeverMatches("route_hidden", path, "Routes[%d] has the same host %q and prefix %q and replaces it", j, r.Host, r.Prefix)
 		}
 		k.host(path+".Host", r.Host)
@@ -129,11 +131,13 @@
 		k.Error("service_missing", path+".Services", "the route has no service: its requests get 503")
 		return
 	}
+	used := !k.hidden[index]
+	positive := slices.ContainsFunc(r.Services, func(s routing.WeightedService) bool { return s.Weight > 0 })
 	total, broken := 0, false
 	seen := make(map[fleet.Service]int, len(r.Services))
 	for j, s := range r.Services {
 		at := path + "." + entry("Services", j)
-		k.splitService(at, s.Service, index)
+		k.splitService(at, s.Service, index, used && (s.Weight > 0 || !positive && j == 0))
 		if first, ok := seen[s.Service]; ok {
 			k.Contradiction("split_repeated", at, "the service %q is also that of part %d of the split; their weights add up", string(s.Service), first)
 		} else {
@@ -162,17 +166,22 @@
 	}
 }
 
-// splitService checks that a service of a route is there and notes the route as
-// its user.
-func (k *checker) splitService(path string, name fleet.Service, route int) {
-	switch _, ok := k.services[name]; {
-	case name == "" && !ok:
-		k.Error("service_missing", path+".Service", "the route names no service: its requests get 503")
-	case !ok:
-		k.Error("service_missing", path+".Service", "there is no service %q: its requests get 503", string(name))
-	default:
-		if u := k.users[name]; len(u) == 0 || u[len(u)-1] != route {
-			k.users[name] = append(u, route)
+// splitService checks that a service of a route is there. If the route sends requests
+// to it, the route is noted as its user.
+func (k *checker) splitService(path string, name fleet.Service, route int, used bool) {
+	if _, ok := k.services[name]; !ok {
+		effect := ""
+		if used {
+			effect = ": its requests get 503"
 		}
+		if name == "" {
+			k.Error("service_missing", path+".Service", "the route names no service%s", effect)
+		} else {
+			k.Error("service_missing", path+".Service", "there is no service %q%s", string(name), effect)
+		}
+		return
+	}
+	if u := k.users[name]; used && (len(u) == 0 || u[len(u)-1] != route) {
+		k.users[name] = append(u, route)
 	}
 }
--- a/internal/routecheck/services.go
+++ b/internal/routecheck/services.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		if len(k.users[s.Name]) == 0 {
-			k.NeverMatches("service_unused", path, "no route leads to the service %q", string(s.Name))
+			k.NeverMatches("service_unused", path, "no route sends requests to the service %q", string(s.Name))
 		}
 		k.connections(path, s)
 		k.cold(path, s)
@@ -109,11 +109,11 @@
 	}
 }
 
-// admittingRoutes counts the routes that ask for a key.
+// admittingRoutes counts the routes in force that ask for a key.
 func (k *checker) admittingRoutes() int {
 	n := 0
 	for i := range k.c.Routes {
-		if !k.c.Routes[i].Public {
+		if !k.c.Routes[i].Public && !k.hidden[i] {
 			n++
 		}
 	}
