Give routes that no request matches no effects

A route whose prefix lacks a slash, or whose host has a port, was compared as if requests went by it: its loss was said to move them, or to end streams. A route to a missing service was said to serve requests that got 404.

--- a/internal/routecheck/diff.go
+++ b/internal/routecheck/diff.go
@@ -131,8 +131,19 @@
 	return out
 }
 
+// isMatched reports whether requests match a route of a table: a host with a port or a
+// prefix without its slashes matches none.
+func isMatched(t *routing.Table, r *routing.Route) bool {
+	m, ok := t.Match(r.Host, r.Prefix)
+	return ok && m == r
+}
+
 func (d *differ) removedRoute(r *routing.Route) {
 	c := Change{Kind: "route", Name: r.Host + r.Prefix, Action: Removed}
+	if !isMatched(d.before, r) {
+		d.add(c)
+		return
+	}
 	next, ok := d.after.Match(r.Host, r.Prefix)
 	if !ok {
 		c.Effect(EffectNotFound, "requests get 404")
@@ -150,12 +161,16 @@
 
 func (d *differ) addedRoute(r *routing.Route) {
 	c := Change{Kind: "route", Name: r.Host + r.Prefix, Action: Added}
+	if !isMatched(d.after, r) {
+		d.add(c)
+		return
+	}
 	former, ok := d.before.Match(r.Host, r.Prefix)
 	if ok {
 		c.Effect(EffectMoved, "requests no longer go by the route %q of the prefix %s", former.Name, former.Prefix)
 		d.access(&c, former, r)
 		d.runs(&c, former, r)
-	} else {
+	} else if slices.ContainsFunc(reached(r), func(name fleet.Service) bool { return d.after.Service(name) != nil }) {
 		c.Effect(EffectAdmitted, "requests that got 404 are served")
 	}
 	d.unavailable(&c, former, r)
@@ -173,6 +188,10 @@
 	c.Field("attempts", before.Attempts, after.Attempts)
 	c.Field("public", before.Public, after.Public)
 	c.Field("resumable", before.Resumable, after.Resumable)
+	if !isMatched(d.after, after) {
+		d.add(c)
+		return
+	}
 	if after.Timeout > 0 && (before.Timeout == 0 || after.Timeout < before.Timeout) {
 		c.Effect(EffectTimeLimit, "requests that take longer than %v are ended", after.Timeout)
 	}
--- a/internal/routecheck/diff_test.go
+++ b/internal/routecheck/diff_test.go
@@ -62,8 +62,11 @@
 		"hidden row": {func(c *routing.Config) {
 			c.Routes = append([]routing.Route{{Name: "z", Host: "h", Prefix: "/"}}, c.Routes...)
 		}, nil},
-		"narrower route": {func(c *routing.Config) { c.Routes[2].Prefix = "/other/" }, []string{"route h/ removed gets_404", "route h/other/ added moved"}},
-		"removed order":  {func(c *routing.Config) { c.Routes = append(c.Routes[:1:1], c.Routes[2]) }, []string{"route h/order/ removed moved admitted may_run_twice"}},
+		"narrower route":      {func(c *routing.Config) { c.Routes[2].Prefix = "/other/" }, []string{"route h/ removed gets_404", "route h/other/ added moved"}},
+		"route without slash": {func(c *routing.Config) { c.Routes = append(c.Routes, routing.Route{Host: "h", Prefix: "/z"}) }, []string{"route h/z added"}},
+		"route with port":     {func(c *routing.Config) { c.Routes = append(c.Routes, routing.Route{Host: "h:80", Prefix: "/z/"}) }, []string{"route h:80/z/ added"}},
+		"route to no service": {func(c *routing.Config) { c.Routes = append(c.Routes, routing.Route{Host: "i", Prefix: "/"}) }, []string{"route i/ added gets_503"}},
+		"removed order":       {func(c *routing.Config) { c.Routes = append(c.Routes[:1:1], c.Routes[2]) }, []string{"route h/order/ removed moved admitted may_run_twice"}},
 	} {
 		after := base()
 		c.change(after)
@@ -85,3 +88,19 @@
 		must.Eq(t, c.want, have, must.Sprint(name))
 	}
 }
+
+// TestDiffWithoutRequests guards against effects of the loss or change of a route that
+// no request matched.
+func TestDiffWithoutRequests(t *testing.T) {
+	before := base()
+	before.Routes = append(before.Routes,
+		routing.Route{Host: "h", Prefix: "/z", Services: before.Routes[0].Services},
+		routing.Route{Host: "h", Prefix: "/q", Timeout: time.Minute, Services: before.Routes[0].Services})
+	after := base()
+	after.Routes = append(after.Routes, routing.Route{Host: "h", Prefix: "/q", Kind: routing.Safe, Timeout: time.Second, Public: true})
+	changes := routecheck.Diff(routecheck.NewView(before, nil), routecheck.NewView(after, nil))
+	must.Len(t, 2, changes)
+	for _, c := range changes {
+		must.SliceEmpty(t, c.Effects, must.Sprint(c.Name))
+	}
+}
