Find the services with streams once for a comparison

A route that another one replaces no longer counts as one that had streams. go test ./internal/routecheck -run TestDiffGrowsLinearly

--- a/internal/routecheck/diff.go
+++ b/internal/routecheck/diff.go
@@ -285,7 +285,7 @@
 
 // services compares the services by name.
 func (d *differ) services() {
-	seen := make(map[fleet.Service]bool)
+	seen, streams := make(map[fleet.Service]bool), d.streams()
 	for _, s := range d.before.Config.Services {
 		if seen[s.Name] {
 			continue
@@ -295,7 +295,7 @@
 		c := Change{Kind: "service", Name: string(s.Name), Action: Changed}
 		if is == nil {
 			c.Action = Removed
-			if d.streamsAt(s.Name) {
+			if streams[s.Name] {
 				c.Effect(EffectStreamsEnd, "streams in progress run to their end, but one that breaks off can't be taken up")
 			}
 			d.add(c)
@@ -315,11 +315,19 @@
 	}
 }
 
-// streamsAt reports whether a service had streams.
-func (d *differ) streamsAt(name fleet.Service) bool {
-	return slices.ContainsFunc(d.before.Config.Routes, func(r routing.Route) bool {
-		return r.Kind == routing.Stream && slices.Contains(reached(&r), name)
-	})
+// streams returns the services that had streams.
+func (d *differ) streams() map[fleet.Service]bool {
+	out := make(map[fleet.Service]bool)
+	for i := range d.before.Config.Routes {
+		r := &d.before.Config.Routes[i]
+		if r.Kind != routing.Stream || !isMatched(d.before, r) {
+			continue
+		}
+		for _, name := range reached(r) {
+			out[name] = true
+		}
+	}
+	return out
 }
 
 // limits compares the limits of callers' requests.
--- a/internal/routecheck/diff_test.go
+++ b/internal/routecheck/diff_test.go
@@ -89,6 +89,20 @@
 	}
 }
 
+// TestDiffOfServiceWithoutStreams guards against streams that are said to end at a
+// service that only a route without requests names.
+func TestDiffOfServiceWithoutStreams(t *testing.T) {
+	before := base()
+	before.Services = append(before.Services, routing.Service{Name: "d"})
+	hidden := before.Routes[0]
+	hidden.Services = []routing.WeightedService{{Service: "d", Weight: 1}}
+	before.Routes = append([]routing.Route{hidden}, before.Routes...)
+	changes := routecheck.Diff(routecheck.NewView(before, nil), routecheck.NewView(base(), nil))
+	must.Len(t, 1, changes)
+	must.Eq(t, "service", changes[0].Kind)
+	must.SliceEmpty(t, changes[0].Effects)
+}
+
 // TestDiffWithoutRequests guards against effects of the loss or change of a route that
 // no request matched.
 func TestDiffWithoutRequests(t *testing.T) {
@@ -104,3 +118,22 @@
 		must.SliceEmpty(t, c.Effects, must.Sprint(c.Name))
 	}
 }
+
+// TestDiffGrowsLinearly guards against work that grows with the product of services
+// and routes.
+func TestDiffGrowsLinearly(t *testing.T) {
+	const n = 1000
+	config := func(prefix string) *routecheck.View {
+		c := new(routing.Config)
+		for i := range n {
+			name := fleet.Service(fmt.Sprint(prefix, i))
+			c.Routes = append(c.Routes, routing.Route{
+				Host: "h", Prefix: fmt.Sprintf("/%d/", i), Kind: routing.Stream, Services: []routing.WeightedService{{Service: name, Weight: 1}},
+			})
+			c.Services = append(c.Services, routing.Service{Name: name})
+		}
+		return routecheck.NewView(c, nil)
+	}
+	before, after := config("a"), config("b")
+	must.Less(t, 100*n, testing.AllocsPerRun(1, func() { routecheck.Diff(before, after) }))
+}
