--- a/internal/routecheck/diff.go
+++ b/internal/routecheck/diff.go
@@ -21,13 +21,15 @@
 
 // Change is one entry that differs between two configurations.
 type Change struct {
-	// Kind is route, service, model, account or limits.
+	// Kind is route, service, account or limits, and for documents of the project's own
+	// format also model, operator or value.
 	Kind string `json:"kind"`
-	// Name is the host with the prefix for a route, and empty for limits.
+	// Name is the host with the prefix for a route, empty for limits, and the key for a
+	// value. The site comes before it if documents name sites.
 	Name   string        `json:"name"`
 	Action Action        `json:"action"`
 	Fields []FieldChange `json:"fields,omitempty"`
-	// KeysAdded and KeysRemoved count the keys of an account.
+	// KeysAdded and KeysRemoved count the keys of an account or operator.
 	KeysAdded   int      `json:"keys_added,omitempty"`
 	KeysRemoved int      `json:"keys_removed,omitempty"`
 	Effects     []Effect `json:"effects,omitempty"`
--- a/internal/sitecheck/check_test.go
+++ b/internal/sitecheck/check_test.go
@@ -87,6 +87,25 @@
 	must.StrContains(t, text, "gent: load.bound changed")
 }
 
+// TestDiffOperators guards against changed keys of an operator that a comparison leaves
+// out or shows.
+func TestDiffOperators(t *testing.T) {
+	before := sample(t)
+	after := strings.Replace(before, `["95e6ffbb`, `["00000000`, 1)
+	after = strings.Replace(after, `name = "trinidad-viewer"`, `name = "trinidad-reader"`, 1)
+	one := func(base string) configstate.Documents { return configstate.Documents{}.With(configstate.Base, base) }
+	changes := sitecheck.Diff(one(before), one(after))
+	var have []string
+	for _, c := range changes {
+		have = append(have, fmt.Sprintf("%s %s %s +%d -%d", c.Kind, c.Name, c.Action, c.KeysAdded, c.KeysRemoved))
+	}
+	must.Eq(t, []string{
+		"operator trinidad: gent-viewer changed +1 -1", "operator trinidad: trinidad-viewer removed +0 -1", "operator trinidad: trinidad-reader added +1 -0",
+		"operator gent: gent-viewer changed +1 -1", "operator gent: trinidad-viewer removed +0 -1", "operator gent: trinidad-reader added +1 -0",
+	}, have)
+	must.StrNotContains(t, fmt.Sprint(changes), "95e6ffbb")
+}
+
 // FuzzCheck guards against a text that panics.
 func FuzzCheck(f *testing.F) {
 	f.Add("[load]\nbound = \"x\"\n[[targets]]\nname = \"e\"\nslots = 1.5", "[[vms]]\nmark = 3")
--- a/internal/sitecheck/diff.go
+++ b/internal/sitecheck/diff.go
@@ -45,6 +45,7 @@
 	out := diffNames("model", modelNames(before), modelNames(after), "chats that ask for it get 404")
 	out = append(out, diffNames("service", serviceNames(before), serviceNames(after), "calls of it get 404")...)
 	out = append(out, routecheck.DiffAccounts(accountsOf(before), accountsOf(after), true)...)
+	out = append(out, diffOperators(operatorsOf(before), operatorsOf(after))...)
 	return append(out, diffValues(before, after, out)...)
 }
 
@@ -95,6 +96,51 @@
 	return out
 }
 
+// operatorsOf returns the operators with the hashes of their keys.
+func operatorsOf(c *config.Config) map[string][]string {
+	out := make(map[string][]string, len(c.Operators))
+	for i := range c.Operators {
+		out[c.Operators[i].Name] = c.Operators[i].KeyHashes
+	}
+	return out
+}
+
+// diffOperators compares the operators by name. Their keys are counted and never
+// shown.
+func diffOperators(before, after map[string][]string) []routecheck.Change {
+	var out []routecheck.Change
+	for _, name := range slices.Sorted(maps.Keys(before)) {
+		is, ok := after[name]
+		c := routecheck.Change{
+			Kind: "operator", Name: name, Action: routecheck.Changed,
+			KeysAdded: countMissing(is, before[name]), KeysRemoved: countMissing(before[name], is),
+		}
+		if !ok {
+			c.Action = routecheck.Removed
+		}
+		if !ok || c.KeysAdded+c.KeysRemoved > 0 {
+			out = append(out, c)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(after)) {
+		if _, known := before[name]; !known {
+			out = append(out, routecheck.Change{Kind: "operator", Name: name, Action: routecheck.Added, KeysAdded: len(after[name])})
+		}
+	}
+	return out
+}
+
+// countMissing returns the number of hashes that a list lacks.
+func countMissing(hashes, list []string) int {
+	n := 0
+	for _, h := range hashes {
+		if !slices.Contains(list, h) {
+			n++
+		}
+	}
+	return n
+}
+
 // diffValues compares the other values. Rows that came or went are among the
 // changes that are known.
 func diffValues(before, after *config.Config, known []routecheck.Change) []routecheck.Change {
