--- a/internal/sitecheck/check_test.go
+++ b/internal/sitecheck/check_test.go
@@ -76,10 +76,12 @@
 // are missing.
 func TestDiff(t *testing.T) {
 	before := sample(t)
-	must.SliceEmpty(t, sitecheck.Diff(documents(t, before), documents(t, before)))
+	changes, whole := sitecheck.Diff(documents(t, before), documents(t, before))
+	must.True(t, whole)
+	must.SliceEmpty(t, changes)
 	after := strings.Replace(before, `key_hashes = ["08694e82acc1ccf87325e0773f81197b0f20deea778bf11d1e6d2799c4e2dddd"]`, "", 1)
 	after = strings.Replace(after, "bound = 1.25", "bound = 1.5", 1)
-	changes := sitecheck.Diff(documents(t, before), documents(t, after))
+	changes, _ = sitecheck.Diff(documents(t, before), documents(t, after))
 	text := fmt.Sprint(changes)
 	must.StrNotContains(t, text, "08694e82")
 	must.StrContains(t, text, "gent: supermarkets-north")
@@ -94,7 +96,7 @@
 	after := strings.Replace(before, `["95e6ffbb`, `["00000000`, 1)
 	after = strings.Replace(after, `name = "trinidad-viewer"`, `name = "trinidad-reader"`, 1)
 	one := func(base string) configstate.Documents { return configstate.Documents{}.With(configstate.Base, base) }
-	changes := sitecheck.Diff(one(before), one(after))
+	changes, _ := sitecheck.Diff(one(before), one(after))
 	var have []string
 	for _, c := range changes {
 		have = append(have, fmt.Sprintf("%s %s %s +%d -%d", c.Kind, c.Name, c.Action, c.KeysAdded, c.KeysRemoved))
--- a/internal/sitecheck/diff.go
+++ b/internal/sitecheck/diff.go
@@ -12,9 +12,9 @@
 )
 
 // Diff returns what differs between the documents of a fleet, site by site. Sites
-// whose documents can't be read are left out.
-func Diff(before, after configstate.Documents) []routecheck.Change {
-	var out []routecheck.Change
+// whose documents can't be read are left out; whole tells whether there are none.
+func Diff(before, after configstate.Documents) (changes []routecheck.Change, whole bool) {
+	whole = true
 	sites := config.SitesOf(after)
 	for _, site := range config.SitesOf(before) {
 		if !slices.Contains(sites, site) {
@@ -24,20 +24,22 @@
 	for _, site := range sites {
 		was, err := config.Merge(site, config.DocumentsOf(site, before, ""))
 		if err != nil {
+			whole = false
 			continue
 		}
 		is, err := config.Merge(site, config.DocumentsOf(site, after, ""))
 		if err != nil {
+			whole = false
 			continue
 		}
 		for _, c := range diffSite(was.Config, is.Config) {
 			if site != "" {
 				c.Name = string(site) + ": " + c.Name
 			}
-			out = append(out, c)
+			changes = append(changes, c)
 		}
 	}
-	return out
+	return changes, whole
 }
 
 // diffSite compares the configuration of one site.
--- a/internal/zfctl/check.go
+++ b/internal/zfctl/check.go
@@ -91,7 +91,10 @@
 	NeverMatches   int                  `json:"never_matches"`
 	Contradictions int                  `json:"contradictions"`
 	Against        string               `json:"against,omitempty"`
-	Changes        []routecheck.Change  `json:"changes"`
+	// Compared is true if Changes holds all that differs. It is false without Against and
+	// where a configuration can't be read.
+	Compared bool                `json:"compared"`
+	Changes  []routecheck.Change `json:"changes"`
 }
 
 // Run checks the configuration. It fails if there are errors.
@@ -162,6 +165,7 @@
 			Message: fmt.Sprintf("routers ignore version %d, since version %d is in force", checked.Version, before.Configuration.Version),
 		})
 	}
+	out.Compared = true
 	out.Changes = append(out.Changes, routecheck.Diff(before, routecheck.NewView(checked, salt))...)
 	return nil
 }
@@ -249,7 +253,8 @@
 		text, _ := docs.Text(scope)
 		before = before.With(scope, text)
 	}
-	out.Changes = append(out.Changes, sitecheck.Diff(before.With(configstate.Base, string(text)), docs)...)
+	changes, whole := sitecheck.Diff(before.With(configstate.Base, string(text)), docs)
+	out.Compared, out.Changes = whole, append(out.Changes, changes...)
 	return nil
 }
 
--- a/internal/zfctl/check_test.go
+++ b/internal/zfctl/check_test.go
@@ -93,6 +93,28 @@
 	must.Eq(t, exitCheckUsage, exitCode(err))
 }
 
+// TestCheckNotCompared guards against a configuration that can't be read and is shown
+// as one without differences.
+func TestCheckNotCompared(t *testing.T) {
+	base, err := os.ReadFile("../../samples/base.toml")
+	must.NoError(t, err)
+	for now, next := range map[string]string{
+		checkDocument: strings.Replace(checkDocument, `"Version": 2`, `"Version": "2"`, 1),
+		string(base):  strings.Replace(string(base), "bound = 1.25", `bound = "x"`, 1),
+	} {
+		args := []string{write(t, "next", next), "--against", write(t, "now", now)}
+		text, err := run(t, "", append([]string{"check"}, args...)...)
+		must.Eq(t, cli.ExitError, exitCode(err))
+		must.StrNotContains(t, text, "no difference")
+		must.StrContains(t, text, "not compared")
+		text, _ = run(t, "", append([]string{"check", "--json"}, args...)...)
+		must.StrContains(t, text, `"compared": false`)
+	}
+	file := write(t, "same", checkDocument)
+	text, _ := run(t, "", "check", "--json", file, "--against", file)
+	must.StrContains(t, text, `"compared": true`)
+}
+
 // TestCheckStandardInput guards against an input that is not read from a pipe.
 func TestCheckStandardInput(t *testing.T) {
 	in, err := os.Open(write(t, "in.json", checkDocument))
--- a/internal/zfctl/checkprint.go
+++ b/internal/zfctl/checkprint.go
@@ -36,8 +36,12 @@
 }
 
 func (r *checkResult) printChanges(g *Globals) {
-	if len(r.Changes) == 0 {
+	if !r.Compared {
+		g.printf("\nnot compared with %s where the configuration can't be read\n", r.Against)
+	} else if len(r.Changes) == 0 {
 		g.printf("\nno difference from %s\n", r.Against)
+	}
+	if len(r.Changes) == 0 {
 		return
 	}
 	g.printf("\ndifferences from %s:\n", r.Against)
