Compare times with the limit of 60 s that routers set

Routers end every request after 60 s, whatever the timeout of its route. The check took a missing timeout for none and a longer one for what it says: objectives and attempts that the limit cuts off were not found, and a timeout of 120 s in the place of none was said to end requests earlier. A shorter limit of the route by which requests go from then on is an effect as well.

--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -37,7 +37,7 @@
 	// Prefix begins and ends with a slash.
 	Prefix string
 	Kind   Kind
-	// Timeout is the longest time until the final response, zero for none.
+	// Timeout is the longest time until the final response, zero for MaxTimeLimit.
 	Timeout time.Duration
 	// Objective is the latency up to which a response is in time.
 	Objective time.Duration
@@ -55,6 +55,17 @@
 // Idempotent reports whether a request may run more than once.
 func (r *Route) Idempotent() bool { return r.Kind == Safe || r.Kind == Stream && r.Resumable }
 
+// MaxTimeLimit bounds the time of every request. Routes and callers can only shorten it.
+const MaxTimeLimit = 60 * time.Second
+
+// TimeLimit returns the longest time until the final response of a request.
+func (r *Route) TimeLimit() time.Duration {
+	if r.Timeout > 0 {
+		return min(r.Timeout, MaxTimeLimit)
+	}
+	return MaxTimeLimit
+}
+
 const (
 	// firstByteFactor times the latency objective of the route is the time without a
 	// first byte after which a target counts as silent, minFirstByteTimeout its lower
--- a/internal/routecheck/diff.go
+++ b/internal/routecheck/diff.go
@@ -194,9 +194,6 @@
 		d.add(c)
 		return
 	}
-	if after.Timeout > 0 && (before.Timeout == 0 || after.Timeout < before.Timeout) {
-		c.Effect(EffectTimeLimit, "requests that take longer than %v are ended", after.Timeout)
-	}
 	if before.Public != after.Public {
 		d.access(&c, before, after)
 	}
@@ -221,6 +218,9 @@
 // runs adds what happens to requests and streams that go by another route than
 // before. Streams are taken up only at a service of the route.
 func (d *differ) runs(c *Change, before, after *routing.Route) {
+	if after.TimeLimit() < before.TimeLimit() {
+		c.Effect(EffectTimeLimit, "requests that take longer than %v are ended", after.TimeLimit())
+	}
 	if !before.Idempotent() && after.Idempotent() {
 		c.Effect(EffectRepeated, "requests that ran at most once may run more than once")
 	}
--- a/internal/routecheck/diff_test.go
+++ b/internal/routecheck/diff_test.go
@@ -41,11 +41,15 @@
 		change func(c *routing.Config)
 		want   []string
 	}{
-		"nothing":       {func(*routing.Config) {}, nil},
-		"order of rows": {func(c *routing.Config) { c.Routes[0], c.Routes[1] = c.Routes[1], c.Routes[0] }, nil},
-		"moved route":   {func(c *routing.Config) { c.Routes = c.Routes[:2] }, []string{"route h/ removed gets_404"}},
-		"order as safe": {func(c *routing.Config) { c.Routes[1].Kind = routing.Safe }, []string{"route h/order/ changed may_run_twice"}},
-		"shorter limit": {func(c *routing.Config) { c.Routes[1].Timeout = time.Second }, []string{"route h/order/ changed time_limit"}},
+		"nothing":                 {func(*routing.Config) {}, nil},
+		"order of rows":           {func(c *routing.Config) { c.Routes[0], c.Routes[1] = c.Routes[1], c.Routes[0] }, nil},
+		"moved route":             {func(c *routing.Config) { c.Routes = c.Routes[:2] }, []string{"route h/ removed gets_404"}},
+		"order as safe":           {func(c *routing.Config) { c.Routes[1].Kind = routing.Safe }, []string{"route h/order/ changed may_run_twice"}},
+		"shorter limit":           {func(c *routing.Config) { c.Routes[1].Timeout = time.Second }, []string{"route h/order/ changed time_limit"}},
+		"limit above the default": {func(c *routing.Config) { c.Routes[2].Timeout = 2 * time.Minute }, []string{"route h/ changed"}},
+		"moved to a shorter limit": {func(c *routing.Config) {
+			c.Routes = append(c.Routes, routing.Route{Host: "h", Prefix: "/order/x/", Services: c.Routes[1].Services, Timeout: time.Second})
+		}, []string{"route h/order/x/ added moved time_limit"}},
 		"not public":    {func(c *routing.Config) { c.Routes[2].Public = false }, []string{"route h/ changed gets_401"}},
 		"public":        {func(c *routing.Config) { c.Routes[1].Public = true }, []string{"route h/order/ changed admitted"}},
 		"one service":   {func(c *routing.Config) { c.Routes[0].Services = c.Routes[0].Services[:1] }, []string{"route h/chat/ changed streams_end"}},
--- a/internal/routecheck/routes.go
+++ b/internal/routecheck/routes.go
@@ -105,16 +105,21 @@
 	k.negativeTime(path+".Timeout", "timeout", r.Timeout)
 	k.negativeTime(path+".Objective", "latency objective", r.Objective)
 	k.notNegative(path+".Priority", "priority", int64(r.Priority))
-	if r.Timeout > 0 && r.Objective > r.Timeout {
+	if r.Timeout > routing.MaxTimeLimit {
+		k.Contradiction("timeout_above_limit", path+".Timeout",
+			"the timeout of %v has no effect, since routers end every request after %v", r.Timeout, routing.MaxTimeLimit)
+	}
+	limit := r.TimeLimit()
+	if r.Objective > limit {
 		k.Contradiction("objective_above_timeout", path+".Objective",
-			"the latency objective of %v is above the timeout of %v", r.Objective, r.Timeout)
+			"the latency objective of %v is above the timeout of %v", r.Objective, limit)
 	}
 	// Requests that may run once only are sent again only after a refusal, which
 	// comes at once.
 	second := r.FirstByteTimeout() + attempt.MinTimeLeft
-	if r.Attempts > 1 && r.Idempotent() && r.Timeout > 0 && r.Timeout <= second {
+	if r.Attempts > 1 && r.Idempotent() && limit <= second {
 		k.Contradiction("timeout_leaves_one_attempt", path+".Attempts",
-			"%d attempts with a timeout of %v: a second target is tried after %v without a response, if %v are left", r.Attempts, r.Timeout, r.FirstByteTimeout(), attempt.MinTimeLeft)
+			"%d attempts with a timeout of %v: a second target is tried after %v without a response, if %v are left", r.Attempts, limit, r.FirstByteTimeout(), attempt.MinTimeLeft)
 	}
 	if r.Resumable && r.Kind != routing.Stream {
 		k.Contradiction("resumable_without_stream", path+".Resumable", "only routes of kind stream can be resumed")
--- a/internal/routecheck/services.go
+++ b/internal/routecheck/services.go
@@ -67,9 +67,9 @@
 	period := time.Duration(math.Min(float64(time.Second)/s.ColdRate, math.MaxInt64/2))
 	for _, i := range k.users[s.Name] {
 		r := &k.c.Routes[i]
-		if r.Timeout > 0 && period > r.Timeout {
+		if limit := r.TimeLimit(); period > limit {
 			k.Contradiction("cold_rate_low", path+".ColdRate",
-				"a cold target takes one request each %v, which is longer than the timeout of %v of route %q", period, r.Timeout, r.Name)
+				"a cold target takes one request each %v, which is longer than the timeout of %v of route %q", period, limit, r.Name)
 			return
 		}
 	}
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -142,16 +142,9 @@
 	return Refusal{}, true
 }
 
-// defaultTimeLimit bounds the time of every request. Routes and callers can only
-// shorten it.
-const defaultTimeLimit = 60 * time.Second
-
 // timeLimit returns the time that the request gets, counted from its arrival.
 func (r *request) timeLimit() time.Duration {
-	limit := defaultTimeLimit
-	if r.route.Timeout > 0 {
-		limit = min(limit, r.route.Timeout)
-	}
+	limit := r.route.TimeLimit()
 	if r.Timeout > 0 {
 		limit = min(limit, r.Timeout)
 	}
