--- a/internal/sitecheck/check.go
+++ b/internal/sitecheck/check.go
@@ -215,7 +215,7 @@
 		return
 	}
 	if r.AccountRatio == 0 || r.TargetRatio == 0 {
-		k.contradiction("retry_budget_zero", "retry.max_attempts", "%d attempts, but a retry ratio of zero allows no second one", r.MaxAttempts)
+		k.contradiction("retry_budget_zero", "retry.max_attempts", "%d attempts, but with a retry ratio of zero there are no second ones once the first retries of an account or target are used up", r.MaxAttempts)
 	}
 	if d.Service == d.Progress {
 		k.contradiction("deadline_leaves_one_attempt", "retry.max_attempts",
--- a/internal/sitecheck/check_test.go
+++ b/internal/sitecheck/check_test.go
@@ -59,6 +59,14 @@
 	must.StrContains(t, fmt.Sprint(codes(sitecheck.Check(documents(t, base), d))), "data_centre_without_vm")
 }
 
+// TestRetryBudgetMessage guards against a message that denies the retries that a new
+// budget allows.
+func TestRetryBudgetMessage(t *testing.T) {
+	for _, f := range sitecheck.Check(documents(t, strings.Replace(sample(t), "account_ratio = 0.1", "account_ratio = 0", 1)), routecheck.Deployment{}) {
+		must.StrContains(t, f.Message, "used up")
+	}
+}
+
 // TestCheckReportsAll guards against a check that stops at the first line that
 // can't be read, and against findings that only follow from such a line.
 func TestCheckReportsAll(t *testing.T) {
