--- a/internal/sitecheck/check_test.go
+++ b/internal/sitecheck/check_test.go
@@ -67,6 +67,16 @@
 	}
 }
 
+// TestOperatorWithUnreadableKeys guards against an operator that is reported as one
+// without keys because its list of keys can't be read.
+func TestOperatorWithUnreadableKeys(t *testing.T) {
+	base := strings.Replace(sample(t), `key_hashes = ["95e6`, `key_hashes = "secret" # ["95e6`, 1)
+	found := sitecheck.Check(documents(t, base), routecheck.Deployment{})
+	must.Len(t, 1, found)
+	must.Eq(t, "not_readable", found[0].Code)
+	must.StrNotContains(t, found[0].Message, "secret")
+}
+
 // TestCheckReportsAll guards against a check that stops at the first line that
 // can't be read, and against findings that only follow from such a line.
 func TestCheckReportsAll(t *testing.T) {
--- a/internal/sitecheck/parse.go
+++ b/internal/sitecheck/parse.go
@@ -79,6 +79,16 @@
 	r.keys[file][key] = true
 }
 
+// has reports whether a key of that name was left out of any document.
+func (r *removedLines) has(key string) bool {
+	for _, keys := range r.keys {
+		if keys[key] {
+			return true
+		}
+	}
+	return false
+}
+
 // explain reports whether a problem follows from a line that was left out: it is
 // about a key of that name, at a line that doesn't set it.
 func (r *removedLines) explain(p *config.Problem) bool {
