--- a/internal/routecheck/check.go
+++ b/internal/routecheck/check.go
@@ -55,6 +55,9 @@
 		k.Contradiction("version_not_positive", "Version",
 			"the version is %d; routers ignore a version that is not above the one in force", c.Version)
 	}
+	if d.Version != nil && c.Version <= *d.Version {
+		k.Error("version_not_newer", "Version", "routers ignore version %d, since version %d is in force", c.Version, *d.Version)
+	}
 	k.routes()
 	k.checkServices()
 	k.limits()
--- a/internal/routecheck/finding.go
+++ b/internal/routecheck/finding.go
@@ -42,6 +42,8 @@
 // Deployment holds facts that a configuration doesn't tell. Fields that are zero
 // are not known, and nothing is checked against them.
 type Deployment struct {
+	// Version is that of the configuration in force.
+	Version *int64
 	// SmallestVMMB is the memory of the smallest VM, in MB.
 	SmallestVMMB int
 	// VMs is the number of VMs that run a router.
--- a/internal/zfctl/check.go
+++ b/internal/zfctl/check.go
@@ -150,20 +150,21 @@
 
 // checkPlatform checks a configuration of the platform.
 func (c *checkCommand) checkPlatform(ctx context.Context, g *Globals, out *checkResult, text []byte) error {
-	checked, found := configdoc.Inspect(text, c.deployment())
-	out.Findings = append(out.Findings, found...)
+	deployment := c.deployment()
 	if c.Against == "" {
+		_, found := configdoc.Inspect(text, deployment)
+		out.Findings = append(out.Findings, found...)
 		return nil
 	}
 	before, salt, err := c.inForce(ctx, g)
-	if err != nil || checked == nil {
+	if err != nil {
 		return err
 	}
-	if checked.Version <= before.Configuration.Version {
-		out.Findings = append(out.Findings, routecheck.Finding{
-			Severity: routecheck.Error, Code: "version_not_newer", Path: "Version",
-			Message: fmt.Sprintf("routers ignore version %d, since version %d is in force", checked.Version, before.Configuration.Version),
-		})
+	deployment.Version = &before.Configuration.Version
+	checked, found := configdoc.Inspect(text, deployment)
+	out.Findings = append(out.Findings, found...)
+	if checked == nil {
+		return nil
 	}
 	out.Compared = true
 	out.Changes = append(out.Changes, routecheck.Diff(before, routecheck.NewView(checked, salt))...)
--- a/internal/zfctl/check_test.go
+++ b/internal/zfctl/check_test.go
@@ -82,6 +82,7 @@
 	byURL, err := checkJSON(t, next, "--against", router.URL)
 	must.Eq(t, cli.ExitError, exitCode(err))
 	must.Eq(t, "version_not_newer", byURL.Findings[0].Code)
+	must.Eq(t, 1, byURL.Findings[0].Line)
 	byFile, _ := checkJSON(t, next, "--against", write(t, "now.json", checkDocument))
 	must.Eq(t, byFile.Changes, byURL.Changes)
 	must.Len(t, 1, byURL.Changes)
