--- a/internal/service/telemetry/configuration.go
+++ b/internal/service/telemetry/configuration.go
@@ -6,13 +6,19 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/zinniafork/zinniafork/internal/core/routing"
 	"github.com/zinniafork/zinniafork/internal/routecheck"
 )
 
-// saltBytes is the length of the salt of key hashes.
-const saltBytes = 32
+const (
+	// saltBytes is the length of the salt of key hashes.
+	saltBytes = 32
+	// configurationTimeout ends a response that its client does not read, since others
+	// wait for it.
+	configurationTimeout = 10 * time.Second
+)
 
 // configurationHandler serves the configuration in force. Keys are replaced by
 // hashes with a salt of the process.
@@ -44,6 +50,7 @@
 		return
 	}
 	defer h.busy.Unlock()
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(configurationTimeout))
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Cache-Control", "no-store")
 	_ = json.NewEncoder(w).Encode(routecheck.NewView(table.Config, h.salt))
--- a/internal/service/telemetry/telemetry_test.go
+++ b/internal/service/telemetry/telemetry_test.go
@@ -154,3 +154,25 @@
 	must.NotEq(t, first.salt, second.salt)
 	must.Eq(t, http.StatusServiceUnavailable, get(second).Code)
 }
+
+// deadlineRecorder is a response whose connection has a write deadline.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+// SetWriteDeadline notes the deadline.
+func (r *deadlineRecorder) SetWriteDeadline(t time.Time) error {
+	r.deadline = t
+	return nil
+}
+
+// TestConfigurationHasWriteDeadline guards against a client that does not read its
+// response and so keeps all others from reading the configuration.
+func TestConfigurationHasWriteDeadline(t *testing.T) {
+	h, err := newConfigurationHandler(func() *routing.Table { return routing.Compile(&routing.Config{Version: 4}) })
+	must.NoError(t, err)
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, routecheck.ViewPath, nil))
+	must.False(t, w.deadline.IsZero())
+}
