Check the limits that are in force by default

A missing limit stands for a default (64 KB of headers, a body of 4 MB), which the check took for unknown: it was not compared with the smallest VM, a wider limit that goes had no effect, and the default in writing was said to refuse requests.

--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/fleet"
@@ -96,7 +97,14 @@
 	Engine bool
 }
 
-// Limits bound what clients may send. Sizes are in bytes.
+// Limits that are in force where a configuration sets none.
+const (
+	DefaultHeaderBytes = 64 << 10
+	DefaultBodyBytes   = 4 << 20
+	DefaultIdleTimeout = 75 * time.Second
+)
+
+// Limits bound what clients may send. Sizes are in bytes; zero stands for the default.
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int
@@ -105,6 +113,15 @@
 	IdleTimeout time.Duration
 }
 
+// OrDefaults returns the limits with defaults in the place of zeros.
+func (l Limits) OrDefaults() Limits {
+	return Limits{
+		HeaderBytes: cmp.Or(l.HeaderBytes, DefaultHeaderBytes),
+		BodyBytes:   cmp.Or(l.BodyBytes, DefaultBodyBytes),
+		IdleTimeout: cmp.Or(l.IdleTimeout, DefaultIdleTimeout),
+	}
+}
+
 // Account is one client account with its keys.
 type Account struct {
 	Name fleet.Account
--- a/internal/routecheck/check.go
+++ b/internal/routecheck/check.go
@@ -78,9 +78,9 @@
 	}
 	if mb := k.deployment.SmallestVMMB; mb > 0 {
 		room := max(mb-processMB, 0) * bytesPerMB
-		if l.BodyBytes > room/bodyCopies {
+		if limit := l.OrDefaults().BodyBytes; limit > room/bodyCopies {
 			k.Contradiction("body_limit_memory", "Limits.BodyBytes",
-				"a body of the limit of %d bytes may take twice that while it is read, but the smallest VM has %d MB, of which the router takes %d", l.BodyBytes, mb, processMB)
+				"a body of the limit of %d bytes may take twice that while it is read, but the smallest VM has %d MB, of which the router takes %d", limit, mb, processMB)
 		}
 	}
 }
--- a/internal/routecheck/diff.go
+++ b/internal/routecheck/diff.go
@@ -342,14 +342,12 @@
 	c.Field("header bytes", was.HeaderBytes, is.HeaderBytes)
 	c.Field("body bytes", was.BodyBytes, is.BodyBytes)
 	c.Field("idle timeout", was.IdleTimeout, is.IdleTimeout)
-	if lower(was.HeaderBytes, is.HeaderBytes) {
+	was, is = was.OrDefaults(), is.OrDefaults()
+	if is.HeaderBytes < was.HeaderBytes {
 		c.Effect(EffectTooLarge, "requests with headers of more than %d bytes get 431", is.HeaderBytes)
 	}
-	if lower(was.BodyBytes, is.BodyBytes) {
+	if is.BodyBytes < was.BodyBytes {
 		c.Effect(EffectTooLarge, "requests with a body of more than %d bytes get 413", is.BodyBytes)
 	}
 	d.add(c)
 }
-
-// lower reports whether a limit, where zero is the default, is or may be lower.
-func lower(before, after int) bool { return after != 0 && (before == 0 || after < before) }
--- a/internal/routecheck/diff_test.go
+++ b/internal/routecheck/diff_test.go
@@ -59,6 +59,7 @@
 		"service":       {func(c *routing.Config) { c.Services = c.Services[1:] }, []string{"route h/chat/ changed gets_503", "service a removed streams_end"}},
 		"keys not used": {func(c *routing.Config) { c.Keyed = false }, []string{"account * changed admitted"}},
 		"body":          {func(c *routing.Config) { c.Limits.BodyBytes = 9 }, []string{"limits  changed gets_413_or_431"}},
+		"default body":  {func(c *routing.Config) { c.Limits.BodyBytes = 4 << 20 }, []string{"limits  changed"}},
 		"one key":       {func(c *routing.Config) { c.Accounts[0].Keys = c.Accounts[0].Keys[1:] }, []string{"account x changed -1 gets_401"}},
 		"other key":     {func(c *routing.Config) { c.Accounts[1].Keys = []string{"secret4"} }, []string{"account y changed +1 -1 access_lost"}},
 		"account":       {func(c *routing.Config) { c.Accounts = c.Accounts[:1] }, []string{"account y removed -1 access_lost"}},
@@ -143,3 +144,12 @@
 	before, after := config("a"), config("b")
 	must.Less(t, 100*n, testing.AllocsPerRun(1, func() { routecheck.Diff(before, after) }))
 }
+
+// TestDiffOfDefaultLimits guards against a default that is taken for no limit, or for a
+// lower one.
+func TestDiffOfDefaultLimits(t *testing.T) {
+	wide := &routing.Config{Limits: routing.Limits{HeaderBytes: 1 << 20, BodyBytes: 64 << 20}}
+	changes := routecheck.Diff(routecheck.NewView(wide, nil), routecheck.NewView(new(routing.Config), nil))
+	must.Len(t, 1, changes)
+	must.Len(t, 2, changes[0].Effects)
+}
