--- a/internal/routecheck/check.go
+++ b/internal/routecheck/check.go
@@ -33,7 +33,9 @@
 	// services holds the index of the row in force by name; rows with the same
 	// name before it are not used.
 	services map[fleet.Service]int
-	// users are the indices of the routes that use a service.
+	// hidden tells which routes another one replaces.
+	hidden []bool
+	// users are the indices of the routes that send requests to a service.
 	users map[fleet.Service][]int
 }
 
@@ -43,6 +45,7 @@
 	k := &checker{
 		c: c, deployment: d,
 		services: make(map[fleet.Service]int, len(c.Services)),
+		hidden:   make([]bool, len(c.Routes)),
 		users:    make(map[fleet.Service][]int),
 	}
 	for i := range c.Services {
@@ -52,6 +55,9 @@
 		k.Contradiction("version_not_positive", "Version",
 			"the version is %d; routers ignore a version that is not above the one in force", c.Version)
 	}
+	if d.Version != nil && c.Version <= *d.Version {
+		k.Error("version_not_newer", "Version", "routers ignore version %d, since version %d is in force", c.Version, *d.Version)
+	}
 	k.routes()
 	k.checkServices()
 	k.limits()
@@ -72,9 +78,9 @@
 	}
 	if mb := k.deployment.SmallestVMMB; mb > 0 {
 		room := max(mb-processMB, 0) * bytesPerMB
-		if l.BodyBytes > room/bodyCopies {
+		if limit := l.OrDefaults().BodyBytes; limit > room/bodyCopies {
 			k.Contradiction("body_limit_memory", "Limits.BodyBytes",
-				"a body of the limit of %d bytes may take twice that while it is read, but the smallest VM has %d MB, of which the router takes %d", l.BodyBytes, mb, processMB)
+				"a body of the limit of %d bytes may take twice that while it is read, but the smallest VM has %d MB, of which the router takes %d", limit, mb, processMB)
 		}
 	}
 }
--- a/internal/routecheck/diff.go
+++ b/internal/routecheck/diff.go
@@ -21,13 +21,15 @@
 
 // Change is one entry that differs between two configurations.
 type Change struct {
-	// Kind is route, service, model, account or limits.
+	// Kind is route, service, account or limits, and for documents of the project's own
+	// format also model, operator or value.
 	Kind string `json:"kind"`
-	// Name is the host with the prefix for a route, and empty for limits.
+	// Name is the host with the prefix for a route, empty for limits, and the key for a
+	// value. The site comes before it if documents name sites.
 	Name   string        `json:"name"`
 	Action Action        `json:"action"`
 	Fields []FieldChange `json:"fields,omitempty"`
-	// KeysAdded and KeysRemoved count the keys of an account.
+	// KeysAdded and KeysRemoved count the keys of an account or operator.
 	KeysAdded   int      `json:"keys_added,omitempty"`
 	KeysRemoved int      `json:"keys_removed,omitempty"`
 	Effects     []Effect `json:"effects,omitempty"`
@@ -131,8 +133,19 @@
 	return out
 }
 
+// isMatched reports whether requests match a route of a table: a host with a port or a
+// prefix without its slashes matches none.
+func isMatched(t *routing.Table, r *routing.Route) bool {
+	m, ok := t.Match(r.Host, r.Prefix)
+	return ok && m == r
+}
+
 func (d *differ) removedRoute(r *routing.Route) {
 	c := Change{Kind: "route", Name: r.Host + r.Prefix, Action: Removed}
+	if !isMatched(d.before, r) {
+		d.add(c)
+		return
+	}
 	next, ok := d.after.Match(r.Host, r.Prefix)
 	if !ok {
 		c.Effect(EffectNotFound, "requests get 404")
@@ -150,12 +163,16 @@
 
 func (d *differ) addedRoute(r *routing.Route) {
 	c := Change{Kind: "route", Name: r.Host + r.Prefix, Action: Added}
+	if !isMatched(d.after, r) {
+		d.add(c)
+		return
+	}
 	former, ok := d.before.Match(r.Host, r.Prefix)
 	if ok {
 		c.Effect(EffectMoved, "requests no longer go by the route %q of the prefix %s", former.Name, former.Prefix)
 		d.access(&c, former, r)
 		d.runs(&c, former, r)
-	} else {
+	} else if slices.ContainsFunc(reached(r), func(name fleet.Service) bool { return d.after.Service(name) != nil }) {
 		c.Effect(EffectAdmitted, "requests that got 404 are served")
 	}
 	d.unavailable(&c, former, r)
@@ -173,8 +190,9 @@
 	c.Field("attempts", before.Attempts, after.Attempts)
 	c.Field("public", before.Public, after.Public)
 	c.Field("resumable", before.Resumable, after.Resumable)
-	if after.Timeout > 0 && (before.Timeout == 0 || after.Timeout < before.Timeout) {
-		c.Effect(EffectTimeLimit, "requests that take longer than %v are ended", after.Timeout)
+	if !isMatched(d.after, after) {
+		d.add(c)
+		return
 	}
 	if before.Public != after.Public {
 		d.access(&c, before, after)
@@ -200,7 +218,10 @@
 // runs adds what happens to requests and streams that go by another route than
 // before. Streams are taken up only at a service of the route.
 func (d *differ) runs(c *Change, before, after *routing.Route) {
-	if !before.Idempotent() && after.Idempotent() {
+	if after.TimeLimit() < before.TimeLimit() {
+		c.Effect(EffectTimeLimit, "requests that take longer than %v are ended", after.TimeLimit())
+	}
+	if !isRepeated(before) && isRepeated(after) {
 		c.Effect(EffectRepeated, "requests that ran at most once may run more than once")
 	}
 	if before.Kind != routing.Stream {
@@ -217,6 +238,9 @@
 	}
 }
 
+// isRepeated reports whether routers may send a request again that may have run.
+func isRepeated(r *routing.Route) bool { return r.Idempotent() && r.Attempts > 1 }
+
 // unavailable adds the services of a route that are missing, unless the same share
 // of requests met the same lack before. before is the route by which the requests
 // went, nil if there was none.
@@ -266,7 +290,7 @@
 
 // services compares the services by name.
 func (d *differ) services() {
-	seen := make(map[fleet.Service]bool)
+	seen, streams := make(map[fleet.Service]bool), d.streams()
 	for _, s := range d.before.Config.Services {
 		if seen[s.Name] {
 			continue
@@ -276,7 +300,7 @@
 		c := Change{Kind: "service", Name: string(s.Name), Action: Changed}
 		if is == nil {
 			c.Action = Removed
-			if d.streamsAt(s.Name) {
+			if streams[s.Name] {
 				c.Effect(EffectStreamsEnd, "streams in progress run to their end, but one that breaks off can't be taken up")
 			}
 			d.add(c)
@@ -296,11 +320,19 @@
 	}
 }
 
-// streamsAt reports whether a service had streams.
-func (d *differ) streamsAt(name fleet.Service) bool {
-	return slices.ContainsFunc(d.before.Config.Routes, func(r routing.Route) bool {
-		return r.Kind == routing.Stream && slices.Contains(reached(&r), name)
-	})
+// streams returns the services that had streams.
+func (d *differ) streams() map[fleet.Service]bool {
+	out := make(map[fleet.Service]bool)
+	for i := range d.before.Config.Routes {
+		r := &d.before.Config.Routes[i]
+		if r.Kind != routing.Stream || !isMatched(d.before, r) {
+			continue
+		}
+		for _, name := range reached(r) {
+			out[name] = true
+		}
+	}
+	return out
 }
 
 // limits compares the limits of callers' requests.
@@ -310,14 +342,12 @@
 	c.Field("header bytes", was.HeaderBytes, is.HeaderBytes)
 	c.Field("body bytes", was.BodyBytes, is.BodyBytes)
 	c.Field("idle timeout", was.IdleTimeout, is.IdleTimeout)
-	if lower(was.HeaderBytes, is.HeaderBytes) {
+	was, is = was.OrDefaults(), is.OrDefaults()
+	if is.HeaderBytes < was.HeaderBytes {
 		c.Effect(EffectTooLarge, "requests with headers of more than %d bytes get 431", is.HeaderBytes)
 	}
-	if lower(was.BodyBytes, is.BodyBytes) {
+	if is.BodyBytes < was.BodyBytes {
 		c.Effect(EffectTooLarge, "requests with a body of more than %d bytes get 413", is.BodyBytes)
 	}
 	d.add(c)
 }
-
-// lower reports whether a limit, where zero is the default, is or may be lower.
-func lower(before, after int) bool { return after != 0 && (before == 0 || after < before) }
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -21,6 +21,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/selfreport"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/core/slotqueue"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
@@ -29,6 +30,7 @@
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/service/rollout"
 	"github.com/zinniafork/zinniafork/internal/service/site"
+	"github.com/zinniafork/zinniafork/internal/service/slots"
 )
 
 func init() {
@@ -64,6 +66,7 @@
 	features      Features
 	// work is nil unless load is measured as remaining work.
 	work    *workState
+	placer  slots.Placer
 	origins origins.Origins
 	// rollouts is nil unless the deployment asks for roll-outs.
 	rollouts rollout.Rollouts
@@ -102,6 +105,8 @@
 	slots     *ratelimit.SlotGranter
 	slotAsker *ratelimit.Asker
 	budgets   map[fleet.Service]*retry.WindowBudget
+	// picker chooses targets of plain services with what this router knows.
+	picker *slotqueue.Picker
 	// quarantine keeps the requests and prompt parts that crash targets.
 	quarantine *quarantine.Tracker
 	// paths tells failures of this router's paths from failures of targets.
@@ -186,6 +191,9 @@
 	if s.features, err = kernel.Lookup[Features](c, FeaturesName); err != nil {
 		return err
 	}
+	if s.placer, err = kernel.Lookup[slots.Placer](c, slots.Name); err != nil {
+		return err
+	}
 	if s.origins, err = kernel.Lookup[origins.Origins](c, origins.Name); err != nil {
 		return err
 	}
@@ -210,6 +218,7 @@
 	s.partLog = newPartLog()
 	s.routers = 1
 	s.handledJoins = make(map[fleet.VM]fleet.Incarnation)
+	s.placer.UseLoads(s.loadOf)
 	s.site.Watch(s.siteChanged)
 	s.members.Watch(s.membersChanged)
 	s.peers.HandleControl(peer.KindLoad, s.handleDigest)
@@ -233,6 +242,7 @@
 	s.reports = selfreport.New()
 	s.limits, s.granter, s.asker = ratelimit.New(), ratelimit.NewGranter(), ratelimit.NewAsker()
 	s.brittle, s.slots, s.slotAsker = ratelimit.New(), ratelimit.NewSlotGranter(), ratelimit.NewAsker()
+	s.picker = slotqueue.NewPicker(s.rng)
 	s.quarantine = quarantine.New()
 	s.paths, s.probes, s.ctx = reach.New(s.rng), make(chan struct{}, maxProbes), context.Background()
 	s.budgets = make(map[fleet.Service]*retry.WindowBudget)
--- a/internal/sitecheck/check_test.go
+++ b/internal/sitecheck/check_test.go
@@ -59,6 +59,24 @@
 	must.StrContains(t, fmt.Sprint(codes(sitecheck.Check(documents(t, base), d))), "data_centre_without_vm")
 }
 
+// TestRetryBudgetMessage guards against a message that denies the retries that a new
+// budget allows.
+func TestRetryBudgetMessage(t *testing.T) {
+	for _, f := range sitecheck.Check(documents(t, strings.Replace(sample(t), "account_ratio = 0.1", "account_ratio = 0", 1)), routecheck.Deployment{}) {
+		must.StrContains(t, f.Message, "used up")
+	}
+}
+
+// TestOperatorWithUnreadableKeys guards against an operator that is reported as one
+// without keys because its list of keys can't be read.
+func TestOperatorWithUnreadableKeys(t *testing.T) {
+	base := strings.Replace(sample(t), `key_hashes = ["95e6`, `key_hashes = "secret" # ["95e6`, 1)
+	found := sitecheck.Check(documents(t, base), routecheck.Deployment{})
+	must.Len(t, 1, found)
+	must.Eq(t, "not_readable", found[0].Code)
+	must.StrNotContains(t, found[0].Message, "secret")
+}
+
 // TestCheckReportsAll guards against a check that stops at the first line that
 // can't be read, and against findings that only follow from such a line.
 func TestCheckReportsAll(t *testing.T) {
@@ -76,10 +94,12 @@
 // are missing.
 func TestDiff(t *testing.T) {
 	before := sample(t)
-	must.SliceEmpty(t, sitecheck.Diff(documents(t, before), documents(t, before)))
+	changes, whole := sitecheck.Diff(documents(t, before), documents(t, before))
+	must.True(t, whole)
+	must.SliceEmpty(t, changes)
 	after := strings.Replace(before, `key_hashes = ["08694e82acc1ccf87325e0773f81197b0f20deea778bf11d1e6d2799c4e2dddd"]`, "", 1)
 	after = strings.Replace(after, "bound = 1.25", "bound = 1.5", 1)
-	changes := sitecheck.Diff(documents(t, before), documents(t, after))
+	changes, _ = sitecheck.Diff(documents(t, before), documents(t, after))
 	text := fmt.Sprint(changes)
 	must.StrNotContains(t, text, "08694e82")
 	must.StrContains(t, text, "gent: supermarkets-north")
@@ -87,6 +107,25 @@
 	must.StrContains(t, text, "gent: load.bound changed")
 }
 
+// TestDiffOperators guards against changed keys of an operator that a comparison leaves
+// out or shows.
+func TestDiffOperators(t *testing.T) {
+	before := sample(t)
+	after := strings.Replace(before, `["95e6ffbb`, `["00000000`, 1)
+	after = strings.Replace(after, `name = "trinidad-viewer"`, `name = "trinidad-reader"`, 1)
+	one := func(base string) configstate.Documents { return configstate.Documents{}.With(configstate.Base, base) }
+	changes, _ := sitecheck.Diff(one(before), one(after))
+	var have []string
+	for _, c := range changes {
+		have = append(have, fmt.Sprintf("%s %s %s +%d -%d", c.Kind, c.Name, c.Action, c.KeysAdded, c.KeysRemoved))
+	}
+	must.Eq(t, []string{
+		"operator trinidad: gent-viewer changed +1 -1", "operator trinidad: trinidad-viewer removed +0 -1", "operator trinidad: trinidad-reader added +1 -0",
+		"operator gent: gent-viewer changed +1 -1", "operator gent: trinidad-viewer removed +0 -1", "operator gent: trinidad-reader added +1 -0",
+	}, have)
+	must.StrNotContains(t, fmt.Sprint(changes), "95e6ffbb")
+}
+
 // FuzzCheck guards against a text that panics.
 func FuzzCheck(f *testing.F) {
 	f.Add("[load]\nbound = \"x\"\n[[targets]]\nname = \"e\"\nslots = 1.5", "[[vms]]\nmark = 3")
--- a/internal/zfctl/check.go
+++ b/internal/zfctl/check.go
@@ -91,7 +91,10 @@
 	NeverMatches   int                  `json:"never_matches"`
 	Contradictions int                  `json:"contradictions"`
 	Against        string               `json:"against,omitempty"`
-	Changes        []routecheck.Change  `json:"changes"`
+	// Compared is true if Changes holds all that differs. It is false without Against and
+	// where a configuration can't be read.
+	Compared bool                `json:"compared"`
+	Changes  []routecheck.Change `json:"changes"`
 }
 
 // Run checks the configuration. It fails if there are errors.
@@ -147,21 +150,23 @@
 
 // checkPlatform checks a configuration of the platform.
 func (c *checkCommand) checkPlatform(ctx context.Context, g *Globals, out *checkResult, text []byte) error {
-	checked, found := configdoc.Inspect(text, c.deployment())
-	out.Findings = append(out.Findings, found...)
+	deployment := c.deployment()
 	if c.Against == "" {
+		_, found := configdoc.Inspect(text, deployment)
+		out.Findings = append(out.Findings, found...)
 		return nil
 	}
 	before, salt, err := c.inForce(ctx, g)
-	if err != nil || checked == nil {
+	if err != nil {
 		return err
 	}
-	if checked.Version <= before.Configuration.Version {
-		out.Findings = append(out.Findings, routecheck.Finding{
-			Severity: routecheck.Error, Code: "version_not_newer", Path: "Version",
-			Message: fmt.Sprintf("routers ignore version %d, since version %d is in force", checked.Version, before.Configuration.Version),
-		})
+	deployment.Version = &before.Configuration.Version
+	checked, found := configdoc.Inspect(text, deployment)
+	out.Findings = append(out.Findings, found...)
+	if checked == nil {
+		return nil
 	}
+	out.Compared = true
 	out.Changes = append(out.Changes, routecheck.Diff(before, routecheck.NewView(checked, salt))...)
 	return nil
 }
@@ -249,7 +254,8 @@
 		text, _ := docs.Text(scope)
 		before = before.With(scope, text)
 	}
-	out.Changes = append(out.Changes, sitecheck.Diff(before.With(configstate.Base, string(text)), docs)...)
+	changes, whole := sitecheck.Diff(before.With(configstate.Base, string(text)), docs)
+	out.Compared, out.Changes = whole, append(out.Changes, changes...)
 	return nil
 }
 
