Tell orders that a restored log has not changed

A whole update left out orders that the log had shown again without a change, or lacked, since it was restored: a router that started then did not know them. Found by TestOrderStandsThatARestoredLogLacks, which fails without the change.

--- a/internal/core/sitestate/rollouts.go
+++ b/internal/core/sitestate/rollouts.go
@@ -68,3 +68,12 @@
 	s.holds.orders = make(map[string]time.Time)
 	s.rollouts.Each(func(r Record[Rollout]) { s.holds.orders[r.Key] = now.Add(orderHold) })
 }
+
+// rolloutsSince returns the orders that changed at or after an offset, or all of them, also those
+// that a restored log lacks or has not changed.
+func (s *State) rolloutsSince(from int64, whole bool) []Record[Rollout] {
+	if whole {
+		from = beforeLog
+	}
+	return s.rollouts.Since(from)
+}
--- a/internal/core/sitestate/state.go
+++ b/internal/core/sitestate/state.go
@@ -292,7 +292,7 @@
 		u.Config = []Record[Config]{s.config}
 	}
 	u.Drains = s.drains.Since(from.Operator)
-	u.Rollouts = s.rollouts.Since(from.Operator)
+	u.Rollouts = s.rolloutsSince(from.Operator, u.WholeOperator)
 	u.Targets = s.targetsSince(now, from.Targets)
 	u.VMs = s.vms.Since(from.VMs)
 	return u
