Add the grants up once for each report

A report cost four walks over all routers. go test ./internal/core/rollout -bench Controller -benchtime 20000x with 390 routers: 52.7 us a report before, 35.5 us now, 230 bytes for report and reply.

--- a/internal/core/rollout/controller.go
+++ b/internal/core/rollout/controller.go
@@ -168,7 +168,7 @@
 	out := c.record
 	out.Phase, out.Reason, out.Remaining = c.phase, c.reason, max(c.deadline.Sub(now), 0)
 	granted, more := c.ledger.Need(c.part())
-	out.Granted = max(granted, c.ledger.spent(), out.Granted)
+	out.Granted = max(granted, c.ledger.totals().spent, out.Granted)
 	needed := !c.written || c.phase != c.record.Phase || more && c.phase == Canary
 	return out, needed
 }
--- a/internal/core/rollout/ledger.go
+++ b/internal/core/rollout/ledger.go
@@ -100,47 +100,47 @@
 // rateWindow is the time over which the rate of a router is measured.
 const rateWindow = time.Second
 
-// Sent returns the requests of the service that are known to have been sent since the order.
-func (l *Ledger) Sent() int64 {
-	out := l.carriedSent
-	for _, a := range l.accounts {
-		out += a.sent
-	}
-	return out
+// totals are sums over all routers.
+type totals struct {
+	// sent counts the requests of the service since the order, bound the most that the new
+	// version may have got, and spent those that it is known to have got, with those carried.
+	sent, bound, spent int64
+	rate               float64
 }
 
-// Bound returns the most requests that the new version may have got.
-func (l *Ledger) Bound() int64 {
-	out := l.carried
+// totals adds up all accounts.
+func (l *Ledger) totals() totals {
+	out := totals{sent: l.carriedSent, bound: l.carried, spent: l.carried}
 	for _, a := range l.accounts {
-		out += a.bound() - a.base
+		out.sent += a.sent
+		out.bound += a.bound() - a.base
+		out.spent += a.new - a.base
+		out.rate += a.rate
 	}
 	return out
 }
 
-// spent returns the requests that the new version is known to have got, with those carried.
-func (l *Ledger) spent() int64 {
-	out := l.carried
-	for _, a := range l.accounts {
-		out += a.new - a.base
-	}
-	return out
-}
+// Sent returns the requests of the service that are known to have been sent since the order.
+func (l *Ledger) Sent() int64 { return l.totals().sent }
+
+// Bound returns the most requests that the new version may have got.
+func (l *Ledger) Bound() int64 { return l.totals().bound }
 
 // budget returns a part of the requests that the new version may get so far.
-func (l *Ledger) budget(part float64) int64 {
-	return int64(part * (l.limits.ExposeShare*float64(l.Sent()) + l.limits.ExposeSlack))
+func (l *Ledger) budget(t totals, part float64) int64 {
+	return int64(part * (l.limits.ExposeShare*float64(t.sent) + l.limits.ExposeSlack))
 }
 
 // Need returns the Granted that must be written for grants to go on, and whether that is more
 // than what is written.
 func (l *Ledger) Need(part float64) (granted int64, write bool) {
-	budget := l.budget(part)
+	t := l.totals()
+	budget := l.budget(t, part)
 	step := max(minStep, int64(stepShare*float64(budget)))
-	if l.authorized >= budget || l.authorized-l.spent() >= step/2 {
+	if l.authorized >= budget || l.authorized-t.spent >= step/2 {
 		return l.authorized, false
 	}
-	return min(budget, max(l.authorized, l.Bound())+step), true
+	return min(budget, max(l.authorized, t.bound)+step), true
 }
 
 // Authorized records that Granted was written.
@@ -150,25 +150,21 @@
 // get more; those with few get one at random, so that each request has the same chance.
 func (l *Ledger) Grant(vm fleet.VM, seq uint64, part float64, urgent int) int64 {
 	a := l.accounts[vm]
-	bound := l.Bound()
-	ceiling := min(l.budget(part), l.authorized)
-	free := max(ceiling-l.spent(), 0)
-	total := 0.0
-	for _, other := range l.accounts {
-		total += other.rate
-	}
+	t := l.totals()
+	ceiling := min(l.budget(t, part), l.authorized)
+	free := max(ceiling-t.spent, 0)
 	weight := 1 / float64(len(l.accounts))
-	if total > 0 {
-		weight = a.rate / total
+	if t.rate > 0 {
+		weight = a.rate / t.rate
 	}
 	share := weight * float64(free)
 	want := int64(math.Floor(share))
 	if l.rng.Float64() < share-math.Floor(share) {
 		want++
 	}
-	limit := min(a.new+want, a.bound()+max(ceiling-bound, 0))
+	limit := min(a.new+want, a.bound()+max(ceiling-t.bound, 0))
 	if urgent > 0 {
-		more := min(l.budget(urgentPart), l.authorized) - bound
+		more := min(l.budget(t, urgentPart), l.authorized) - t.bound
 		limit = max(limit, min(a.new+int64(urgent), a.bound()+max(more, 0)))
 	}
 	a.grants = append(a.grants, grant{seq: seq, limit: limit})
