--- a/cmd/zf-lab/soak.go
+++ b/cmd/zf-lab/soak.go
@@ -20,6 +20,7 @@
 	Faults   time.Duration `help:"Time during which faults are injected." default:"12s"`
 	Routers  int           `help:"Router processes of a site, 230 at most." default:"4"`
 	Clients  int           `help:"Callers at a time." default:"8"`
+	Rollouts bool          `help:"Roll out a version at the end."`
 	Keep     string        `help:"Directory for settings and logs of one seed." type:"path"`
 }
 
@@ -39,7 +40,7 @@
 			defer running.Done()
 			defer func() { <-slots }()
 			report, err := soak.Run(ctx, soak.Options{
-				Binary: c.Router, Seed: seed, Faults: c.Faults, Routers: c.Routers, Clients: c.Clients, Dir: c.Keep,
+				Binary: c.Router, Seed: seed, Faults: c.Faults, Routers: c.Routers, Clients: c.Clients, Rollouts: c.Rollouts, Dir: c.Keep,
 			})
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/lab/soak/bed.go
+++ b/internal/lab/soak/bed.go
@@ -116,7 +116,7 @@
 		}
 	}
 	for i := range opt.Routers {
-		if err := b.addRouter(dir, i, opt.Binary, storeAddress); err != nil {
+		if err := b.addRouter(dir, i, opt, storeAddress); err != nil {
 			return b, err
 		}
 	}
@@ -211,9 +211,9 @@
 	}
 }
 
-func (b *bed) addRouter(dir string, i int, binary, storeAddress string) error {
+func (b *bed) addRouter(dir string, i int, opt Options, storeAddress string) error {
 	at := func(port int) string { return fmt.Sprintf("%s.%d:%d", b.net, firstRouterHost+i, port) }
-	r := &router{index: i, binary: binary, caller: at(7001), ready: at(7002), directory: at(7003), metrics: at(7005)}
+	r := &router{index: i, binary: opt.Binary, caller: at(7001), ready: at(7002), directory: at(7003), metrics: at(7005)}
 	own, advertised, store := at(7004), at(peerPort), at(7016)
 	var err error
 	if r.peer, err = b.proxy(advertised, own); err != nil {
@@ -224,6 +224,9 @@
 	}
 	text := fmt.Sprintf(settingsText, fmt.Sprintf("dc%d", i%2+1), advertised, r.caller, own,
 		fmt.Sprintf("%s.%d:%d", b.net, firstRouterHost, peerPort), store, r.ready, r.directory, r.metrics)
+	if opt.Rollouts {
+		text += rolloutSettings
+	}
 	if err := r.write(dir, text); err != nil {
 		return err
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -30,6 +30,8 @@
 	Faults  time.Duration
 	Routers int
 	Clients int
+	// Rollouts adds a roll-out at the end. Routers of releases before roll-outs do not start then.
+	Rollouts bool
 	// Dir keeps settings and logs; empty for a directory that is removed after
 	// a run without violations.
 	Dir string
@@ -144,6 +146,9 @@
 	r.checkLossOfAll()
 	r.checkCrashes(crashesByPart())
 	r.checkCrashes(crashesByRequest(pick(r.random, []string{"order", "status", "chat", "draft"})))
+	if r.opt.Rollouts {
+		r.checkRollout()
+	}
 	stop()
 	running.Wait()
 	return nil
