Bound the memory and the connections of clients

Cause: both interfaces read bodies whole with io.ReadAll, whose slices double and become garbage, and nothing bounded their sum, the heads, the buffers of sockets or the number of connections. Requests were copied whole before they were sent to a target.

Change: the service memory (internal/service/membudget) has one budget from process.memory_mb, reads bodies with reservations that grow with the bytes that have come, evicts by the ledger's order, and refuses with 503, 408 or 413 before a request is passed on. httpserve bounds connections (three quarters of the descriptors beyond 200), heads, socket buffers (64 KiB asked for) and resets connections that do not move while sockets hold more than their part. Bodies go to targets without a copy. The collector's goal is two thirds of process.memory_mb instead of memory_limit_mb = 150 in the template.

--- a/cmd/zf-router/main.go
+++ b/cmd/zf-router/main.go
@@ -79,9 +79,6 @@
 // flushLimit is the time that the last spans get.
 const flushLimit = 2 * time.Second
 
-// megabyte is the number of bytes in a MB of the settings.
-const megabyte = 1 << 20
-
 // assemble reads the settings and provisions the services.
 func (c *command) assemble(ctx context.Context, sink *logsink.Sink) (*router, error) {
 	file, err := settings.Load(c.Settings)
@@ -92,9 +89,7 @@
 	if r.process, err = app.LoadProcess(file); err != nil {
 		return nil, err
 	}
-	if r.process.MemoryLimitMB > 0 {
-		debug.SetMemoryLimit(int64(r.process.MemoryLimitMB) * megabyte)
-	}
+	debug.SetMemoryLimit(r.process.CollectorGoal())
 	traces, err := telemetry.LoadTraces(file)
 	if err != nil {
 		return nil, err
--- a/internal/app/process.go
+++ b/internal/app/process.go
@@ -1,15 +1,18 @@
 package app
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/service/membudget"
 	"github.com/zinniafork/zinniafork/internal/settings"
 )
 
@@ -22,8 +25,13 @@
 	DrainLimit config.Duration `toml:"drain_limit"`
 	// Stack is what the router is made of.
 	Stack Stack `toml:"stack"`
+	// MemoryMB is the memory of the machine in MB, and MaxDescriptors the number of
+	// descriptors that the process may open. What clients may hold is bounded by them. Zero
+	// takes the defaults of membudget.
+	MemoryMB       int `toml:"memory_mb"`
+	MaxDescriptors int `toml:"max_descriptors"`
 	// MemoryLimitMB is the memory in MB from which garbage is collected at
-	// once, zero for no limit.
+	// once, zero for a limit derived from MemoryMB.
 	MemoryLimitMB int `toml:"memory_limit_mb"`
 	// LogFormat is text or json.
 	LogFormat LogFormat `toml:"log_format"`
@@ -91,8 +99,35 @@
 		LogFormat:  LogText,
 		LogLevel:   "info",
 	}
-	err := file.Section(processSection, &p)
-	return p, err
+	if err := file.Section(processSection, &p); err != nil {
+		return p, err
+	}
+	if err := p.Limits().Validate(); err != nil {
+		return p, file.Explain(&kernel.InvalidError{Service: processSection, Err: err})
+	}
+	return p, nil
+}
+
+// Limits returns the limits of the process.
+func (p Process) Limits() membudget.Limits {
+	defaults := membudget.DefaultLimits()
+	return membudget.Limits{
+		MemoryMB:    cmp.Or(p.MemoryMB, defaults.MemoryMB),
+		Descriptors: cmp.Or(p.MaxDescriptors, defaults.Descriptors),
+	}
+}
+
+// CollectorGoal returns the number of bytes from which garbage is collected at once. There is none
+// unless the settings name one or the memory of the machine.
+func (p Process) CollectorGoal() int64 {
+	switch {
+	case p.MemoryLimitMB > 0:
+		return int64(p.MemoryLimitMB) << 20
+	case p.MemoryMB > 0:
+		return p.Limits().CollectorGoal()
+	default:
+		return math.MaxInt64
+	}
 }
 
 // Logger returns the logger of the process, which writes to out.
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -7,6 +7,7 @@
 	"github.com/zinniafork/zinniafork/internal/service/callerapi"
 	_ "github.com/zinniafork/zinniafork/internal/service/configsync" // registers the service
 	"github.com/zinniafork/zinniafork/internal/service/loader"
+	"github.com/zinniafork/zinniafork/internal/service/membudget"
 	_ "github.com/zinniafork/zinniafork/internal/service/platform" // registers the service
 	_ "github.com/zinniafork/zinniafork/internal/service/route"    // registers the service
 	"github.com/zinniafork/zinniafork/internal/service/site"
@@ -34,6 +35,13 @@
 }
 
 func provision(k *kernel.Kernel, file *settings.File, names ...string) (*kernel.Kernel, error) {
+	process, err := LoadProcess(file)
+	if err != nil {
+		return nil, err
+	}
+	if err := k.Use(membudget.New(process.Limits())); err != nil {
+		return nil, err
+	}
 	if err := k.Provision(names...); err != nil {
 		return nil, file.Explain(err)
 	}
--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,10 +29,13 @@
 // handled: the client gets no response and may send the request again. Closing a
 // connection therefore marks it under the same lock under which its requests begin.
 type conns struct {
-	clock kernel.Clock
+	clock  kernel.Clock
+	limits ConnLimits
 
 	mu   sync.Mutex
 	open map[*conn]struct{}
+	// secure is true for a server with TLS.
+	secure bool
 	// limit is the limit of the last call of closeIdle.
 	limit time.Duration
 }
@@ -52,20 +56,42 @@
 	// idleLimit is the limit that was in force when it became idle. A client may not
 	// know of a shorter one yet.
 	idleLimit time.Duration
-	// closed is true if the connection was closed for being idle.
+	// closed is true if the connection was closed for being idle or beyond a limit.
 	closed bool
+	// address is that of the client without its port.
+	address string
+	// active is true from the end of a request's head to that of its response. headBytes is the
+	// number of bytes read since the end of the last response, while active is false, and
+	// headSince the time of the first of them.
+	active    bool
+	headBytes int
+	headSince time.Time
+	// hold is the memory held for the head beyond freeHeadBytes, heldBytes its size.
+	hold      Hold
+	heldBytes int
+	// sent is the number of sent bytes that the client has acknowledged, and unread the bytes
+	// that it has sent after its request, as of the last check.
+	sent   int64
+	unread int
+	// written is the number of bytes written.
+	written atomic.Int64
 }
 
 // newConns returns an empty set of connections.
-func newConns(clock kernel.Clock) *conns {
-	return &conns{clock: clock, open: make(map[*conn]struct{})}
+func newConns(clock kernel.Clock, limits ConnLimits) *conns {
+	return &conns{clock: clock, limits: limits, open: make(map[*conn]struct{})}
 }
 
-// add returns a connection that reports to the set what it reads.
+// add returns a connection that reports to the set what it reads. At the limit of connections
+// another one is closed, or nil is returned.
 func (s *conns) add(raw net.Conn) *conn {
+	c := &conn{Conn: raw, set: s, address: hostOf(raw)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := &conn{Conn: raw, set: s, idleSince: s.clock.Now()}
+	if s.limits.Total > 0 && len(s.open) >= s.limits.Total && !s.makeRoom() {
+		return nil
+	}
+	c.idleSince = s.clock.Now()
 	s.open[c] = struct{}{}
 	return c
 }
@@ -81,10 +107,16 @@
 	switch state {
 	case http.StateIdle:
 		c.busy, c.kept, c.idleSince, c.idleLimit = false, true, s.clock.Now(), s.limit
+		c.active, c.headBytes = false, 0
+		c.releaseHead()
 	case http.StateActive:
-		c.busy = true
+		c.busy, c.active = true, true
+		if c.hold != nil {
+			c.hold.SetComplete(true)
+		}
 	case http.StateClosed, http.StateHijacked:
 		delete(s.open, c)
+		c.releaseHead()
 	}
 }
 
@@ -126,13 +158,23 @@
 	_ = c.Close() // the server reports StateClosed, which removes it
 }
 
-// begin records that bytes of a request were read. It reports false if the connection
-// was closed before.
-func (c *conn) begin() bool {
+// begin records that n bytes of a request were read. It reports false if the connection was
+// closed before, or is closed for its head.
+func (c *conn) begin(n int) bool {
 	c.set.mu.Lock()
-	defer c.set.mu.Unlock()
 	c.busy = true
-	return !c.closed
+	if c.active {
+		closed := c.closed
+		c.set.mu.Unlock()
+		return !closed
+	}
+	if c.headBytes == 0 {
+		c.headSince = c.set.clock.Now()
+	}
+	c.headBytes += n
+	bytes, closed := c.headBytes, c.closed
+	c.set.mu.Unlock()
+	return !closed && (bytes <= freeHeadBytes || c.holdHead(bytes))
 }
 
 // wasClosed reports whether the connection was closed for being idle.
@@ -145,7 +187,7 @@
 // Read reads from the connection. It fails if the connection was closed for being idle.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.begin() {
+	if n > 0 && !c.begin(n) {
 		return 0, net.ErrClosed
 	}
 	return n, err
@@ -193,36 +235,6 @@
 	return c, ok
 }
 
-// trackedNetwork is a network whose listeners accept tracked connections.
-type trackedNetwork struct {
-	kernel.Network
-	conns *conns
-}
-
-// Listen returns a listener of tracked connections.
-func (n *trackedNetwork) Listen(ctx context.Context, network, address string) (net.Listener, error) {
-	ln, err := n.Network.Listen(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &trackedListener{Listener: ln, conns: n.conns}, nil
-}
-
-// trackedListener accepts tracked connections.
-type trackedListener struct {
-	net.Listener
-	conns *conns
-}
-
-// Accept waits for the next connection.
-func (l *trackedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return l.conns.add(c), nil
-}
-
 // connKey is the context key of a request's connection.
 type connKey struct{}
 
@@ -234,13 +246,20 @@
 	return ctx
 }
 
+// restTimeout bounds the time for which the server reads what a handler has left of a body. It
+// reads up to 256 KB, so that the client sees the response.
+const restTimeout = time.Second
+
 // openOnly returns a handler that handles no request whose connection was closed for
-// being idle.
+// being idle or for a limit, and waits no longer than restTimeout for the rest of a body.
 func openOnly(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.wasClosed() {
 			panic(http.ErrAbortHandler)
 		}
 		h.ServeHTTP(w, r)
+		if r.ContentLength != 0 {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(restTimeout))
+		}
 	})
 }
--- a/internal/httpserve/conns_test.go
+++ b/internal/httpserve/conns_test.go
@@ -30,14 +30,14 @@
 		}, true},
 		{"closed, then read", 6 * time.Second, func(s *conns, c *conn) {
 			s.closeIdle(limit)
-			must.False(t, c.begin())
+			must.False(t, c.begin(1))
 		}, true},
 		{"active, then checked", 6 * time.Second, func(s *conns, c *conn) {
 			s.setState(c, http.StateActive)
 			s.closeIdle(limit)
 		}, false},
 		{"read, then checked", 6 * time.Second, func(s *conns, c *conn) {
-			must.True(t, c.begin())
+			must.True(t, c.begin(1))
 			s.closeIdle(limit)
 		}, false},
 		{"not idle for long", 5 * time.Second, func(s *conns, c *conn) {
@@ -47,7 +47,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			raw, other := net.Pipe()
-			s := newConns(kernel.SystemClock{})
+			s := newConns(kernel.SystemClock{}, ConnLimits{})
 			conn := s.add(raw)
 			s.setState(conn, http.StateIdle)
 			time.Sleep(c.idle)
@@ -85,7 +85,7 @@
 	buf := make([]byte, 1)
 	_, err = raw.Read(buf) // what follows has arrived with it
 	must.NoError(t, err)
-	s := newConns(kernel.SystemClock{})
+	s := newConns(kernel.SystemClock{}, ConnLimits{})
 	c := s.add(raw)
 	s.setState(c, http.StateIdle)
 	s.closeIdle(-1)
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -32,6 +32,8 @@
 	draining atomic.Bool
 	ended    chan struct{}
 	err      error
+	// endChecks ends the checks of sockets.
+	endChecks context.CancelFunc
 }
 
 // Options limit a server. Zero values take the defaults of net/http, but for
@@ -42,6 +44,8 @@
 	// IdleTimeout closes connections without a request.
 	IdleTimeout    time.Duration
 	MaxHeaderBytes int
+	// Conns bound the connections.
+	Conns ConnLimits
 	// Clock times idle connections; nil for the clock of the machine.
 	Clock kernel.Clock
 	TLS   TLSSettings
@@ -57,7 +61,8 @@
 	if opt.Clock == nil {
 		opt.Clock = kernel.SystemClock{}
 	}
-	tracked := newConns(opt.Clock)
+	tracked := newConns(opt.Clock, opt.Conns)
+	tracked.secure = opt.TLS.Enabled()
 	network = opt.TLS.network(&trackedNetwork{Network: network, conns: tracked})
 	ln, err := network.Listen(ctx, "tcp", address)
 	if err != nil {
@@ -82,6 +87,11 @@
 	if opt.TLS.Enabled() {
 		s.scheme = "https"
 	}
+	checks, endChecks := context.WithCancel(context.WithoutCancel(ctx))
+	s.endChecks = endChecks
+	if opt.Conns.SocketBytes > 0 {
+		go kernel.Every(checks, opt.Clock, socketCheckPeriod, func(time.Time) { tracked.checkSockets() })
+	}
 	go func() {
 		defer close(s.ended)
 		s.err = s.http.Serve(ln)
@@ -134,6 +144,7 @@
 
 // Close ends the server at once. It may be called again.
 func (s *Server) Close() error {
+	s.endChecks()
 	err := s.http.Close()
 	<-s.ended
 	return errors.Join(s.unlessEnded(err), s.unlessEnded(s.err))
--- a/internal/service/callerapi/handler.go
+++ b/internal/service/callerapi/handler.go
@@ -78,8 +78,7 @@
 // accountHandler handles a request of an authenticated client account.
 type accountHandler func(w http.ResponseWriter, r *http.Request, account *config.Account)
 
-// withAccount authenticates the client account by its bearer key and limits the
-// size of the request body. Requests without a valid key get the same response for
+// withAccount authenticates the client account by its bearer key. Requests without a valid key get the same response for
 // every path, so that it does not show which paths, models or services exist.
 func (s *Service) withAccount(next accountHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -94,7 +93,6 @@
 			writeError(w, requestError(call.CodeUnauthorized, "unknown key", nil))
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, s.settings.MaxBodyBytes)
 		next(w, r, account)
 	}
 }
--- a/internal/service/callerapi/orders.go
+++ b/internal/service/callerapi/orders.go
@@ -8,6 +8,7 @@
 
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
+	"github.com/zinniafork/zinniafork/internal/service/membudget"
 )
 
 // registerOrderPaths registers the paths for orders, the calls that run at most
@@ -63,13 +64,15 @@
 // tickets issues tickets, one if the request has no body.
 func (s *Service) tickets(w http.ResponseWriter, r *http.Request, account *config.Account) {
 	in := ticketRequest{Count: 1}
-	body, e := s.readBody(w, r)
+	body, e := s.readBody(w, r, account)
 	if e != nil {
 		writeError(w, e)
+		membudget.Drain(w, r)
 		return
 	}
-	if len(body) > 0 {
-		if err := json.Unmarshal(body, &in); err != nil {
+	defer body.Close()
+	if len(body.Bytes) > 0 {
+		if err := json.Unmarshal(body.Bytes, &in); err != nil {
 			writeError(w, requestError(call.CodeBadRequest, "body must be JSON such as {\"count\": 1}", err))
 			return
 		}
--- a/internal/service/callerapi/request.go
+++ b/internal/service/callerapi/request.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/zinniafork/zinniafork/internal/call"
 	"github.com/zinniafork/zinniafork/internal/config"
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/membudget"
 	"github.com/zinniafork/zinniafork/internal/target"
 )
 
@@ -49,21 +49,24 @@
 	"high":   call.PriorityHigh,
 }
 
-// readBody reads the body of a request. It fails if the body is too large or takes
-// longer than the setting body_timeout.
-func (s *Service) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *call.Error) {
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(s.settings.BodyTimeout.Std()))
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return nil, requestError(call.CodeTooLarge, fmt.Sprintf("body is larger than %d bytes", tooLarge.Limit), err)
-		}
+// readBody reads the body of a request of a client account. It fails if the body is too large,
+// takes longer than the setting body_timeout, or finds no room. The connection is closed then.
+func (s *Service) readBody(w http.ResponseWriter, r *http.Request, account *config.Account) (*membudget.Body, *call.Error) {
+	body, err := membudget.ReadBody(s.memory, w, r, membudget.Owner(account.Name), membudget.ReadLimits{
+		Bytes: int(s.settings.MaxBodyBytes), Timeout: s.settings.BodyTimeout.Std(),
+	})
+	if err == nil {
+		return body, nil
+	}
+	w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, membudget.ErrTooLarge):
+		return nil, requestError(call.CodeTooLarge, fmt.Sprintf("body is larger than %d bytes", s.settings.MaxBodyBytes), err)
+	case errors.Is(err, membudget.ErrExhausted):
+		return nil, rejection(call.CodeOverloaded, "this VM is out of memory for requests")
+	default:
 		return nil, requestError(call.CodeBadRequest, "cannot read the body", err)
 	}
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
 }
 
 // newRequest returns a request with the fields that all kinds share. limit is the
--- a/internal/service/callerapi/serve.go
+++ b/internal/service/callerapi/serve.go
@@ -14,6 +14,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/answers"
 	"github.com/zinniafork/zinniafork/internal/httpserve"
 	"github.com/zinniafork/zinniafork/internal/service/figures"
+	"github.com/zinniafork/zinniafork/internal/service/membudget"
 	"github.com/zinniafork/zinniafork/internal/target"
 	"github.com/zinniafork/zinniafork/internal/tracing"
 )
@@ -30,12 +31,14 @@
 // with check, and runs it.
 func (s *Service) exchangeHandler(check func(*http.Request, *config.Account, []byte) (*exchange, *call.Error)) accountHandler {
 	return func(w http.ResponseWriter, r *http.Request, account *config.Account) {
-		body, e := s.readBody(w, r)
+		body, e := s.readBody(w, r, account)
 		if e != nil {
 			writeError(w, e)
+			membudget.Drain(w, r)
 			return
 		}
-		x, e := check(r, account, body)
+		defer body.Close()
+		x, e := check(r, account, body.Bytes)
 		if e != nil {
 			writeError(w, e)
 			return
--- a/internal/service/callerapi/service.go
+++ b/internal/service/callerapi/service.go
@@ -24,6 +24,7 @@
 	"github.com/zinniafork/zinniafork/internal/service/identity"
 	"github.com/zinniafork/zinniafork/internal/service/journal"
 	"github.com/zinniafork/zinniafork/internal/service/members"
+	"github.com/zinniafork/zinniafork/internal/service/membudget"
 	"github.com/zinniafork/zinniafork/internal/service/route"
 )
 
@@ -43,6 +44,7 @@
 	members  members.Membership
 	identity identity.Identity
 	figures  figures.Recorder
+	memory   membudget.Budget
 	clock    kernel.Clock
 	net      kernel.Network
 	logger   *logrus.Entry
@@ -83,6 +85,9 @@
 	if s.figures, err = kernel.Lookup[figures.Recorder](c, figures.Name); err != nil {
 		return err
 	}
+	if s.memory, err = kernel.Lookup[membudget.Budget](c, membudget.Name); err != nil {
+		return err
+	}
 	s.clock, s.net, s.logger, s.tracer = c.Clock, c.Net, c.Logger(), c.Tracer
 	s.metrics = newRequestMetrics(c.Metrics)
 	s.limits = newLimits(s.settings.MaxConcurrent)
@@ -99,6 +104,7 @@
 		HeaderTimeout:  s.settings.HeaderTimeout.Std(),
 		IdleTimeout:    s.settings.IdleTimeout.Std(),
 		MaxHeaderBytes: s.settings.MaxHeaderBytes,
+		Conns:          s.memory.Connections(),
 		TLS:            s.settings.TLS,
 	})
 	if err != nil {
--- a/scripts/check-template.sh
+++ b/scripts/check-template.sh
@@ -10,6 +10,7 @@
   -e 's/{{Zone}}/pos/; s/{{Region}}/tt-north/; s/{{Ip}}/10.1.0.40/; s/{{InternalPorts.0}}/7340/' \
   -e 's/{{Seeds|json}}/["10.1.0.40:8229"]/; s/{{Platform.Addr}}/10.200.1.7:8223/' \
   -e 's/{{Contracts|json}}/["base","pressure","rollout"]/' \
+  -e 's/{{Limits.MemoryMb}}/184/; s/{{Limits.MaxFds}}/4100/' \
   -e 's/{{Limits.CpuShare}}/0.4/; s/{{Bootstrap}}/true/g' \
   -e 's/{{Bounds.BudgetRatio}}/0.2/; s/{{Bounds.BudgetSlack}}/58/; s/{{Bounds.BudgetWindowS}}/10/' \
   deploy/router.toml.in >"$dir/router.toml"
