--- a/internal/app/site_bed_test.go
+++ b/internal/app/site_bed_test.go
@@ -42,13 +42,22 @@
 	views  map[string]*kerneltest.View
 	client *http.Client
 	serial atomic.Int64
+	// extra is added to the settings of routers.
+	extra string
+	// clocks hold the clocks of routers.
+	clocks map[string]*freezeClock
 }
 
 const storeAddress = "10.0.9.9:80"
 
-func startSite(t *testing.T) *siteBed {
+func startSite(t *testing.T) *siteBed { return startSiteWith(t, "") }
+
+// startSiteWith starts a site whose routers have more settings.
+func startSiteWith(t *testing.T, extra string) *siteBed {
 	b := &siteBed{
 		t:       t,
+		extra:   extra,
+		clocks:  make(map[string]*freezeClock),
 		network: kerneltest.NewNetwork(),
 		store:   keyedlog.New(),
 		workers: make(map[string]*workerd.Server),
@@ -172,14 +181,15 @@
 directory = "%[1]s:82"
 [metrics]
 listen = "%[1]s:83"
+configuration = true
 `, host, storeAddress)
-	file, err := settings.Parse("router.toml", []byte(text))
+	file, err := settings.Parse("router.toml", []byte(text+b.extra))
 	must.NoError(b.t, err)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	logger.AddHook(&lineCounter{count: func(line string) { b.lines.add(name, line) }})
-	b.views[name] = b.network.View()
-	k, err := NewSiteRouter(kernel.Env{Net: b.views[name], Log: logger, Seed: 7}, file)
+	b.views[name], b.clocks[name] = b.network.View(), new(freezeClock)
+	k, err := NewSiteRouter(kernel.Env{Net: b.views[name], Log: logger, Seed: 7, Clock: b.clocks[name]}, file)
 	must.NoError(b.t, err)
 	must.NoError(b.t, k.Start(context.Background()))
 	b.routers[name] = k
@@ -335,3 +345,9 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) { f(t, startSite(t)) })
 }
+
+// onQueueSite is onSite with requests for plain services queued at one router.
+func onQueueSite(t *testing.T, f func(*testing.T, *siteBed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { f(t, startSiteWith(t, "[slots]\nmax_slots_per_router = 5\n")) })
+}
--- a/internal/core/routing/config.go
+++ b/internal/core/routing/config.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/zinniafork/zinniafork/internal/fleet"
@@ -37,7 +38,7 @@
 	// Prefix begins and ends with a slash.
 	Prefix string
 	Kind   Kind
-	// Timeout is the longest time until the final response, zero for none.
+	// Timeout is the longest time until the final response, zero for MaxTimeLimit.
 	Timeout time.Duration
 	// Objective is the latency up to which a response is in time.
 	Objective time.Duration
@@ -55,6 +56,32 @@
 // Idempotent reports whether a request may run more than once.
 func (r *Route) Idempotent() bool { return r.Kind == Safe || r.Kind == Stream && r.Resumable }
 
+// MaxTimeLimit bounds the time of every request. Routes and callers can only shorten it.
+const MaxTimeLimit = 60 * time.Second
+
+// TimeLimit returns the longest time until the final response of a request.
+func (r *Route) TimeLimit() time.Duration {
+	if r.Timeout > 0 {
+		return min(r.Timeout, MaxTimeLimit)
+	}
+	return MaxTimeLimit
+}
+
+const (
+	// firstByteFactor times the latency objective of the route is the time without a
+	// first byte after which a target counts as silent, minFirstByteTimeout its lower
+	// bound. It keeps requests with a short objective from being hedged while they only
+	// wait in a queue.
+	firstByteFactor     = 2
+	minFirstByteTimeout = 300 * time.Millisecond
+)
+
+// FirstByteTimeout returns the time without a first byte after which a target
+// counts as silent.
+func (r *Route) FirstByteTimeout() time.Duration {
+	return max(firstByteFactor*r.Objective, minFirstByteTimeout)
+}
+
 // Service configures the targets of one service.
 type Service struct {
 	Name fleet.Service
@@ -70,7 +97,14 @@
 	Engine bool
 }
 
-// Limits bound what clients may send. Sizes are in bytes.
+// Limits that are in force where a configuration sets none.
+const (
+	DefaultHeaderBytes = 64 << 10
+	DefaultBodyBytes   = 4 << 20
+	DefaultIdleTimeout = 75 * time.Second
+)
+
+// Limits bound what clients may send. Sizes are in bytes; zero stands for the default.
 type Limits struct {
 	HeaderBytes int
 	BodyBytes   int
@@ -79,6 +113,15 @@
 	IdleTimeout time.Duration
 }
 
+// OrDefaults returns the limits with defaults in the place of zeros.
+func (l Limits) OrDefaults() Limits {
+	return Limits{
+		HeaderBytes: cmp.Or(l.HeaderBytes, DefaultHeaderBytes),
+		BodyBytes:   cmp.Or(l.BodyBytes, DefaultBodyBytes),
+		IdleTimeout: cmp.Or(l.IdleTimeout, DefaultIdleTimeout),
+	}
+}
+
 // Account is one client account with its keys.
 type Account struct {
 	Name fleet.Account
--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -13,6 +13,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/selfreport"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/rollout"
 )
 
 // minWarmRatio is the ratio of a service's targets that must be warm and in use for
@@ -38,11 +39,13 @@
 	limitRule
 	// version is the version at which a stream must go on, empty for any.
 	version string
+	// versions are those that a roll-out allows.
+	versions *rollout.Rule
 }
 
 // Allow reports whether a target may get a request now.
 func (g *targetGate) Allow(now time.Time, t *sitestate.AvailableTarget) bool {
-	if !mayGoOnAt(g.rule.version, t) {
+	if !mayGoOnAt(g.rule.version, t) || !g.rule.versions.Allows(t.ID, t.Version) {
 		return false
 	}
 	if g.s.reports.State(now, t.ID.Ref(), t.Born) != selfreport.Accepting {
@@ -141,6 +144,7 @@
 	}
 	limitChanged := s.takeLimit(now, t, resp, sentAt)
 	brittleChanged := s.takeBrittle(now, t, resp, sentAt)
+	s.takeLoad(now, t.ID.Ref(), resp.Load)
 	s.mu.Unlock()
 	entry := s.logger.WithFields(logrus.Fields{"request": request, "target": t.ID})
 	if limitChanged {
@@ -191,15 +195,20 @@
 // or against the target, and neither does a failure of the path to it.
 func (s *Service) sendEnded(now time.Time, ended *send, outcome outlier.Outcome, observed bool) {
 	defer s.releaseSlot(ended.slot, ended.resp != nil && ended.resp.NotRun)
+	failed := false
+	defer func() { s.returnPlaced(now, ended, failed) }()
 	id, service := ended.target(), ended.choice.Target.Service
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.endWork(now, ended, outcome == outlier.OK && observed)
 	if !ended.unloaded {
 		s.balancer.RequestEnded(id)
 	}
 	if outcome != outlier.OK && (ended.pathFailed || ended.via == "" && s.paths.IsCut(service)) {
 		observed = false
 	}
+	ended.versionEnded(now, outcome != outlier.OK, observed)
+	failed = observed && outcome != outlier.OK
 	if !observed {
 		s.outliers.CancelTrial(id.Ref())
 		return
--- a/internal/service/forward/send.go
+++ b/internal/service/forward/send.go
@@ -13,6 +13,8 @@
 	"github.com/zinniafork/zinniafork/internal/core/balance"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/rollout"
+	"github.com/zinniafork/zinniafork/internal/service/slots"
 	"github.com/zinniafork/zinniafork/internal/tracing"
 )
 
@@ -43,6 +45,9 @@
 	limit   float64
 	// slot is the slot that the send has taken, nil if its target is not brittle.
 	slot *slotGrant
+	// placed is the answer of the router that grants the slots of a plain service, nil if none
+	// was asked.
+	placed *slots.Placement
 	// via is the router that relayed the request, empty for a send straight to the target.
 	// It is set with resp.
 	via fleet.VM
@@ -53,6 +58,10 @@
 	unloaded bool
 	// pathFailed is true once the way to the target has failed, and not the target.
 	pathFailed bool
+	// work is nil unless load is measured as remaining work.
+	work *sendWork
+	// observed is what the send shows of the version of its target.
+	observed versionObservation
 	// responded is true once the send has brought an event or a complete response.
 	responded bool
 }
@@ -60,15 +69,24 @@
 // target returns the ID of the target, empty if none was chosen.
 func (s *send) target() fleet.Target { return s.choice.Target.ID }
 
-// choose chooses a target for the next send and records the start of a request to it.
+// chooseUnder chooses a target for the next send and records the start of a request to it.
 // For a target that names a limit it asks the router that grants the requests to it, and
 // chooses again if there is no grant. The send has no target if none may get the request.
 // It also returns the number of available targets.
-func (r *request) choose(ctx context.Context, now time.Time) (*send, int) {
+func (r *request) chooseUnder(ctx context.Context, now time.Time, versions *rollout.Rule) (*send, int) {
+	if r.s.queuesPlain(r.service) {
+		return r.choosePlain(ctx, now, versions)
+	}
+	return r.chooseHere(ctx, now, nil, versions)
+}
+
+// chooseHere chooses with what this router knows. Pick chooses among the targets in place of the
+// balancer, nil for none.
+func (r *request) chooseHere(ctx context.Context, now time.Time, pick picker, versions *rollout.Rule) (*send, int) {
 	var rule limitRule
 	for asked := 0; ; asked++ {
 		rule.noneLimited = asked >= maxGrantQueries
-		s, available, needsGrant := r.tryChoose(now, rule)
+		s, available, needsGrant := r.tryChoose(now, rule, pick, versions)
 		if rule.granted != nil && s.target() == "" {
 			r.s.releaseSlot(rule.slot, false)
 			rule.granted, rule.slot = nil, nil // the target may get no request any more
@@ -89,21 +107,23 @@
 
 // tryChoose chooses a target under a rule for those that name a limit. It returns true if
 // the target needs a grant, which is not recorded as a start.
-func (r *request) tryChoose(now time.Time, rule limitRule) (s *send, available int, needsGrant bool) {
-	query := &balance.Request{Prefixes: r.Prefixes}
+func (r *request) tryChoose(now time.Time, rule limitRule, pick picker, versions *rollout.Rule) (s *send, available int, needsGrant bool) {
+	query := &balance.Request{Prefixes: r.Prefixes, Pick: pick}
 	if !r.service.Engine {
 		query.Prefixes = nil
 	} else {
 		query.MaxLoadPerSlot = r.maxLoadPerSlot()
 	}
+	query.Estimate = r.estimateWork()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	query.Avoid = r.tried
-	choice, available, needsGrant := r.s.chooseTarget(now, r.service, query, targetRule{limitRule: rule, version: r.pinned})
+	choice, available, needsGrant := r.s.chooseTarget(now, r.service, query, targetRule{limitRule: rule, version: r.pinned, versions: versions})
 	s = &send{choice: choice, startedAt: now}
 	s.limit, s.limited = r.s.limitOf(&choice.Target)
 	if choice.Target.ID != "" && !needsGrant {
 		r.tried[choice.Target.ID] = true
+		s.work = r.startWork(now, &choice, query.Estimate)
 	}
 	return s, available, needsGrant
 }
@@ -126,7 +146,7 @@
 		r.s.decided(now, r.service.Name, s.choice.Reason == balance.Overloaded || s.choice.Reason == limitUsedUp)
 	}
 	if s.target() == "" {
-		r.lastErr = errNoTarget{targets: available, reason: s.choice.Reason}
+		r.lastErr = s.noTargetError(available)
 		return r.noTarget()
 	}
 	if !r.isRetry() {
@@ -341,7 +361,7 @@
 	if s.resp.Misdirected {
 		return attempt.Misdirected, outlier.Unreachable, true
 	}
-	unexplained := s.choice.Load < float64(s.choice.Target.Slots) && !s.resp.Leaving && s.resp.RetryAfter == 0
+	unexplained := s.choice.Load < float64(s.choice.Target.Slots) && !s.resp.Leaving && s.resp.RetryAfter == 0 && !s.saysFull()
 	return attempt.Refused, outlier.Failed, unexplained
 }
 
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -21,13 +21,16 @@
 	"github.com/zinniafork/zinniafork/internal/core/retry"
 	"github.com/zinniafork/zinniafork/internal/core/selfreport"
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/core/slotqueue"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
 	"github.com/zinniafork/zinniafork/internal/service/members"
 	"github.com/zinniafork/zinniafork/internal/service/origins"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
+	"github.com/zinniafork/zinniafork/internal/service/rollout"
 	"github.com/zinniafork/zinniafork/internal/service/site"
+	"github.com/zinniafork/zinniafork/internal/service/slots"
 )
 
 func init() {
@@ -58,14 +61,19 @@
 	partLog       partLog
 	targets       TargetClient
 	features      Features
-	origins       origins.Origins
-	peers         peer.Peers
-	members       members.Membership
-	self          fleet.VM
-	clock         kernel.Clock
-	logger        *logrus.Entry
-	tracer        trace.Tracer
-	metrics       requestMetrics
+	// work is nil unless load is measured as remaining work.
+	work    *workState
+	placer  slots.Placer
+	origins origins.Origins
+	// rollouts is nil unless the deployment asks for roll-outs.
+	rollouts rollout.Rollouts
+	peers    peer.Peers
+	members  members.Membership
+	self     fleet.VM
+	clock    kernel.Clock
+	logger   *logrus.Entry
+	tracer   trace.Tracer
+	metrics  requestMetrics
 
 	// tree holds the paths along which routers spread updates and digests.
 	tree    atomic.Pointer[hubs.Tree]
@@ -94,6 +102,8 @@
 	slots     *ratelimit.SlotGranter
 	slotAsker *ratelimit.Asker
 	budgets   map[fleet.Service]*retry.WindowBudget
+	// picker chooses targets of plain services with what this router knows.
+	picker *slotqueue.Picker
 	// quarantine keeps the requests and prompt parts that crash targets.
 	quarantine *quarantine.Tracker
 	// paths tells failures of this router's paths from failures of targets.
@@ -178,9 +188,19 @@
 	if s.features, err = kernel.Lookup[Features](c, FeaturesName); err != nil {
 		return err
 	}
+	if s.placer, err = kernel.Lookup[slots.Placer](c, slots.Name); err != nil {
+		return err
+	}
 	if s.origins, err = kernel.Lookup[origins.Origins](c, origins.Name); err != nil {
 		return err
 	}
+	rollouts, err := kernel.Lookup[rollout.Rollouts](c, rollout.Name) // also if off: it has settings
+	if err != nil {
+		return err
+	}
+	if s.features.Rollouts() {
+		s.rollouts = rollouts
+	}
 	if s.peers, err = kernel.Lookup[peer.Peers](c, peer.Name); err != nil {
 		return err
 	}
@@ -195,6 +215,7 @@
 	s.partLog = newPartLog()
 	s.routers = 1
 	s.handledJoins = make(map[fleet.VM]fleet.Incarnation)
+	s.placer.UseLoads(s.loadOf)
 	s.site.Watch(s.siteChanged)
 	s.members.Watch(s.membersChanged)
 	s.peers.HandleControl(peer.KindLoad, s.handleDigest)
@@ -210,11 +231,15 @@
 func (s *Service) provisionDecisions(c *kernel.Context, id identity.Identity) {
 	s.rng = rand.New(rand.NewPCG(c.Seed, uint64(id.Incarnation())))
 	s.balancer = balance.New(id.Self().DataCentre, s.rng)
+	if s.work = newWorkState(s.features, c.Metrics); s.work != nil {
+		s.balancer.SetSpeeds(s.work.model)
+	}
 	s.cold = balance.NewColdLimit(id.Self().VM)
 	s.outliers = outlier.New()
 	s.reports = selfreport.New()
 	s.limits, s.granter, s.asker = ratelimit.New(), ratelimit.NewGranter(), ratelimit.NewAsker()
 	s.brittle, s.slots, s.slotAsker = ratelimit.New(), ratelimit.NewSlotGranter(), ratelimit.NewAsker()
+	s.picker = slotqueue.NewPicker(s.rng)
 	s.quarantine = quarantine.New()
 	s.paths, s.probes, s.ctx = reach.New(s.rng), make(chan struct{}, maxProbes), context.Background()
 	s.budgets = make(map[fleet.Service]*retry.WindowBudget)
@@ -284,6 +309,9 @@
 		if born, ok := s.born[id]; ok && born != r.Value.Born {
 			s.engineDown(s.clock.Now(), engineOf(id, born, s.targetServices[id.Ref()]))
 			s.balancer.ForgetCache(id)
+			if s.work != nil {
+				s.work.model.Forget(id.Ref())
+			}
 			s.outliers.Reset(id.Ref())
 			delete(s.doubted, id)
 			s.limits.Forget(id.Ref())
--- a/internal/service/peer/peer.go
+++ b/internal/service/peer/peer.go
@@ -26,8 +26,13 @@
 	KindOrigin    Kind = "origin"
 	KindSlot      Kind = "slot"
 	KindSnapshot  Kind = "snapshot"
+	// KindRollout carries reports on a roll-out to the router that drives it, and its replies.
+	KindRollout Kind = "rollout"
 	// KindSlotRelease gives back what a query of KindSlot has granted.
 	KindSlotRelease Kind = "slot_release"
+	// KindPlace asks for a slot of a plain service, KindPlaceRelease gives it back.
+	KindPlace        Kind = "place"
+	KindPlaceRelease Kind = "place_release"
 )
 
 // KindTransport counts what the connections themselves need: hello, ping and
--- a/internal/standin/workerd/workerd.go
+++ b/internal/standin/workerd/workerd.go
@@ -82,6 +82,8 @@
 	sent    int64
 	crashed crashes
 	brittle brittleness
+	// bad is nil for a good version.
+	bad *badState
 	// repeated counts the refusals that were written once more.
 	repeated int
 }
@@ -216,6 +218,7 @@
 	}
 	s.nameLimit(h)
 	s.nameBrittle(h)
+	s.reportLoad(h)
 	run, fault, ok := s.begin(r, string(body))
 	if !ok {
 		s.fallOver()
@@ -227,6 +230,11 @@
 		return
 	}
 	defer s.end(run)
+	r, fails := s.worsen(r, run)
+	if fails {
+		s.failBadly(w, r)
+		return
+	}
 	if fault == FaultLeaving || fault == FaultForged {
 		h.Set("Server-Leaving", "1")
 	}
@@ -263,6 +271,16 @@
 	}
 }
 
+// reportLoad tells the load of the worker, if it is to.
+func (s *Server) reportLoad(h http.Header) {
+	if s.opt.Load == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h.Set("X-Server-Load", s.opt.Load(s.running))
+}
+
 // refuse answers that the request was not run.
 func (s *Server) refuse(w http.ResponseWriter, r *http.Request, fault Fault) {
 	w.Header().Set("X-Not-Run", "1")
@@ -314,7 +332,7 @@
 }
 
 // work waits for the time of the work, or until the caller has gone.
-func (s *Server) work(r *http.Request) { wait(r, s.opt.Work) }
+func (s *Server) work(r *http.Request) { wait(r, time.Duration(slowness(r)*float64(s.opt.Work))) }
 
 // wait waits for a time, or until the caller has gone.
 func wait(r *http.Request, d time.Duration) {
@@ -416,7 +434,7 @@
 	}
 	for i := first + 1; i <= s.opt.Events; i++ {
 		if i > first+1 && s.opt.Gap > 0 {
-			wait(r, s.opt.Gap)
+			wait(r, time.Duration(slowness(r)*float64(s.opt.Gap)))
 		} else {
 			s.work(r)
 		}
