--- a/internal/core/membudget/membudget.go
+++ b/internal/core/membudget/membudget.go
@@ -39,6 +39,8 @@
 	// Reserve is the part of Total that only holds of up to SmallBytes use.
 	Reserve    int64
 	SmallBytes int64
+	// Responses bounds the holds of the kind Response together, zero for Total.
+	Responses int64
 	// StallTime is the time without progress after which an incomplete hold gives way before
 	// those of the owner that holds most.
 	StallTime time.Duration
@@ -101,6 +103,9 @@
 	if h.closed {
 		return false, nil
 	}
+	if h.kind == Response && l.limits.Responses > 0 && l.byKind[Response]+n > l.limits.Responses {
+		return false, h
+	}
 	limit := l.limits.Total
 	if h.bytes+n > l.limits.SmallBytes {
 		limit -= l.limits.Reserve
--- a/internal/service/forward/hedge_test.go
+++ b/internal/service/forward/hedge_test.go
@@ -28,6 +28,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/sitestate"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/service/membudget"
 	"github.com/zinniafork/zinniafork/internal/service/site"
 )
 
@@ -79,6 +80,7 @@
 		settings: Settings{RetryRatio: 0.2, RetrySlack: 20, RetryWindowSeconds: 10},
 		site:     f,
 		targets:  f,
+		memory:   membudget.New(membudget.DefaultLimits()),
 		clock:    kernel.SystemClock{},
 		logger:   logrus.NewEntry(logger),
 		metrics:  newRequestMetrics(metrics.NewRegistry()),
--- a/internal/service/forward/response.go
+++ b/internal/service/forward/response.go
@@ -13,6 +13,7 @@
 	"github.com/zinniafork/zinniafork/internal/core/attempt"
 	"github.com/zinniafork/zinniafork/internal/core/outlier"
 	"github.com/zinniafork/zinniafork/internal/core/routing"
+	"github.com/zinniafork/zinniafork/internal/service/membudget"
 )
 
 const (
@@ -116,12 +117,15 @@
 // maxBufferedBytes or more is passed on while it is read, until the deadline: it is
 // not sent again once a part of it was passed on.
 func (r *request) forwardBuffered(s *send, timer *silenceTimer) attempt.Action {
-	body, err := io.ReadAll(io.LimitReader(s.resp.Body, maxBufferedBytes))
+	hold := r.s.memory.Open(membudget.KindResponse, r.memoryOwner(), func() {})
+	defer hold.Close()
+	hold.SetComplete(true) // it has run
+	body, ended, err := readBuffered(s.resp, hold)
 	if err != nil {
 		return r.responseBroken(s, err, attempt.Unknown)
 	}
 	timer.stop()
-	if len(body) == maxBufferedBytes {
+	if !ended {
 		return r.forwardLong(s, body)
 	}
 	r.dropHedge()
@@ -134,6 +138,43 @@
 	return r.passedOn(s, err)
 }
 
+// memoryOwner returns the owner of memory that is held for the request.
+func (r *request) memoryOwner() membudget.Owner {
+	if r.account == nil {
+		return ""
+	}
+	return membudget.Owner(r.account.Name)
+}
+
+// readBuffered reads a response up to maxBufferedBytes, or as far as there is memory for it, and
+// reports whether it ended there.
+func readBuffered(resp *Response, hold *membudget.Hold) (body []byte, ended bool, err error) {
+	size := readBufferBytes
+	if resp.Length >= 0 {
+		size = int(min(resp.Length+1, maxBufferedBytes)) // one more to read the end
+	}
+	for {
+		if !hold.TryGrow(size - cap(body)) {
+			if body != nil {
+				return body, false, nil
+			}
+			size = min(size, readBufferBytes) // the first part is read in any case
+		}
+		body = append(make([]byte, 0, size), body...)
+		for len(body) < cap(body) {
+			n, end, err := readBody(resp.Body, body[len(body):cap(body)])
+			body = body[:len(body)+n]
+			if end || err != nil {
+				return body, end, err
+			}
+		}
+		if len(body) >= maxBufferedBytes {
+			return body, false, nil
+		}
+		size = min(2*size, maxBufferedBytes)
+	}
+}
+
 // forwardLong passes on the first bytes of a long response, and the rest while it is
 // read.
 func (r *request) forwardLong(s *send, head []byte) attempt.Action {
--- a/internal/service/forward/service.go
+++ b/internal/service/forward/service.go
@@ -26,6 +26,7 @@
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
 	"github.com/zinniafork/zinniafork/internal/service/members"
+	"github.com/zinniafork/zinniafork/internal/service/membudget"
 	"github.com/zinniafork/zinniafork/internal/service/origins"
 	"github.com/zinniafork/zinniafork/internal/service/peer"
 	"github.com/zinniafork/zinniafork/internal/service/rollout"
@@ -70,6 +71,7 @@
 	peers    peer.Peers
 	members  members.Membership
 	self     fleet.VM
+	memory   membudget.Budget
 	clock    kernel.Clock
 	logger   *logrus.Entry
 	tracer   trace.Tracer
@@ -179,6 +181,9 @@
 	if s.site, err = kernel.Lookup[site.View](c, site.Name); err != nil {
 		return err
 	}
+	if s.memory, err = kernel.Lookup[membudget.Budget](c, membudget.Name); err != nil {
+		return err
+	}
 	if s.quarantineLog, err = kernel.Lookup[QuarantineLog](c, site.SourceName); err != nil {
 		return err
 	}
@@ -214,7 +219,6 @@
 	s.provisionDigests(id)
 	s.partLog = newPartLog()
 	s.routers = 1
-	s.handledJoins = make(map[fleet.VM]fleet.Incarnation)
 	s.placer.UseLoads(s.loadOf)
 	s.site.Watch(s.siteChanged)
 	s.members.Watch(s.membersChanged)
@@ -230,6 +234,7 @@
 // provisionDecisions sets up the state machines.
 func (s *Service) provisionDecisions(c *kernel.Context, id identity.Identity) {
 	s.rng = rand.New(rand.NewPCG(c.Seed, uint64(id.Incarnation())))
+	s.handledJoins = make(map[fleet.VM]fleet.Incarnation)
 	s.balancer = balance.New(id.Self().DataCentre, s.rng)
 	if s.work = newWorkState(s.features, c.Metrics); s.work != nil {
 		s.balancer.SetSpeeds(s.work.model)
--- a/internal/service/membudget/limits.go
+++ b/internal/service/membudget/limits.go
@@ -21,6 +21,8 @@
 	budgetShare = 0.35
 	// reserveRatio is the part of the budget that is kept for small bodies, as one in so many.
 	reserveRatio = 8
+	// responseRatio is the part of the budget that responses may take, as one in so many.
+	responseRatio = 2
 	// collectorShare is the share of all memory from which garbage is collected at once.
 	collectorShare = 2.0 / 3
 	// connectionRatio is the part of all memory that connections may take, as one in so many,
@@ -39,8 +41,9 @@
 	// clientShare is the share of the others for clients. The rest is kept for targets, other
 	// routers and the store.
 	clientShare = 0.75
-	// runningShare is the share for connections to targets that carry a request.
-	runningShare = 0.16
+	// runningShare is the share for connections to targets that carry a request. The rest is
+	// kept for other routers, the store and idle connections to targets.
+	runningShare = 0.2
 )
 
 // Smallest limits that a router works with, and the default ones.
--- a/internal/service/membudget/membudget.go
+++ b/internal/service/membudget/membudget.go
@@ -79,8 +79,9 @@
 	Evicted Way = "evicted"
 	// TooSlow is a body that came too slowly.
 	TooSlow Way = "slow_body"
-	// Unread is a response that its reader did not read.
-	Unread Way = "unread_response"
+	// RunningLimit is a request that was refused since as many are sent to targets as there
+	// are descriptors for.
+	RunningLimit Way = "running_limit"
 	// ConnLimit is a connection that was closed or refused at the limit of connections.
 	ConnLimit Way = "connection_limit"
 	// HeadMemory is a connection that was closed since there was no room for its head, or
@@ -113,7 +114,8 @@
 		limits: limits,
 		clock:  kernel.SystemClock{},
 		ledger: membudget.New(membudget.Limits{
-			Total: budget, Reserve: budget / reserveRatio, SmallBytes: smallBytes, StallTime: stallTime,
+			Total: budget, Reserve: budget / reserveRatio, SmallBytes: smallBytes,
+			Responses: budget / responseRatio, StallTime: stallTime,
 		}),
 		freed: make(chan struct{}),
 		logs:  make(map[Way]*rate.Limiter),
--- a/internal/service/peer/serve.go
+++ b/internal/service/peer/serve.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/zinniafork/zinniafork/internal/call"
+	"github.com/zinniafork/zinniafork/internal/service/membudget"
 	"github.com/zinniafork/zinniafork/internal/tracing"
 	"github.com/zinniafork/zinniafork/internal/wire"
 )
@@ -85,16 +86,28 @@
 		c.reset(f, refusal)
 		return KindTransport, nil
 	}
+	hold := c.host.memory.Open(membudget.KindRelayed, membudget.Owner(c.vm), func() {})
+	hold.SetComplete(true) // it ends with its call
+	if !hold.TryGrow(len(f.Body)) {
+		hold.Close()
+		c.host.memory.Note(membudget.Refused, membudget.Owner(c.vm))
+		c.reset(f, refused(c.host.self(), call.CodeOverloaded, "no memory for the request"))
+		return KindTransport, nil
+	}
 	ctx, cancel := context.WithCancelCause(c.host.ctx)
 	s.cancel = cancel
 	if !c.track(s) {
+		hold.Close()
 		return s.kind, nil
 	}
-	if f.Type == wire.TypeQuery {
-		c.host.background(func() { c.serveQuery(ctx, s, f.Body) })
-	} else {
-		c.host.background(func() { c.serveCall(ctx, s, &body) })
-	}
+	c.host.background(func() {
+		defer hold.Close()
+		if f.Type == wire.TypeQuery {
+			c.serveQuery(ctx, s, f.Body)
+		} else {
+			c.serveCall(ctx, s, &body)
+		}
+	})
 	return s.kind, nil
 }
 
--- a/internal/service/peer/service.go
+++ b/internal/service/peer/service.go
@@ -17,6 +17,7 @@
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/identity"
+	"github.com/zinniafork/zinniafork/internal/service/membudget"
 )
 
 // tickPeriod is how often connections are checked for silence.
@@ -37,6 +38,7 @@
 type Service struct {
 	settings Settings
 	identity identity.Identity
+	memory   membudget.Budget
 	clock    kernel.Clock
 	net      kernel.Network
 	logger   *logrus.Entry
@@ -79,6 +81,9 @@
 		return err
 	}
 	var err error
+	if s.memory, err = kernel.Lookup[membudget.Budget](c, membudget.Name); err != nil {
+		return err
+	}
 	if s.identity, err = kernel.Lookup[identity.Identity](c, identity.Name); err != nil {
 		return err
 	}
