Refuse a body that is evicted at its end

Cause: the eviction of a body runs on another goroutine. If it came between the last read and the mark that the request is complete, the request was passed on and its connection got a read deadline in the past, which cancels the request without a response. The deadline of an evicted body was also left in the past, so that Drain read nothing: a connection closed with unread bytes is reset, and the client may lose the 503.

Change: a body that has to give way is refused also when it is whole, a late eviction leaves the deadline alone, and the rest of an evicted body is read for the same time as that of any refused one.

TestBodyEvictedAtItsEnd fails before (the body is returned without an error).

--- a/internal/service/membudget/body.go
+++ b/internal/service/membudget/body.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -59,8 +58,11 @@
 	length  int64
 	timeout time.Duration
 	started time.Time
-	evicted atomic.Bool
 	buf     []byte
+
+	mu sync.Mutex
+	// evicted is true once the body was told to give way, ended once it is no longer read.
+	evicted, ended bool
 }
 
 // ReadLimits bound a body: its length in bytes, and the time that it takes, zero for no limit but
@@ -84,12 +86,16 @@
 		return nil, ErrTooLarge
 	}
 	br.hold = b.Open(KindBody, owner, br.evict)
-	if err := br.read(); err != nil {
+	err := br.read()
+	if err == nil {
+		err = br.complete()
+	}
+	if err != nil {
 		br.hold.Close()
-		br.refuse()
+		evicted := br.refuse()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			err = ErrTooSlow
-			if br.evicted.Load() {
+			if evicted {
 				err = ErrExhausted
 			}
 		}
@@ -102,8 +108,6 @@
 		br.hold.s.buffers.recycle(br.buf)
 		return nil, err
 	}
-	_ = br.control.SetReadDeadline(time.Time{}) // fails where there are no deadlines
-	br.hold.SetComplete(true)
 	return &Body{Bytes: br.buf, hold: br.hold}, nil
 }
 
@@ -116,17 +120,40 @@
 	}
 }
 
-// evict ends a read that waits for the client.
+// evict ends a read that waits for the client. It may be called late: once the body is no longer
+// read, the deadline is that of the response or of the next request.
 func (b *bodyReader) evict() {
-	b.evicted.Store(true)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.ended {
+		return
+	}
+	b.evicted = true
 	_ = b.control.SetReadDeadline(time.Unix(1, 0))
 }
 
-// refuse bounds the time for which the server reads the rest of the body.
-func (b *bodyReader) refuse() {
-	if !b.evicted.Load() {
-		_ = b.control.SetReadDeadline(time.Now().Add(drainTime))
+// complete ends the time limit of a whole body. It fails if the body was told to give way before
+// that: others wait for its memory.
+func (b *bodyReader) complete() error {
+	b.hold.SetComplete(true)
+	if b.hold.Leaving() {
+		return ErrExhausted
 	}
+	b.end(time.Time{})
+	return nil
+}
+
+// refuse bounds the time for which the server reads the rest of the body, and reports whether the
+// body was evicted.
+func (b *bodyReader) refuse() bool { return b.end(time.Now().Add(drainTime)) }
+
+// end sets the deadline of reads after the body, and reports whether the body was evicted.
+func (b *bodyReader) end(deadline time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ended = true
+	_ = b.control.SetReadDeadline(deadline) // fails where there are no deadlines
+	return b.evicted
 }
 
 // extend sets the time by which more bytes must have come.
@@ -135,10 +162,12 @@
 	if b.timeout > 0 {
 		after = min(after, b.timeout)
 	}
-	_ = b.control.SetReadDeadline(b.started.Add(after))
-	if b.evicted.Load() { // its deadline may have been overwritten
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.evicted {
 		return ErrExhausted
 	}
+	_ = b.control.SetReadDeadline(b.started.Add(after))
 	return nil
 }
 
--- a/internal/service/membudget/body_test.go
+++ b/internal/service/membudget/body_test.go
@@ -7,6 +7,8 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/shoenig/test/must"
@@ -24,6 +26,11 @@
 	return s
 }
 
+// roomForLarge returns the number of bytes that holds above smallBytes may use.
+func roomForLarge(s *Service) int {
+	return int(s.limits.Budget() - s.limits.Budget()/reserveRatio)
+}
+
 // TestBodiesAreReadWhole guards against bytes that are lost where the buffer grows, and against
 // memory that stays reserved.
 func TestBodiesAreReadWhole(t *testing.T) {
@@ -89,3 +96,43 @@
 	}
 	must.Positive(t, evicted)
 }
+
+// deadlines records the read deadline that is set.
+type deadlines struct {
+	*httptest.ResponseRecorder
+	read time.Time
+}
+
+// SetReadDeadline records a deadline.
+func (d *deadlines) SetReadDeadline(t time.Time) error {
+	d.read = t
+	return nil
+}
+
+// bodyFunc is a body that a function reads.
+type bodyFunc func(p []byte) (int, error)
+
+// Read reads the body.
+func (f bodyFunc) Read(p []byte) (int, error) { return f(p) }
+
+// TestBodyEvictedAtItsEnd guards against a body that is passed on although it was told to give way
+// while its last bytes came, and against a late eviction that ends the reads of the connection.
+func TestBodyEvictedAtItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const length = firstBytes
+		s := smallest()
+		full := s.Open(KindBody, "full", func() {})
+		must.True(t, full.TryGrow(roomForLarge(s)-smallBytes))
+		w := &deadlines{ResponseRecorder: httptest.NewRecorder()}
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", bodyFunc(func(p []byte) (int, error) {
+			full.SetComplete(true)
+			must.False(t, s.Open(KindBody, "other", func() {}).TryGrow(2*smallBytes))
+			return len(p), nil
+		}))
+		r.ContentLength = length
+		_, err := ReadBody(s, w, r, "a", ReadLimits{Bytes: length})
+		must.ErrorIs(t, err, ErrExhausted)
+		synctest.Wait() // for the eviction
+		must.True(t, w.read.After(time.Now()), must.Sprint("the rest is read, so that the client sees the refusal"))
+	})
+}
