Evict holds that wait for room at once

Cause: an evicted body is told by its read deadline, but one that waits for room itself does not read. It kept its bytes until its wait of one second was over, and those that wait for these bytes were refused at about the same time.

Change: the wait of such a hold ends when it is named. The channel of the time limit is made only when a hold has to wait.

TestWaitingHoldGivesWay fails before (1 s in place of 0 s).

--- a/internal/service/membudget/body_test.go
+++ b/internal/service/membudget/body_test.go
@@ -136,3 +136,25 @@
 		must.True(t, w.read.After(time.Now()), must.Sprint("the rest is read, so that the client sees the refusal"))
 	})
 }
+
+// TestWaitingHoldGivesWay guards against a hold that waits for room until its time is over,
+// although it has to give way itself.
+func TestWaitingHoldGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := smallest()
+		full := s.Open(KindBody, "full", func() {})
+		must.True(t, full.TryGrow(roomForLarge(s)-3*smallBytes))
+		full.SetComplete(true)
+		stays, first, second := s.Open(KindBody, "c", func() {}), s.Open(KindBody, "a", func() {}), s.Open(KindBody, "b", func() {})
+		must.True(t, stays.TryGrow(2*smallBytes))
+		must.True(t, first.TryGrow(smallBytes))
+		result := make(chan error, 1)
+		go func() { result <- first.Grow(smallBytes) }() // stays has to give way, and does not
+		synctest.Wait()
+		started := time.Now()
+		go func() { _ = second.Grow(3 * smallBytes) }()
+		must.ErrorIs(t, <-result, ErrExhausted)
+		must.Eq(t, 0, time.Since(started))
+		time.Sleep(2 * giveWayTimeout)
+	})
+}
--- a/internal/service/membudget/membudget.go
+++ b/internal/service/membudget/membudget.go
@@ -178,6 +178,9 @@
 	hold  *membudget.Hold
 	owner Owner
 	evict func()
+	// left is closed when the hold has to give way while it waits for room, nil if it doesn't
+	// wait. It is guarded by s.mu.
+	left chan struct{}
 }
 
 // Open begins a hold.
@@ -195,7 +198,7 @@
 func (h *Hold) Grow(n int) error {
 	var expired bool
 	var stop func() bool
-	timeout := make(chan struct{})
+	var timeout chan struct{}
 	for {
 		h.s.mu.Lock()
 		ok, victim := h.s.ledger.Grow(h.s.clock.Now(), h.hold, int64(n))
@@ -209,24 +212,28 @@
 			}
 			return ErrExhausted
 		}
-		freed := h.s.freed
+		freed, left := h.s.freed, make(chan struct{})
 		h.s.waiting++
+		h.left = left
+		other := h.s.leave(victim)
 		h.s.mu.Unlock()
-		if victim != nil {
-			other, _ := victim.Data.(*Hold)
+		if other != nil {
 			h.s.Note(Evicted, other.owner)
 			go other.evict()
 		}
 		if stop == nil {
+			timeout = make(chan struct{})
 			stop = h.s.clock.AfterFunc(giveWayTimeout, func() { close(timeout) })
 		}
 		select {
 		case <-freed:
+		case <-left:
 		case <-timeout:
 			expired = true
 		}
 		h.s.mu.Lock()
 		h.s.waiting--
+		h.left = nil
 		h.s.mu.Unlock()
 	}
 }
@@ -235,15 +242,32 @@
 func (h *Hold) TryGrow(n int) bool {
 	h.s.mu.Lock()
 	ok, victim := h.s.ledger.Grow(h.s.clock.Now(), h.hold, int64(n))
+	var other *Hold
+	if victim != h.hold {
+		other = h.s.leave(victim)
+	}
 	h.s.mu.Unlock()
-	if !ok && victim != nil && victim != h.hold {
-		other, _ := victim.Data.(*Hold)
+	if other != nil {
 		h.s.Note(Evicted, other.owner)
 		go other.evict()
 	}
 	return ok
 }
 
+// leave ends the wait for room of a hold that has to give way, and returns that hold, nil for
+// none. The caller holds the lock.
+func (s *Service) leave(victim *membudget.Hold) *Hold {
+	if victim == nil {
+		return nil
+	}
+	other, _ := victim.Data.(*Hold)
+	if other.left != nil {
+		close(other.left)
+		other.left = nil
+	}
+	return other
+}
+
 // Shrink gives n bytes back.
 func (h *Hold) Shrink(n int) {
 	h.s.mu.Lock()
