Evict no more holds than a reservation needs

Cause: a hold that waits for room tries again whenever bytes are given back, and each try named a further hold, also while the ones that were named before it had not ended yet and held enough. A leaving hold that became complete, such as the head of a request that began, also made others wait for it.

Change: the ledger names none while the incomplete holds that leave have as many bytes as are lacking, as its comment says.

TestNoMoreGiveWayThanNeeded fails before (a third hold is named).

--- a/internal/core/membudget/membudget.go
+++ b/internal/core/membudget/membudget.go
@@ -118,12 +118,21 @@
 	if h.bytes+n > limit || h.leaving {
 		return false, h
 	}
-	return false, l.victim(now, h)
+	return false, l.victim(now, h, l.used+n-limit)
 }
 
-// victim returns the hold that gives way for another one. Holds that are already leaving suffice
-// if nothing else may leave.
-func (l *Ledger) victim(now time.Time, wanting *Hold) *Hold {
+// victim returns the hold that gives way for another one that lacks some bytes. Holds that are
+// already leaving suffice if they hold as much, or if nothing else may leave.
+func (l *Ledger) victim(now time.Time, wanting *Hold, lacking int64) *Hold {
+	var leaving int64
+	for _, h := range l.holds {
+		if h.leaving && !h.complete { // a complete one stays until its request ends
+			leaving += h.bytes
+		}
+	}
+	if leaving >= lacking {
+		return nil
+	}
 	slowest := l.slowest(wanting, func(*Hold) bool { return true })
 	if slowest != nil && now.Sub(slowest.progressAt) < l.limits.StallTime {
 		top := l.topOwner(wanting)
@@ -133,10 +142,8 @@
 		slowest.leaving = true
 		return slowest
 	}
-	for _, h := range l.holds {
-		if h.leaving {
-			return nil
-		}
+	if leaving > 0 {
+		return nil
 	}
 	return wanting
 }
--- a/internal/core/membudget/membudget_test.go
+++ b/internal/core/membudget/membudget_test.go
@@ -101,3 +101,25 @@
 	ok, _ = l.Grow(now, large, 150)
 	must.True(t, ok)
 }
+
+// TestNoMoreGiveWayThanNeeded guards against a hold that ends another one each time that it tries
+// again, while the first one that gave way has not ended.
+func TestNoMoreGiveWayThanNeeded(t *testing.T) {
+	l := New(testLimits)
+	now := time.Unix(0, 0)
+	for range 8 {
+		ok, _ := l.Grow(now, l.Open(now, Body, "a"), 100)
+		must.True(t, ok)
+	}
+	wanting := l.Open(now, Body, "b")
+	_, first := l.Grow(now, wanting, 150)
+	must.NotNil(t, first)
+	_, second := l.Grow(now, wanting, 150)
+	must.NotNil(t, second, must.Sprint("one is not enough"))
+	_, third := l.Grow(now, wanting, 150)
+	must.Nil(t, third)
+
+	l.SetComplete(first, true) // its request begins after all
+	_, third = l.Grow(now, wanting, 150)
+	must.NotNil(t, third)
+}
