Reset only connections that were stuck for a whole check period

Cause: a connection counted as without progress if none of its bytes was acknowledged since the last check, also if it had nothing to send then. While the sockets of clients held too much, a client whose response was written just before a check was reset after less than one round trip.

Change: bytes must have been unsent at the last check as well.

TestStuckSinceTheLastCheck fails before.

--- a/internal/httpserve/connlimits.go
+++ b/internal/httpserve/connlimits.go
@@ -237,8 +237,9 @@
 	}
 	sent := q.conn.written.Load() - int64(out)
 	q.bytes = in + out
-	q.stuck = q.bytes >= minStuckBytes && sent == q.conn.sent && (out > 0 || in == q.conn.unread)
-	q.conn.sent, q.conn.unread = sent, in
+	waited := out > 0 && q.conn.unsent > 0 || out == 0 && in == q.conn.unread
+	q.stuck = q.bytes >= minStuckBytes && sent == q.conn.sent && waited
+	q.conn.sent, q.conn.unsent, q.conn.unread = sent, out, in
 }
 
 // checkSockets closes connections without progress while the sockets of all connections hold too
--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -69,10 +69,10 @@
 	// hold is the memory held for the head beyond freeHeadBytes, heldBytes its size.
 	hold      Hold
 	heldBytes int
-	// sent is the number of sent bytes that the client has acknowledged, and unread the bytes
-	// that it has sent after its request, as of the last check.
-	sent   int64
-	unread int
+	// sent is the number of sent bytes that the client has acknowledged, unsent those that it has
+	// not, and unread the bytes that it has sent after its request, as of the last check.
+	sent           int64
+	unsent, unread int
 	// written is the number of bytes written.
 	written atomic.Int64
 }
