Close connections whose further request does not get beyond its first bytes

Cause: net/http waits without a time limit for the first four bytes of a further request unless the server has an idle timeout, which the ingress has not. A connection that sent one to three of them did not count as idle either, and was not replaced at the limit of connections, so it stayed for good: clients that had one response each could keep all others out, and a drain waited for them.

Change: such a head has the header timeout, from its first byte on. A connection with unread bytes is left open.

TestBegunHeadEnds fails before (without closeBegun in closeIdle).

--- a/internal/httpserve/connlimits_test.go
+++ b/internal/httpserve/connlimits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -48,3 +49,30 @@
 	second.check()
 	must.True(t, second.stuck)
 }
+
+// TestBegunHeadEnds guards against connections that send the first bytes of a further request and
+// stay: net/http times a head from its fourth byte on, and they do not count as idle.
+func TestBegunHeadEnds(t *testing.T) {
+	c, client := acceptOne(t, ConnLimits{})
+	s := c.set
+	s.headTimeout = 500 * time.Millisecond
+	s.setState(c, http.StateIdle)
+	_, err := client.Write([]byte("GE"))
+	must.NoError(t, err)
+	_, err = c.Read(make([]byte, 2))
+	must.NoError(t, err)
+	s.closeIdle(time.Hour)
+	must.False(t, c.wasClosed())
+	time.Sleep(s.headTimeout + time.Millisecond)
+	_, err = client.Write([]byte("T"))
+	must.NoError(t, err)
+	for !hasUnread(c.Conn) {
+		time.Sleep(time.Millisecond)
+	}
+	s.closeIdle(time.Hour)
+	must.False(t, c.wasClosed(), must.Sprint("the server had no time to read what has arrived"))
+	_, err = c.Read(make([]byte, 1))
+	must.NoError(t, err)
+	s.closeIdle(time.Hour)
+	must.True(t, c.wasClosed())
+}
--- a/internal/httpserve/conns.go
+++ b/internal/httpserve/conns.go
@@ -36,6 +36,8 @@
 	open map[*conn]struct{}
 	// secure is true for a server with TLS.
 	secure bool
+	// headTimeout limits how long a client may take to send a head, zero for no limit.
+	headTimeout time.Duration
 	// limit is the limit of the last call of closeIdle.
 	limit time.Duration
 }
@@ -128,6 +130,7 @@
 	s.limit = limit
 	now := s.clock.Now()
 	for c := range s.open {
+		c.closeBegun(now)
 		if c.kept && now.Sub(c.idleSince) > max(limit, c.idleLimit) {
 			c.closeQuiet()
 		}
@@ -141,6 +144,7 @@
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	for c := range s.open {
+		c.closeBegun(now)
 		if c.kept || now.Sub(c.idleSince) >= newConnGrace {
 			c.closeQuiet()
 		}
@@ -158,6 +162,18 @@
 	_ = c.Close() // the server reports StateClosed, which removes it
 }
 
+// closeBegun closes a connection whose further request has begun, but whose head has not come in
+// time. net/http times such a head only from its fourth byte on. The caller holds the lock.
+func (c *conn) closeBegun(now time.Time) {
+	if c.set.headTimeout == 0 || !c.kept || c.active || c.closed || c.headBytes == 0 {
+		return
+	}
+	if now.Sub(c.headSince) > c.set.headTimeout && !hasUnread(c.Conn) {
+		c.closed = true
+		_ = c.Close()
+	}
+}
+
 // begin records that n bytes of a request were read. It reports false if the connection was
 // closed before, or is closed for its head.
 func (c *conn) begin(n int) bool {
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -62,7 +62,7 @@
 		opt.Clock = kernel.SystemClock{}
 	}
 	tracked := newConns(opt.Clock, opt.Conns)
-	tracked.secure = opt.TLS.Enabled()
+	tracked.secure, tracked.headTimeout = opt.TLS.Enabled(), opt.HeaderTimeout
 	network = opt.TLS.network(&trackedNetwork{Network: network, conns: tracked})
 	ln, err := network.Listen(ctx, "tcp", address)
 	if err != nil {
