Count grants that wait for a target

A request may wait in a queue between the draw of its version and its send. Reports left such grants out, so that a controller that had named a lower limit since gave them to other routers as well: two routers with 41 requests of budget sent 50. Reports name them now, and they count as spent until they are released.

--- a/internal/core/rollout/ledger.go
+++ b/internal/core/rollout/ledger.go
@@ -40,7 +40,9 @@
 	// base is the number of requests to the new version at the first report: they are
 	// carried.
 	base, new, sent int64
-	grants          []grant
+	// held is the number of grants that are held for requests that were not sent yet.
+	held   int64
+	grants []grant
 	// rate is the number of requests a second, as of ratedAt.
 	rate     float64
 	ratedAt  time.Time
@@ -60,7 +62,7 @@
 
 // bound returns the most requests that a router may have sent to the new version.
 func (a *account) bound() int64 {
-	out := a.new
+	out := a.new + a.held
 	for _, g := range a.grants {
 		out = max(out, g.limit)
 	}
@@ -83,6 +85,9 @@
 		}
 		l.accounts[vm] = a
 	}
+	if r.New >= a.new && r.Sent >= a.sent { // a report that was overtaken shows an earlier state
+		a.held = r.Held
+	}
 	a.new, a.sent = max(a.new, r.New), max(a.sent, r.Sent)
 	kept := a.grants[:0]
 	for _, g := range a.grants {
@@ -114,7 +119,7 @@
 	for _, a := range l.accounts {
 		out.sent += a.sent
 		out.bound += a.bound() - a.base
-		out.spent += a.new - a.base
+		out.spent += a.new + a.held - a.base
 		out.rate += a.rate
 	}
 	return out
@@ -162,10 +167,10 @@
 	if l.rng.Float64() < share-math.Floor(share) {
 		want++
 	}
-	limit := min(a.new+want, a.bound()+max(ceiling-t.bound, 0))
+	limit := min(a.new+a.held+want, a.bound()+max(ceiling-t.bound, 0))
 	if urgent > 0 {
 		more := min(l.budget(t, urgentPart), l.authorized) - t.bound
-		limit = max(limit, min(a.new+int64(urgent), a.bound()+max(more, 0)))
+		limit = max(limit, min(a.new+a.held+int64(urgent), a.bound()+max(more, 0)))
 	}
 	a.grants = append(a.grants, grant{seq: seq, limit: limit})
 	return limit
--- a/internal/core/rollout/rollout.go
+++ b/internal/core/rollout/rollout.go
@@ -120,6 +120,9 @@
 	// sent since the order.
 	Sent int64 `msgpack:"s"`
 	New  int64 `msgpack:"n,omitempty"`
+	// Held is the number of grants that are held for requests to the new version that were not
+	// sent yet.
+	Held int64 `msgpack:"d,omitempty"`
 	// Urgent is the number of streams that wait to go on at the new version.
 	Urgent int `msgpack:"u,omitempty"`
 	// Running is the number of requests in flight at the old versions, LongestMs the longest
--- a/internal/core/rollout/tracker.go
+++ b/internal/core/rollout/tracker.go
@@ -162,7 +162,7 @@
 func (t *Tracker) Report(now time.Time, process fleet.Incarnation) Report {
 	g := t.gate
 	r := Report{
-		Order: g.order, Incarnation: process, Sent: g.sent, New: g.new, Urgent: t.urgent,
+		Order: g.order, Incarnation: process, Sent: g.sent, New: g.new, Held: g.reserved, Urgent: t.urgent,
 		LeftMs: t.Left(now).Milliseconds(), Withdrawn: g.withdrawn,
 	}
 	if g.heard {
