Let confirmations of the cutover expire

A router that confirms that it begins nothing at the old versions, and then hears nothing, sends to them again once its last reply is invalid, after 1 s. Its confirmation counted until the end, so that the roll-out could be done 1 to 4 s later, and its requests were lost with the old targets. It now counts as long as a reply is valid; then the router must be out of touch for StableWindowMs.

--- a/internal/core/rollout/controller.go
+++ b/internal/core/rollout/controller.go
@@ -217,7 +217,7 @@
 	}
 	reply := Reply{
 		Order: r.Order, Term: c.record.Term, Seq: c.seq, Phase: c.effective(), Closed: c.closed, Base: c.record.Base, Excluded: c.record.Excluded,
-		ValidMs:    max(minValid, validIntervals*interval).Milliseconds(),
+		ValidMs:    max(c.valid(), validIntervals*interval).Milliseconds(),
 		IntervalMs: interval.Milliseconds(), LeftMs: max(c.deadline.Sub(now), 0).Milliseconds(),
 	}
 	if reply.Phase == Canary {
@@ -255,6 +255,9 @@
 	return max(minInterval, time.Duration(len(c.members))*time.Second/reportsPerSecond)
 }
 
+// valid returns the time for which a reply is valid while the roll-out runs.
+func (c *Controller) valid() time.Duration { return max(minValid, validIntervals*c.interval()) }
+
 // drain returns the time that requests at the old versions need to end.
 func (c *Controller) drain(v *View) time.Duration {
 	longest := minDrain
@@ -368,7 +371,8 @@
 }
 
 // confirmed reports whether each live router has confirmed that nothing is on its way to the old
-// versions, or is out of touch for long enough.
+// versions, or is out of touch for long enough. A router that hears nothing sends to the old versions
+// again once its last reply is invalid, so what it has confirmed holds no longer than that.
 func (c *Controller) confirmed(now time.Time, closed bool) bool {
 	for _, m := range c.members {
 		last := m.heardAt
@@ -381,7 +385,7 @@
 		if now.Sub(last) >= c.limits.StableWindow {
 			continue
 		}
-		if m.phase != Cutover || m.running != 0 || closed && !m.closed {
+		if m.phase != Cutover || m.running != 0 || closed && !m.closed || now.Sub(last) >= c.valid() {
 			return false
 		}
 	}
