--- a/internal/core/rollout/verdict_test.go
+++ b/internal/core/rollout/verdict_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"runtime"
@@ -9,7 +10,7 @@
 	"testing"
 	"time"
 
-	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
 )
 
 // fleets are the numbers of routers and the rates for which verdicts are judged.
@@ -105,55 +106,55 @@
 	return play{routers: routers, rate: rate, duration: 80 * time.Second, routes: 4, sigma: 0.3, targets: 3, respond: r}
 }
 
+// eachPlay calls f for each number of routers and each kind of version.
+func eachPlay(t *testing.T, kinds map[string]respond, f func(t *testing.T, p play)) {
+	t.Helper()
+	for _, fleet := range fleets {
+		for name, r := range kinds {
+			t.Run(fmt.Sprintf("%d/%s", fleet.routers, name), func(t *testing.T) { f(t, modelPlay(fleet.routers, fleet.rate, r)) })
+		}
+	}
+}
+
 // TestVerdictsOnGoodVersions counts good versions that are rolled back, of which there may be 1 in
 // 100. ROLLOUT_SEEDS=100 plays them that often.
 func TestVerdictsOnGoodVersions(t *testing.T) {
 	n := seeds(2)
-	for _, fleet := range fleets {
-		for name, r := range goodKinds {
-			p := modelPlay(fleet.routers, fleet.rate, r)
-			wrong := 0
-			for i, out := range playMany(p, n) {
-				if out.phase != Done {
-					wrong++
-					t.Logf("%d routers, %s, seed %d: %v at %v: %s", p.routers, name, i+1, out.phase, out.ended, out.reason)
-				}
+	eachPlay(t, goodKinds, func(t *testing.T, p play) {
+		wrong := 0
+		for i, out := range playMany(p, n) {
+			if out.phase != Done {
+				wrong++
+				t.Logf("seed %d: %v at %v: %s", i+1, out.phase, out.ended, out.reason)
 			}
-			t.Logf("%d routers, %s: %d of %d wrong", p.routers, name, wrong, n)
-			test.LessEq(t, n/100, wrong)
 		}
-	}
+		t.Logf("%d of %d wrong", wrong, n)
+		must.LessEq(t, n/100, wrong)
+	})
 }
 
 // TestVerdictsOnBadVersions counts bad versions that are done, of which there may be 1 in 100, and
 // checks the bounds of their exposure.
-func TestVerdictsOnBadVersions(t *testing.T) { judgeBad(t, badKinds) }
+func TestVerdictsOnBadVersions(t *testing.T) { eachPlay(t, badKinds, judgeBad) }
 
 // TestVerdictsOnRareSlowResponses is the same for versions that are hardest to tell from good ones. It
 // is in KNOWN-RED.txt.
-func TestVerdictsOnRareSlowResponses(t *testing.T) { judgeBad(t, rareKinds) }
+func TestVerdictsOnRareSlowResponses(t *testing.T) { eachPlay(t, rareKinds, judgeBad) }
 
-func judgeBad(t *testing.T, kinds map[string]respond) {
+func judgeBad(t *testing.T, p play) {
 	n := seeds(2)
-	for _, fleet := range fleets {
-		for name, r := range kinds {
-			p := modelPlay(fleet.routers, fleet.rate, r)
-			wrong, late, over, messages := 0, time.Duration(0), 0.0, 0
-			for _, out := range playMany(p, n) {
-				messages = max(messages, out.messages)
-				if out.phase != RolledBack {
-					wrong++
-					continue
-				}
-				over = max(over, out.over)
-				if out.fiftieth >= 0 {
-					late = max(late, out.last-out.fiftieth)
-				}
-			}
-			t.Logf("%d routers, %s: %d of %d wrong, %v after the 50th, %.0f over the share, %d reports/s", p.routers, name, wrong, n, late, over, messages)
-			test.LessEq(t, n/100, wrong)
-			test.LessEq(t, DefaultLimits.Rollback, late)
-			test.LessEq(t, DefaultLimits.ExposeSlack, over)
+	wrong, late, over, messages := 0, time.Duration(0), 0.0, 0
+	for _, out := range playMany(p, n) {
+		over, messages = max(over, out.over), max(messages, out.messages)
+		if out.phase != RolledBack {
+			wrong++
+		}
+		if out.fiftieth >= 0 {
+			late = max(late, out.last-out.fiftieth)
 		}
 	}
+	t.Logf("%d of %d wrong, %v after the 50th, %.0f over the share, %d reports/s", wrong, n, late, over, messages)
+	must.LessEq(t, n/100, wrong)
+	must.LessEq(t, DefaultLimits.Rollback, late)
+	must.LessEq(t, DefaultLimits.ExposeSlack, over)
 }
