--- a/internal/app/site_rollout_test.go
+++ b/internal/app/site_rollout_test.go
@@ -289,3 +289,25 @@
 		must.GreaterEq(t, (fromNew+1)/2, whole)
 	})
 }
+
+// TestRolloutOfAQueuedService rolls out versions of a service whose requests wait for slots.
+func TestRolloutOfAQueuedService(t *testing.T) {
+	for _, bad := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			b := &rolloutBed{siteBed: startSiteWith(t, "[features]\ncontracts = [\"rollout\", \"pressure\"]\n")}
+			b.start("plain", "v1", "p1", "p2", "p3")
+			b.start("plain", "v2", "p4", "p5", "p6")
+			if bad {
+				b.bad(workerd.Badness{Share: 0.2, From: time.Now().Add(5 * time.Second)}, "p4", "p5", "p6")
+			}
+			b.order("plain", "v2", 30*time.Second)
+			b.traffic(32*time.Second, 200, plainRoutes, allRouters...)
+			if bad {
+				b.mustBeRolledBack("plain", "v2")
+			} else {
+				b.mustBeDone("plain", "v2")
+			}
+			b.calls.Wait()
+		})
+	}
+}
--- a/internal/core/rollout/gate.go
+++ b/internal/core/rollout/gate.go
@@ -75,6 +75,9 @@
 // Withdrawn reports whether the order was deleted.
 func (g *Gate) Withdrawn() bool { return g.withdrawn }
 
+// Revoked reports whether nothing may go to the new version any more.
+func (g *Gate) Revoked() bool { return g.withdrawn || g.ended(RolledBack) }
+
 // Reply returns the last reply that counts, and whether there is one.
 func (g *Gate) Reply() (Reply, bool) { return g.reply, g.heard }
 
--- a/internal/service/rollout/rule.go
+++ b/internal/service/rollout/rule.go
@@ -24,9 +24,21 @@
 	pinned bool
 }
 
-// Allows reports whether a target may be chosen.
+// Allows reports whether a target may be chosen. A grant is void once the roll-out was rolled back:
+// a request may have waited for a slot since.
 func (r *Rule) Allows(id fleet.Target, version string) bool {
-	return r == nil || r.rule.Allows(version) && (r.only == "" || r.only == id)
+	if r == nil {
+		return true
+	}
+	if !r.rule.Allows(version) || r.only != "" && r.only != id {
+		return false
+	}
+	if !r.rule.Reserved {
+		return true
+	}
+	r.s.mu.Lock()
+	defer r.s.mu.Unlock()
+	return !r.gate.Revoked()
 }
 
 // Widen makes a rule allow more targets if it can, after none could be chosen: any target of the
