--- a/internal/core/rollout/gate.go
+++ b/internal/core/rollout/gate.go
@@ -75,8 +75,16 @@
 // Withdrawn reports whether the order was deleted.
 func (g *Gate) Withdrawn() bool { return g.withdrawn }
 
-// Revoked reports whether nothing may go to the new version any more.
-func (g *Gate) Revoked() bool { return g.withdrawn || g.ended(RolledBack) }
+// Opens reports whether a send under a rule may still begin at the new version. A request may have
+// waited for a target since the rule was made.
+func (g *Gate) Opens(now time.Time, r Rule) bool {
+	switch {
+	case g.ended(Done) || g.CuttingOver(now):
+		return true
+	default:
+		return r.Reserved && g.heard && !g.withdrawn && g.reply.Phase == Canary && now.Before(g.validUntil)
+	}
+}
 
 // Reply returns the last reply that counts, and whether there is one.
 func (g *Gate) Reply() (Reply, bool) { return g.reply, g.heard }
--- a/internal/service/rollout/rule.go
+++ b/internal/service/rollout/rule.go
@@ -16,16 +16,19 @@
 // Rule says where one send of a request may go. A nil rule allows any version.
 type Rule struct {
 	s    *Service
+	st   *state
 	gate *rollout.Gate
 	rule rollout.Rule
+	// to is the new version. It is empty if the rule holds for good: the roll-out is done.
+	to string
 	// only is the target of the new version that a request was drawn for, empty for any: the
 	// verdict needs responses of all targets alike, and the least loaded is often the same.
 	only   fleet.Target
 	pinned bool
 }
 
-// Allows reports whether a target may be chosen. A grant is void once the roll-out was rolled back:
-// a request may have waited for a slot since.
+// Allows reports whether a target may be chosen. A request may have waited for a slot since the rule
+// was made, so a target of the new version must still be open to it.
 func (r *Rule) Allows(id fleet.Target, version string) bool {
 	if r == nil {
 		return true
@@ -33,18 +36,24 @@
 	if !r.rule.Allows(version) || r.only != "" && r.only != id {
 		return false
 	}
-	if !r.rule.Reserved {
+	if r.to == "" || version != r.to {
 		return true
 	}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
-	return !r.gate.Revoked()
+	return r.isOpen()
+}
+
+// isOpen reports whether targets of the new version may still be chosen. The caller holds the lock.
+func (r *Rule) isOpen() bool {
+	return r.gate == r.st.tracker.Gate() && r.gate.Opens(r.s.clock.Now(), r.rule)
 }
 
 // Widen makes a rule allow more targets if it can, after none could be chosen: any target of the
-// new version, then the old ones, for which it gives its grant back.
+// new version, then the old ones, for which it gives its grant back. In a cutover the old ones are
+// allowed only after a roll-back.
 func (r *Rule) Widen() bool {
-	if r == nil || !r.rule.Reserved || r.pinned {
+	if r == nil || r.pinned || r.to == "" || !r.rule.Allows(r.to) {
 		return false
 	}
 	if r.only != "" {
@@ -53,8 +62,15 @@
 	}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
+	if !r.rule.Reserved && r.isOpen() {
+		return false
+	}
 	r.gate.Release(r.rule)
-	r.rule = r.gate.OldOnly()
+	if r.gate = r.st.tracker.Gate(); r.gate == nil {
+		r.rule, r.to = rollout.Rule{}, "" // the order was forgotten meanwhile
+		return true
+	}
+	r.rule, r.to = r.gate.OldOnly(), r.gate.Order().To
 	return true
 }
 
@@ -63,6 +79,9 @@
 	if r == nil {
 		return
 	}
+	if r.gate == nil {
+		return
+	}
 	r.s.mu.Lock()
 	defer r.s.mu.Unlock()
 	r.gate.Release(r.rule)
@@ -90,7 +109,10 @@
 	if _, heard := gate.Reply(); !heard && s.onlyNew(service, gate.Order().To) {
 		return nil
 	}
-	out := &Rule{s: s, gate: gate, rule: gate.Rule(s.clock.Now(), pinned), pinned: pinned != ""}
+	out := &Rule{s: s, st: st, gate: gate, rule: gate.Rule(s.clock.Now(), pinned), pinned: pinned != ""}
+	if reply, heard := gate.Reply(); !heard || reply.Phase != rollout.Done {
+		out.to = gate.Order().To
+	}
 	if out.rule.Reserved && !out.pinned {
 		out.only = s.drawTarget(service, gate.Order().To)
 	}
--- /dev/null
+++ b/internal/service/rollout/rule_test.go
@@ -0,0 +1,70 @@
+package rollout
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/zinniafork/zinniafork/internal/core/ratelimit"
+	"github.com/zinniafork/zinniafork/internal/core/rollout"
+	"github.com/zinniafork/zinniafork/internal/core/sitestate"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/kernel"
+	"github.com/zinniafork/zinniafork/internal/service/site"
+)
+
+// fixedClock is a clock that stands.
+type fixedClock struct {
+	kernel.Clock
+	now time.Time
+}
+
+func (c *fixedClock) Now() time.Time { return c.now }
+
+// oneTarget is a site with one target of version v1.
+type oneTarget struct{ site.View }
+
+func (oneTarget) Available(fleet.Service) []sitestate.AvailableTarget {
+	return []sitestate.AvailableTarget{{Target: sitestate.Target{Version: "v1"}}}
+}
+
+var testOrder = rollout.Order{Service: "s", To: "v2", Duration: time.Minute, Offset: 7, Era: 1}
+
+func newTestService() (*Service, *fixedClock) {
+	clock := &fixedClock{now: time.Unix(1000, 0)}
+	logger := logrus.New()
+	logger.SetLevel(logrus.PanicLevel)
+	s := &Service{
+		settings: defaultSettings(), enabled: true, site: oneTarget{}, self: "a", process: 1, clock: clock, logger: logrus.NewEntry(logger),
+		registry: metrics.NewRegistry(), wake: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(1, 2)),
+		services: make(map[fleet.Service]*state), asker: ratelimit.NewAsker(),
+	}
+	s.takeOrder(s.state("s"), testOrder)
+	return s, clock
+}
+
+// TestRulesOfACutoverEndWithIt guards against requests that wait for a slot in the cutover and go to
+// the new version after it was rolled back, or after the router has lost its controller.
+func TestRulesOfACutoverEndWithIt(t *testing.T) {
+	for _, rolledBack := range []bool{true, false} {
+		s, clock := newTestService()
+		gate := s.state("s").tracker.Gate()
+		must.True(t, gate.Take(clock.now, &rollout.Reply{Order: testOrder, Term: 1, Seq: 1, Phase: rollout.Cutover, Base: []string{"v1"}, ValidMs: 1000}))
+		rule := s.Rule(context.Background(), "s", "")
+		must.True(t, rule.Allows("t", "v2") && !rule.Allows("t", "v1") && !rule.Widen())
+		if rolledBack {
+			must.True(t, gate.Take(clock.now, &rollout.Reply{Order: testOrder, Term: 1, Seq: 2, Phase: rollout.RolledBack, ValidMs: 1000}))
+		} else {
+			clock.now = clock.now.Add(time.Second)
+		}
+		must.False(t, rule.Allows("t", "v2"))
+		must.True(t, rule.Widen())
+		must.True(t, rule.Allows("t", "v1") && !rule.Allows("t", "v2") && !rule.Widen())
+		s.Started(rule, "s", "v1")
+	}
+}
