Keep withdrawn orders forgotten

A router forgets a withdrawn order once its roll-out has ended. The next report of a router that had not heard of the withdrawal yet brought the order back, no longer withdrawn, and the router then announced it to all others: the version that was rolled back, or the versions before one that was done, got no request again until the next order.

--- a/internal/service/rollout/report.go
+++ b/internal/service/rollout/report.go
@@ -140,7 +140,7 @@
 	st := s.state(report.Order.Service)
 	if st.tracker.Gate() == nil {
 		s.takeOrder(st, report.Order)
-		if report.Withdrawn {
+		if report.Withdrawn || st.forgotten == report.Order {
 			st.tracker.Gate().Withdraw()
 		}
 	}
@@ -169,7 +169,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if st := s.state(o.Service); st.tracker.Gate() == nil {
+	if st := s.state(o.Service); st.tracker.Gate() == nil && st.forgotten != o {
 		s.takeOrder(st, o)
 	}
 }
--- a/internal/service/rollout/rule_test.go
+++ b/internal/service/rollout/rule_test.go
@@ -16,6 +16,7 @@
 	"github.com/zinniafork/zinniafork/internal/fleet"
 	"github.com/zinniafork/zinniafork/internal/kernel"
 	"github.com/zinniafork/zinniafork/internal/service/site"
+	"github.com/zinniafork/zinniafork/internal/wire"
 )
 
 // fixedClock is a clock that stands.
@@ -68,3 +69,29 @@
 		s.Started(rule, "s", "v1")
 	}
 }
+
+// TestWithdrawnOrderStaysForgotten guards against a withdrawn order that comes back: routers that
+// have not heard of the withdrawal yet still report on it or announce it.
+func TestWithdrawnOrderStaysForgotten(t *testing.T) {
+	s, clock := newTestService()
+	st := s.state("s")
+	must.True(t, st.tracker.Gate().Take(clock.now, &rollout.Reply{Order: testOrder, Term: 1, Seq: 1, Phase: rollout.RolledBack, ValidMs: 1000}))
+	gone := sitestate.Record[sitestate.Rollout]{Key: "s", Offset: 8, Gone: true}
+	s.siteChanged(sitestate.Changes{Rollouts: []sitestate.Record[sitestate.Rollout]{gone}})
+	s.expireOrder(st)
+	must.Nil(t, st.tracker.Gate())
+	payload, err := wire.Marshal(testOrder)
+	must.NoError(t, err)
+	s.handleOrder("b", payload)
+	must.Nil(t, st.tracker.Gate())
+	_, err = s.answer("b", &rollout.Report{Order: testOrder, Incarnation: 1})
+	must.ErrorIs(t, err, errNotController)
+	must.True(t, st.tracker.Gate().Withdrawn()) // it may have to tell the end to others
+	later := testOrder
+	later.Offset = 9
+	s.handleOrder("b", payload)
+	s.siteChanged(sitestate.Changes{Rollouts: []sitestate.Record[sitestate.Rollout]{{
+		Key: "s", Offset: 9, Value: sitestate.Rollout{Service: "s", To: "v2", Duration: time.Minute, Offset: 9, Era: 1},
+	}}})
+	must.True(t, st.tracker.Gate().Order().Same(later) && !st.tracker.Gate().Withdrawn())
+}
--- a/internal/service/rollout/service.go
+++ b/internal/service/rollout/service.go
@@ -89,6 +89,9 @@
 type state struct {
 	service fleet.Service
 	tracker *rollout.Tracker
+	// forgotten is the last order that was forgotten after it was withdrawn. Routers that do not
+	// know of that may still report on it.
+	forgotten rollout.Order
 	// reportAt is the time of the next report, reporting is true while one is under way.
 	reportAt  time.Time
 	reporting bool
@@ -261,6 +264,7 @@
 			return
 		}
 	}
+	st.forgotten = g.Order()
 	st.tracker.ClearOrder()
 	st.control = control{}
 }
