Count probes of a silent target that another one took over

A request that may be repeated is taken over by another target when its own is silent. Its grant was returned without a result, so that a silent target on trial got the next request at once.

--- a/internal/core/slotqueue/grantor.go
+++ b/internal/core/slotqueue/grantor.go
@@ -341,6 +341,9 @@
 			t.health.rejected(now, held.at)
 		case r.Took > 0:
 			t.health.answered(now, held.at, t.slots)
+		case held.overdue:
+			// Another target took over, as after the silence of a request that may be repeated.
+			t.health.broke(now, held.at, held.from)
 		}
 	}
 	return g.grantFree(now)
@@ -349,6 +352,7 @@
 // Check expires grants, refuses requests that would start too late and grants what is free. It
 // returns the decisions on requests that waited.
 func (g *Grantor) Check(now time.Time) []Decision {
+	g.usable(now) // counts what is overdue
 	for id, held := range g.grants {
 		if !now.Before(held.expires) {
 			delete(g.grants, id)
--- a/internal/core/slotqueue/grantor_test.go
+++ b/internal/core/slotqueue/grantor_test.go
@@ -183,3 +183,31 @@
 	must.Len(t, 1, next)
 	must.Eq(t, 10, next[0].Request)
 }
+
+// TestSilentTargetGetsNoProbesInSuccession guards against a silent target that keeps getting
+// requests which other targets have to take over.
+func TestSilentTargetGetsNoProbesInSuccession(t *testing.T) {
+	now := time.Unix(0, 0)
+	g := NewGrantor()
+	g.SetTargets(now, []Target{{Ref: 1, Slots: 6}, {Ref: 2, Slots: 6}})
+	probes := 0
+	for id := uint64(1); id <= 2000; id++ {
+		now = now.Add(5 * time.Millisecond)
+		d := g.Ask(now, Request{
+			ID: id, From: fleet.VM(rune('a' + id%16)), Account: "a", Repeatable: true,
+			Objective: now.Add(300 * time.Millisecond), Deadline: now.Add(3 * time.Second), Targets: []fleet.Ref{1, 2},
+		})
+		switch {
+		case d.State != Granted:
+		case d.Target == 1:
+			probes++
+			now = now.Add(600 * time.Millisecond)
+			g.Check(now)
+			g.Release(now, Release{Request: id}) // another target took over
+		default:
+			g.Release(now, Release{Request: id, Took: 30 * time.Millisecond})
+		}
+	}
+	// One for each pause of 200 ms, in which 40 requests come, and a few until it is paused.
+	must.LessEq(t, 2000/40+5, probes, must.Sprint("of 2,000 requests"))
+}
