--- a/internal/core/slotqueue/grantor.go
+++ b/internal/core/slotqueue/grantor.go
@@ -25,8 +25,6 @@
 	// spareShare of the capacity is what requests that miss their objective get at least, over
 	// a while: those that would be in time come in waves.
 	spareShare = 0.3
-	// capacityHalfLife is the age at which a capacity counts half in its mean.
-	capacityHalfLife = 2 * time.Second
 	// reviewsPerCheck bounds the requests that one check looks at against all others.
 	reviewsPerCheck = 64
 	// minRetryAfter and maxRetryAfter bound the advice to callers that are refused.
@@ -58,9 +56,6 @@
 	// arrivals is the mean number of requests a second, as of arrivalsAt.
 	arrivals   float64
 	arrivalsAt time.Time
-	// meanCapacity is the mean of the capacity, as of meanCapacityAt.
-	meanCapacity   float64
-	meanCapacityAt time.Time
 }
 
 // NewGrantor returns a grantor without targets.
@@ -106,15 +101,6 @@
 	}
 }
 
-// smoothCapacity returns the mean capacity of the last seconds, given that of now. Targets that
-// fail are often back within a second or two, which requests that are late may wait for.
-func (g *Grantor) smoothCapacity(now time.Time, capacity float64) float64 {
-	weight := decay(now.Sub(g.meanCapacityAt), capacityHalfLife)
-	g.meanCapacity = weight*g.meanCapacity + (1-weight)*capacity
-	g.meanCapacityAt = now
-	return g.meanCapacity
-}
-
 // meanWork returns the mean time of a request over all targets.
 func (g *Grantor) meanWork(now time.Time) time.Duration {
 	if len(g.ordered) == 0 {
@@ -217,7 +203,7 @@
 		return position, wait
 	}
 	position = g.waiting.ahead(now, work, i, true)
-	spare := max(capacity-g.arrivalRate(now), spareShare*max(capacity, g.smoothCapacity(now, capacity)))
+	spare := max(capacity-g.arrivalRate(now), spareShare*capacity)
 	return position, perSecond(float64(position+1), spare)
 }
 
@@ -275,7 +261,7 @@
 		}
 		i := g.waiting.next(now, &offer{
 			target: t.ref, work: t.estimate(now), reliable: reliable, unreliable: !slices.Contains(reliable, t),
-			repeatable: t.health.wantsRepeatable(now), beyond: t.granted >= t.limit(now), doubtful: t.health.share(now) >= doubtfulShare,
+			repeatable: t.health.wantsRepeatable(now), doubtful: t.health.share(now) >= doubtfulShare,
 		})
 		if i != nil {
 			best, bestItem, bestTime = t, i, finish
--- a/internal/core/slotqueue/waiting.go
+++ b/internal/core/slotqueue/waiting.go
@@ -10,7 +10,7 @@
 
 // objectiveMargin times the mean time of a request is the time that one needs which is still to
 // meet its objective: times spread by half of the mean.
-const objectiveMargin = 1.5
+const objectiveMargin = 1.4
 
 // item is a request that waits.
 type item struct {
@@ -87,9 +87,6 @@
 	// unreliable is true if the target fails some requests, doubtful if it fails most, and
 	// repeatable if it gets only requests that may be repeated.
 	unreliable, doubtful, repeatable bool
-	// beyond is true if all slots are taken, so that the request waits at the target. Later
-	// requests that can be in time would wait behind one that can't.
-	beyond bool
 }
 
 // suits reports whether a request may take an offer. It waits for another target if it would miss
@@ -99,8 +96,6 @@
 		return false
 	}
 	switch {
-	case o.beyond && !i.meets(now, o.work):
-		return false
 	case !o.unreliable && i.meets(now, o.work):
 		return true
 	case o.repeatable:
--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -20,9 +20,6 @@
 const (
 	// remotePenalty is what a target in another data centre counts more, in requests per slot.
 	remotePenalty = 0.1
-	// responseSlack is the part of the objective that passes outside of this router: the caller
-	// measures from its send to the end of the response.
-	responseSlack = 12 * time.Millisecond
 	// maxPlaceQueries is the number of times that a request asks for a slot, when the named
 	// target may get no request any more.
 	maxPlaceQueries = 2
@@ -107,7 +104,7 @@
 		Objective: r.deadline, Deadline: r.deadline, Targets: targets,
 	}
 	if r.route.Objective > 0 {
-		q.Objective = r.Received.Add(r.route.Objective - responseSlack)
+		q.Objective = r.Received.Add(r.route.Objective)
 	}
 	if r.account != nil {
 		q.Account = r.account.Name
