--- a/scripts/check-template.sh
+++ b/scripts/check-template.sh
@@ -11,6 +11,7 @@
 # fill SECTIONS fills in the template; SECTIONS is a sed script for its sections.
 fill() {
   sed -E -e "$1" \
+    -e 's/\{\{Limits.MemoryMb\}\}/184/; s/\{\{Limits.MaxFds\}\}/4100/' \
     -e 's/\{\{Listen.Control\}\}/10.1.0.40:8229/g; s/\{\{Listen.Front\}\}/10.1.0.40:8227/g' \
     -e 's/\{\{Listen.Ready\}\}/10.1.0.40:8220/; s/\{\{Listen.Directory\}\}/10.1.0.40:8224/' \
     -e 's/\{\{Zone\}\}/pos/; s/\{\{Region\}\}/tt-north/; s/\{\{Ip\}\}/10.1.0.40/; s/\{\{InternalPorts.0\}\}/7340/' \
