Take withdrawals whose offset is of a later era

The offset of a withdrawal was compared with that of its order by the era of the order. After the log was restored from a copy its offsets are lower, so that routers ignored the withdrawal as an old one. The change now names the era of its own offset.

--- a/internal/core/sitestate/rollouts.go
+++ b/internal/core/sitestate/rollouts.go
@@ -60,7 +60,13 @@
 			records = append(records, Record[Rollout]{Key: key, Offset: beforeLog + 1, Gone: true})
 		}
 	}
-	return apply(s.rollouts, records, u.From.Operator, u.End.Operator, u.WholeOperator)
+	changes := apply(s.rollouts, records, u.From.Operator, u.End.Operator, u.WholeOperator)
+	for i := range changes {
+		if r := &changes[i]; r.Gone && r.Offset >= 0 {
+			r.Value.Era = s.era // the offset is of this era, that of the order may be of an earlier one
+		}
+	}
+	return changes
 }
 
 // holdOrders lets the orders stand that are known now.
--- a/internal/service/rollout/rule_test.go
+++ b/internal/service/rollout/rule_test.go
@@ -95,3 +95,29 @@
 	}}})
 	must.True(t, st.tracker.Gate().Order().Same(later) && !st.tracker.Gate().Withdrawn())
 }
+
+// TestWithdrawalAfterARestoreCounts guards against a withdrawal that is taken for an old one: after
+// the log was restored from a copy, its offset is below that of the order.
+func TestWithdrawalAfterARestoreCounts(t *testing.T) {
+	s, clock := newTestService()
+	s.services = make(map[fleet.Service]*state)
+	known := sitestate.New()
+	order := func(offset, era int64) sitestate.Record[sitestate.Rollout] {
+		return sitestate.Record[sitestate.Rollout]{Key: "s", Offset: offset, Value: sitestate.Rollout{
+			Service: "s", To: "v2", Duration: time.Minute, Offset: offset, Era: era,
+		}}
+	}
+	apply := func(era, from, end int64, whole bool, records ...sitestate.Record[sitestate.Rollout]) {
+		s.siteChanged(known.Apply(clock.now, &sitestate.Update{
+			Rollouts: records, From: sitestate.Positions{Operator: from, Era: era},
+			End:           sitestate.Positions{Operator: end, Targets: 1, VMs: 1, Era: era},
+			WholeOperator: whole, WholeTargets: whole, WholeVMs: whole,
+		}))
+	}
+	apply(1, 0, 101, true, order(100, 1))
+	apply(2, 0, 51, true, order(50, 2))
+	gate := s.state("s").tracker.Gate()
+	must.False(t, gate.Withdrawn())
+	apply(2, 51, 52, false, sitestate.Record[sitestate.Rollout]{Key: "s", Offset: 51, Gone: true})
+	must.True(t, gate.Withdrawn())
+}
