Bound the segments of connections whose buffers are bounded

Cause: with 64 KiB socket buffers, requests of 72 KB stalled on the loopback interface, whose segments are 64 KB: a sender waits for a window of a segment.

Change: listeners for clients and outgoing connections ask for segments of 16 KiB at most, which is above those of any other network.

--- a/internal/httpserve/connlimits.go
+++ b/internal/httpserve/connlimits.go
@@ -292,6 +292,19 @@
 	return unread, unsent
 }
 
+// limitSegments bounds the segments of the connections that a listener accepts.
+func limitSegments(ln net.Listener) error {
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return kernel.LimitSegments(raw)
+}
+
 // limitBuffers bounds the buffers of a client's connection.
 func limitBuffers(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
@@ -325,6 +338,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := limitSegments(ln); err != nil {
+		return nil, errors.Join(err, ln.Close())
+	}
 	return &trackedListener{Listener: ln, conns: n.conns}, nil
 }
 
--- a/internal/kernel/env.go
+++ b/internal/kernel/env.go
@@ -127,7 +127,24 @@
 	return setTimeout(raw, idle+time.Duration(count)*interval)
 }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error { return setTimeout(c, userTimeout) }
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	return errors.Join(setTimeout(c, userTimeout), LimitSegments(c))
+}
+
+// maxSegmentBytes bounds the segments of a connection. Those of the loopback interface are 64 KB
+// else, and a connection whose buffers are bounded by as much stalls for 0.2 s at a time. It is
+// above the segments of any other network.
+const maxSegmentBytes = 16 << 10
+
+// LimitSegments bounds the segments of a connection that is about to open, or of those that a
+// listener accepts, so that their buffers can be bounded.
+func LimitSegments(c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, maxSegmentBytes)
+	})
+	return errors.Join(err, failed)
+}
 
 // setTimeout sets the user timeout of a connection.
 func setTimeout(c syscall.RawConn, timeout time.Duration) error {
