Bound the excess of a target by its own slots

A target that reported 1048576 running requests and as many slots counted with an excess of 524288 requests in the mean load of its service. The limit of all other targets follows that mean.

--- a/internal/service/forward/choose.go
+++ b/internal/service/forward/choose.go
@@ -144,7 +144,7 @@
 	}
 	limitChanged := s.takeLimit(now, t, resp, sentAt)
 	brittleChanged := s.takeBrittle(now, t, resp, sentAt)
-	s.takeLoad(now, t.ID.Ref(), resp.Load)
+	s.takeLoad(now, t, resp.Load)
 	s.mu.Unlock()
 	entry := s.logger.WithFields(logrus.Fields{"request": request, "target": t.ID})
 	if limitChanged {
--- a/internal/service/forward/work.go
+++ b/internal/service/forward/work.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/zinniafork/zinniafork/internal/core/balance"
+	"github.com/zinniafork/zinniafork/internal/core/sitestate"
 	"github.com/zinniafork/zinniafork/internal/core/workload"
 	"github.com/zinniafork/zinniafork/internal/fleet"
 )
@@ -183,13 +184,16 @@
 	}
 }
 
-// takeLoad takes what a target reports of its load. The caller holds the lock.
-func (s *Service) takeLoad(now time.Time, target fleet.Ref, load *TargetLoad) {
+// takeLoad takes what a target reports of its load. The reported slots count only up to those
+// that the target has: they bound the excess, which counts in the mean load of the service. The
+// caller holds the lock.
+func (s *Service) takeLoad(now time.Time, t *sitestate.AvailableTarget, load *TargetLoad) {
 	if s.work == nil || load == nil {
 		return
 	}
+	target := t.ID.Ref()
 	s.work.model.Reported(now, target, workload.Report{
-		Requests: load.Running + load.Waiting, Slots: load.Slots, Slowdown: load.Slowdown,
+		Requests: load.Running + load.Waiting, Slots: min(load.Slots, max(t.Slots, 1)), Slowdown: load.Slowdown,
 	}, s.balancer.Load(target))
 }
 
