--- a/internal/service/forward/speeds.go
+++ b/internal/service/forward/speeds.go
@@ -34,9 +34,11 @@
 }
 
 // decodeSpeeds decodes the paces of targets, given those of the table by index. Entries with
-// an unknown index and an incomplete one at the end are ignored.
+// an unknown index, an incomplete one at the end and those beyond maxSpeeds are ignored: the
+// time to merge entries grows with the square of their number.
 func decodeSpeeds(refs []fleet.Ref, data []byte) []workload.Speed {
 	var out []workload.Speed
+	data = data[:min(len(data), maxSpeeds*speedSize)]
 	for ; len(data) >= speedSize; data = data[speedSize:] {
 		if index := int(binary.LittleEndian.Uint16(data)); index < len(refs) {
 			out = append(out, workload.Speed{
--- a/internal/service/forward/speeds_test.go
+++ b/internal/service/forward/speeds_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 	must.Eq(t, []workload.Speed{{Target: 9, LogPace: -1.5, Weight: 0.5}, {Target: 7, LogPace: -4, Weight: 255.0 / 32}}, decodeSpeeds(refs, got.Speeds))
 	must.Len(t, 1, decodeSpeeds(refs, got.Speeds[:speedSize+1]))
 	must.Len(t, 0, decodeSpeeds([]fleet.Ref{}, got.Speeds))
+	must.Len(t, maxSpeeds, decodeSpeeds(refs, bytes.Repeat(got.Speeds[:speedSize], 2*maxSpeeds)), must.Sprint("more than a digest may hold"))
 
 	var u updates
 	u.merge(updates{speeds: sent})
