--- a/internal/core/workload/machine.go
+++ b/internal/core/workload/machine.go
@@ -86,9 +86,10 @@
 // bias is the mean of an error.
 type bias struct{ mean float64 }
 
-// sample returns an error less the mean of those before it.
+// sample returns an error less the mean of those before it. What one error moves the mean by is
+// bounded, as it may come from a false size.
 func (b *bias) sample(x float64) float64 {
 	out := x - b.mean
-	b.mean += memory * out
+	b.mean += memory * min(max(out, -maxSample), maxSample)
 	return out
 }
--- a/internal/core/workload/workload_test.go
+++ b/internal/core/workload/workload_test.go
@@ -222,3 +222,27 @@
 	m.Paces(start, func(fleet.Ref, float64) { targets++ })
 	must.LessEq(t, 2048, targets)
 }
+
+// TestFalseTokenCountsDoNotSlowTargets guards against a few requests that claim huge prompts and
+// begin at once, after which the targets of all other requests are taken for slow.
+func TestFalseTokenCountsDoNotSlowTargets(t *testing.T) {
+	m, now := workload.New(), start
+	usual := func(n int) {
+		for range n {
+			_, now = run(m, now, engineCall{key: engineKey, size: workload.Size{PromptTokens: 2000}, target: 1, events: 10, speed: 1, batch: 10})
+		}
+	}
+	usual(50)
+	before, _ := m.Speed(now, 1)
+	for range 3 {
+		key, size := engineKey, workload.Size{PromptTokens: 1 << 24}
+		key.Account = "hostile"
+		j := m.Start(now, workload.Start{Key: key, Size: size, Estimate: m.Estimate(key, &size, 10), Target: 2, Slots: 64, Batch: 10})
+		now = now.Add(50 * time.Millisecond)
+		m.Events(now, j, 1)
+		j.Drop()
+	}
+	usual(10)
+	after, _ := m.Speed(now, 1)
+	must.Greater(t, 0.93*before, after)
+}
