Grant no slot to a query that was canceled

A grantor that wakes from a pause may handle the release of a query before the query. The slot was then held until the deadline of the request.

--- a/internal/service/slots/grantor.go
+++ b/internal/service/slots/grantor.go
@@ -97,7 +97,7 @@
 // that it waits, and keeps its place for a moment.
 func (q *queue) ask(ctx context.Context, from fleet.VM, m *placeQuery) placeReply {
 	asked := q.host.clock.Now()
-	d, answer := q.begin(asked, from, m)
+	d, answer := q.begin(ctx, asked, from, m)
 	if answer == nil {
 		return newReply(d, 0)
 	}
@@ -114,10 +114,14 @@
 	return newReply(d, q.host.clock.Now().Sub(asked))
 }
 
-// begin asks the grantor. It returns a channel if the query has to wait.
-func (q *queue) begin(now time.Time, from fleet.VM, m *placeQuery) (slotqueue.Decision, chan slotqueue.Decision) {
+// begin asks the grantor. It returns a channel if the query has to wait. A query that was canceled
+// takes no slot: its release may have come before, if this process was paused.
+func (q *queue) begin(ctx context.Context, now time.Time, from fleet.VM, m *placeQuery) (slotqueue.Decision, chan slotqueue.Decision) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if ctx.Err() != nil {
+		return slotqueue.Decision{Request: m.ID}, nil
+	}
 	q.refresh(now)
 	d := q.grantor.Ask(now, slotqueue.Request{
 		ID: m.ID, From: from, Account: m.Account, Priority: m.Priority, Returning: m.Returning, Repeatable: m.Repeatable,
--- a/internal/service/slots/service_test.go
+++ b/internal/service/slots/service_test.go
@@ -190,3 +190,18 @@
 		must.Zero(t, g.outstanding(), must.Sprint("it is returned"))
 	})
 }
+
+// TestCanceledQueryTakesNoSlot guards against a grantor that was frozen: when it wakes it reads the
+// query, its cancel and the release, and may handle the query last. The slot would be held until
+// the deadline of the request.
+func TestCanceledQueryTakesNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newService(t, peertest.NewHub(time.Millisecond), "g", "g")
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		g.release(&placeRelease{ID: 7, Service: "plain"})
+		reply := g.ask(ctx, "s", newQuery(time.Now(), newTestQuery(), 7))
+		must.NotEq(t, slotqueue.Granted, reply.State)
+		must.Zero(t, g.outstanding())
+	})
+}
