Keep requests during a short pause of all targets

While all targets of a service had just turned a request away, the queue predicted one request a second, and refused what waited as too late.

--- a/internal/core/slotqueue/grantor.go
+++ b/internal/core/slotqueue/grantor.go
@@ -115,18 +115,36 @@
 
 // capacity returns the number of requests that the targets can end in a second. Slots that are
 // taken by others or lowered for the moment count: they are back before a request that waits is
-// too late.
-func (g *Grantor) capacity(now time.Time) float64 {
+// too late. It also returns the time until the first target takes requests.
+func (g *Grantor) capacity(now time.Time) (rate float64, pause time.Duration) {
 	sum := 0.0
-	usable, _ := g.usable(now)
-	for _, t := range usable {
+	serving, pause := g.serving(now)
+	for _, t := range serving {
 		slots := t.slots
 		if t.health.trial > 0 {
 			slots = min(slots, t.health.trial)
 		}
 		sum += float64(slots) / max(t.estimate(now).Seconds(), 1e-3)
 	}
-	return max(sum, 1)
+	return max(sum, 1), pause
+}
+
+// serving returns the targets that take requests, and the time until the first of them does. While
+// none does, those that have turned a request away count, as their pauses are short.
+func (g *Grantor) serving(now time.Time) (targets []*targetState, pause time.Duration) {
+	if usable, _ := g.usable(now); len(usable) > 0 {
+		return usable, 0
+	}
+	for _, t := range g.ordered {
+		if !t.health.paused(now) || t.health.streak >= pauseStreak {
+			continue
+		}
+		if left := t.health.trialSince.Sub(now); len(targets) == 0 || left < pause {
+			pause = left
+		}
+		targets = append(targets, t)
+	}
+	return targets, pause
 }
 
 // Ask decides on a request. It waits if there is no slot for it now and it may still be in
@@ -196,15 +214,16 @@
 // predict returns the number of requests ahead of one that waits, and its predicted wait. One
 // that will miss its objective starts only when those in time leave capacity.
 func (g *Grantor) predict(now time.Time, i *item) (position int, wait time.Duration) {
-	work, capacity := g.meanWork(now), g.capacity(now)
+	work := g.meanWork(now)
+	capacity, pause := g.capacity(now)
 	position = g.waiting.ahead(now, work, i, false)
-	wait = perSecond(float64(position+1), capacity)
+	wait = pause + perSecond(float64(position+1), capacity)
 	if i.meets(now.Add(wait), work) {
 		return position, wait
 	}
 	position = g.waiting.ahead(now, work, i, true)
 	spare := max(capacity-g.arrivalRate(now), spareShare*capacity)
-	return position, perSecond(float64(position+1), spare)
+	return position, pause + perSecond(float64(position+1), spare)
 }
 
 // perSecond returns the time that n requests take at a rate.
@@ -214,7 +233,8 @@
 
 // retryAfter returns the time until the requests that wait have drained.
 func (g *Grantor) retryAfter(now time.Time) time.Duration {
-	drain := perSecond(float64(len(g.waiting.items)+1), g.capacity(now))
+	capacity, pause := g.capacity(now)
+	drain := pause + perSecond(float64(len(g.waiting.items)+1), capacity)
 	return min(max(drain, minRetryAfter), maxRetryAfter)
 }
 
--- a/internal/core/slotqueue/grantor_test.go
+++ b/internal/core/slotqueue/grantor_test.go
@@ -183,3 +183,26 @@
 	must.Len(t, 1, next)
 	must.Eq(t, 10, next[0].Request)
 }
+
+// TestShortPauseOfAllTargetsRefusesNobody guards against a queue that is refused as too late since
+// all targets have turned a request away and get none for a few milliseconds.
+func TestShortPauseOfAllTargetsRefusesNobody(t *testing.T) {
+	now := time.Unix(0, 0)
+	g := NewGrantor()
+	g.SetTargets(now, []Target{{Ref: 1, Slots: 6}, {Ref: 2, Slots: 6}, {Ref: 3, Slots: 6}})
+	ask := func(id uint64) Decision {
+		return g.Ask(now, Request{ID: id, Account: "a", Objective: now.Add(150 * time.Millisecond), Deadline: now.Add(time.Second), Targets: []fleet.Ref{1, 2, 3}})
+	}
+	for id := uint64(1); id <= 18; id++ {
+		must.Eq(t, Granted, ask(id).State)
+	}
+	now = now.Add(time.Millisecond)
+	for id := uint64(1); id <= 18; id++ {
+		g.Release(now, Release{Request: id, Rejected: true})
+	}
+	must.Eq(t, Waiting, ask(100).State)
+	now = now.Add(minRejectPause)
+	decisions := g.Check(now)
+	must.Len(t, 1, decisions)
+	must.Eq(t, Granted, decisions[0].State)
+}
