--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -68,6 +68,11 @@
 		if p.Outcome == slots.Refused {
 			return &send{choice: balance.Choice{Reason: queueRefused}, startedAt: now, placed: placed}, len(targets)
 		}
+		if now.After(p.UsableUntil) {
+			// The process was paused with the grant.
+			r.s.placer.Return(&p, slots.Result{})
+			continue
+		}
 		s, available, needsGrant := r.tryChoose(now, limitRule{}, pickTarget(p.Target), versions)
 		if s.target() != "" && !needsGrant {
 			s.choice.Reason, s.placed = slotGranted, placed
--- /dev/null
+++ b/internal/service/forward/plain_test.go
@@ -0,0 +1,56 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/zinniafork/zinniafork/internal/core/routing"
+	"github.com/zinniafork/zinniafork/internal/core/slotqueue"
+	"github.com/zinniafork/zinniafork/internal/fleet"
+	"github.com/zinniafork/zinniafork/internal/service/slots"
+)
+
+// pausedSite is a site whose log is read again for a while.
+type pausedSite struct {
+	*twoTargets
+	reads time.Duration
+}
+
+func (p pausedSite) AwaitCurrent(context.Context) { time.Sleep(p.reads) }
+
+// grantingPlacer grants each request the first target, for a while.
+type grantingPlacer struct{ returned int }
+
+func (*grantingPlacer) Places(fleet.Service) bool { return true }
+
+func (*grantingPlacer) Place(context.Context, *slots.Query) slots.Placement {
+	return slots.Placement{Outcome: slots.Granted, Target: fleet.Target("e1").Ref(), UsableUntil: time.Now().Add(150 * time.Millisecond)}
+}
+
+func (p *grantingPlacer) Return(*slots.Placement, slots.Result) { p.returned++ }
+
+func (*grantingPlacer) UseLoads(func(fleet.Ref) float64) {}
+
+// TestGrantThatGrewOldIsReturned guards against a router that was paused with a grant, and uses it
+// after the log was read again: another request may have the slot by then.
+func TestGrantThatGrewOldIsReturned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for reads, returned := range map[time.Duration]int{0: 0, 250 * time.Millisecond: maxPlaceQueries} {
+			placer := new(grantingPlacer)
+			r := sentRequest(&routing.Route{Kind: routing.Unsafe, Attempts: 1}, new(twoTargets))
+			clear(r.tried)
+			r.service = &routing.Service{Name: "plain"}
+			r.s.placer, r.s.picker = placer, slotqueue.NewPicker(rand.New(rand.NewPCG(1, 1)))
+			r.s.site = pausedSite{twoTargets: new(twoTargets), reads: reads}
+			s, _ := r.choose(t.Context(), time.Now())
+			must.NotEq(t, "", s.target())
+			must.Eq(t, returned, placer.returned)
+			must.Eq(t, returned == 0, s.placed != nil)
+		}
+	})
+}
--- a/internal/service/slots/requester.go
+++ b/internal/service/slots/requester.go
@@ -177,13 +177,14 @@
 // does not know the targets yet decides nothing.
 func (s *Service) decided(now, asked time.Time, q *Query, p *Placement, reply placeReply) {
 	p.Position, p.Predicted = reply.Position, duration(reply.Predicted)
-	age := now.Sub(asked) - duration(reply.Held)
+	held := min(max(duration(reply.Held), 0), now.Sub(asked))
+	usableUntil := asked.Add(held + maxGrantAge)
 	switch {
-	case reply.State == slotqueue.Granted && age > maxGrantAge:
+	case reply.State == slotqueue.Granted && now.After(usableUntil):
 		s.giveUp(p)
 		s.metrics.placed("late_grant")
 	case reply.State == slotqueue.Granted:
-		p.Outcome, p.Target = Granted, reply.Target
+		p.Outcome, p.Target, p.UsableUntil = Granted, reply.Target, usableUntil
 		s.metrics.placed("granted")
 	case reply.Reason == slotqueue.NoTarget:
 		s.metrics.placed("unknown_target")
--- a/internal/service/slots/slots.go
+++ b/internal/service/slots/slots.go
@@ -50,6 +50,8 @@
 type Placement struct {
 	Outcome Outcome
 	Target  fleet.Ref
+	// UsableUntil is the time from which a grant is not used, but returned.
+	UsableUntil time.Time
 	// Grantor is the router that answered, empty if none was asked.
 	Grantor fleet.VM
 	// Waited is the time until the answer, Position the number of requests that were ahead
