--- a/internal/service/slots/grantor.go
+++ b/internal/service/slots/grantor.go
@@ -21,6 +21,9 @@
 	maxHold = time.Second
 	// maxTargets bounds the targets that one query may name.
 	maxTargets = 1024
+	// maxDeadline bounds the time to the deadline of a query, and so the life of a grant that is
+	// not returned.
+	maxDeadline = 2 * time.Minute
 )
 
 // queue is the queue of one service, at its grantor.
@@ -125,7 +128,7 @@
 	q.refresh(now)
 	d := q.grantor.Ask(now, slotqueue.Request{
 		ID: m.ID, From: from, Account: m.Account, Priority: m.Priority, Returning: m.Returning, Repeatable: m.Repeatable,
-		Objective: now.Add(duration(m.Objective)), Deadline: now.Add(duration(m.Deadline)), Targets: m.Targets,
+		Objective: now.Add(duration(m.Objective)), Deadline: now.Add(min(duration(m.Deadline), maxDeadline)), Targets: m.Targets,
 	})
 	q.changed(now)
 	if d.State != slotqueue.Waiting {
--- a/internal/service/slots/service_test.go
+++ b/internal/service/slots/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -205,3 +206,16 @@
 		must.Zero(t, g.outstanding())
 	})
 }
+
+// TestGrantsOfFarDeadlinesExpire guards against a router that asks with a deadline of weeks and
+// never returns its grants, which would shut out the targets for everybody.
+func TestGrantsOfFarDeadlinesExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newService(t, peertest.NewHub(time.Millisecond), "g", "g")
+		q := newQuery(time.Now(), newTestQuery(), 7)
+		q.Deadline, q.Objective = math.MaxInt32, math.MaxInt32
+		must.Eq(t, slotqueue.Granted, g.ask(t.Context(), "s", q).State)
+		time.Sleep(10 * time.Minute)
+		must.Zero(t, g.outstanding())
+	})
+}
