Learn outputs from hints as they are predicted

An estimate bounds the hint by the most tokens of output, but the ratio of outputs to hints was learned from the whole hint. A caller with far too high hints made its route expect too few events of all others.

--- a/internal/core/workload/workload.go
+++ b/internal/core/workload/workload.go
@@ -47,6 +47,14 @@
 	PrefixTokens []int
 }
 
+// hint returns the estimated tokens of output, at most the most tokens of it.
+func (s *Size) hint() int {
+	if s.MaxOutput > 0 {
+		return min(s.OutputHint, s.MaxOutput)
+	}
+	return s.OutputHint
+}
+
 // Estimate is the expected cost of a request.
 type Estimate struct {
 	// Tokens is the length of the prompt and TokenMS the time to read a token of it.
@@ -139,17 +147,13 @@
 		return e
 	}
 	service := lookup(m.services, k.Service, newMachine)
-	hint := size.OutputHint
-	if size.MaxOutput > 0 {
-		hint = min(hint, size.MaxOutput)
-	}
 	tokens := float64(size.PromptTokens)
 	if tokens <= 0 {
 		tokens = service.promptTokens
 	}
 	return Estimate{
 		Tokens: tokens, TokenMS: service.tokenMS, PrefixTokens: size.PrefixTokens,
-		Events: account.output(route, hint), EventMS: service.eventMS(batch),
+		Events: account.output(route, size.hint()), EventMS: service.eventMS(batch),
 	}
 }
 
@@ -289,8 +293,8 @@
 	service := lookup(m.services, j.key.Service, newMachine)
 	if !partial && j.events > 0 {
 		service.learnPrompt(j.size.PromptTokens)
-		lookup(m.routes, routeOf(j.key), newHistory).learnOutput(j.size.OutputHint, j.events)
-		lookup(m.accounts, j.key, newHistory).learnOutput(j.size.OutputHint, j.events)
+		lookup(m.routes, routeOf(j.key), newHistory).learnOutput(j.size.hint(), j.events)
+		lookup(m.accounts, j.key, newHistory).learnOutput(j.size.hint(), j.events)
 	}
 	if j.events >= minPacedEvents {
 		service.learnEvent(j.batch, milliseconds(j.lastAt.Sub(j.firstAt))/float64(j.events-1))
--- a/internal/core/workload/workload_test.go
+++ b/internal/core/workload/workload_test.go
@@ -246,3 +246,17 @@
 	after, _ := m.Speed(now, 1)
 	must.Greater(t, 0.93*before, after)
 }
+
+// TestHintAboveTheMostOutput guards against outputs that are learned from a whole hint and
+// predicted from one that is bounded by the most tokens of output.
+func TestHintAboveTheMostOutput(t *testing.T) {
+	m, now := workload.New(), start
+	size := workload.Size{PromptTokens: 2000, MaxOutput: 100, OutputHint: 100_000}
+	for range 50 {
+		_, now = run(m, now, engineCall{key: engineKey, size: size, target: 1, events: 12, speed: 1, batch: 10})
+	}
+	honest := workload.Size{PromptTokens: 2000, MaxOutput: 1000, OutputHint: 100}
+	must.Between(t, 10, m.Estimate(engineKey, &honest, 10).Events, 14)
+	honest.OutputHint = 1000
+	must.Between(t, 50, m.Estimate(engineKey, &honest, 10).Events, 140)
+}
