--- a/internal/service/slots/requester.go
+++ b/internal/service/slots/requester.go
@@ -159,7 +159,7 @@
 	}
 	s.metrics.failed(string(e.Code))
 	timedOut := e.Code == call.CodeCanceled || e.Code == call.CodeDeadline
-	if timedOut {
+	if timedOut || e.Run != call.RunNot {
 		s.giveUp(p)
 	}
 	if left := q.Objective.Sub(now); !timedOut || left > time.Duration((1-nextShare)*float64(q.Objective.Sub(asked))) {
@@ -169,8 +169,8 @@
 	return true
 }
 
-// giveUp tells the grantor that nobody waits for its answer any more. A grant that is on its way
-// is so returned.
+// giveUp tells the grantor that nobody waits for its answer any more. A grant that is on its way,
+// or whose answer was lost, is so returned.
 func (s *Service) giveUp(p *Placement) { s.sendRelease(p, Result{}) }
 
 // decided takes the decision of a grantor. A grant that is too old is returned, and a grantor that
--- a/internal/service/slots/service_test.go
+++ b/internal/service/slots/service_test.go
@@ -219,3 +219,21 @@
 		must.Zero(t, g.outstanding())
 	})
 }
+
+// TestLostAnswerReturnsItsGrant guards against slots that stay taken until the deadline, since the
+// connection ended after the grantor had decided and before the answer arrived.
+func TestLostAnswerReturnsItsGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hub := peertest.NewHub(time.Millisecond)
+		g := newService(t, hub, "g", "g")
+		s := newService(t, hub, "s", "g")
+		g.peers.HandleQuery(peer.KindPlace, func(ctx context.Context, from fleet.VM, payload []byte) ([]byte, error) {
+			_, err := g.handlePlace(ctx, from, payload)
+			must.NoError(t, err)
+			return nil, &call.Error{Code: call.CodeUnavailable, Run: call.RunUnknown}
+		})
+		must.Eq(t, ChooseSelf, s.Place(t.Context(), newTestQuery()).Outcome)
+		time.Sleep(10 * time.Millisecond)
+		must.Zero(t, g.outstanding())
+	})
+}
