--- a/internal/core/slotqueue/pick.go
+++ b/internal/core/slotqueue/pick.go
@@ -91,6 +91,7 @@
 
 // Failed records that a target broke a request. One that fails at once looks idle.
 func (p *Picker) Failed(now time.Time, id fleet.Ref) {
+	p.expire(now)
 	p.failures[id] = failures{at: now, weight: p.failureWeight(now, id) + 1}
 }
 
