Bound what one false size moves the mean of a service by

A single complete request that named 16 million prompt tokens raised the expected prompt of requests without sizes from 2000 to 840000 tokens. A false hint lowered the expected output of its route in the same way.

--- a/internal/core/workload/history.go
+++ b/internal/core/workload/history.go
@@ -11,6 +11,9 @@
 	defaultServiceMS = 40
 	// maxEvents bounds an estimate, whatever a request says of itself.
 	maxEvents = 4096
+	// maxSizeRatio bounds a size that a request says of itself in relation to the mean that it
+	// is added to: one false size would move a mean of all callers far.
+	maxSizeRatio = 8
 	// memory is the weight of a new value in the means of a history, once there are
 	// 1 / memory of them.
 	memory = 0.05
@@ -90,7 +93,7 @@
 		if h.hints == 0 {
 			h.hints, h.hinted = float64(hint), n
 		}
-		h.hints += w * (float64(hint) - h.hints)
+		h.hints += w * (min(float64(hint), maxSizeRatio*h.hints) - h.hints)
 		h.hinted += w * (n - h.hinted)
 	}
 	h.events += w * (n - h.events)
--- a/internal/core/workload/machine.go
+++ b/internal/core/workload/machine.go
@@ -79,7 +79,7 @@
 // learnPrompt records the length of a prompt.
 func (m *machine) learnPrompt(tokens int) {
 	if tokens > 0 {
-		m.promptTokens += memory * (float64(tokens) - m.promptTokens)
+		m.promptTokens += memory * (min(float64(tokens), maxSizeRatio*m.promptTokens) - m.promptTokens)
 	}
 }
 
--- a/internal/core/workload/workload_test.go
+++ b/internal/core/workload/workload_test.go
@@ -260,3 +260,27 @@
 	honest.OutputHint = 1000
 	must.Between(t, 50, m.Estimate(engineKey, &honest, 10).Events, 140)
 }
+
+// TestOneFalseSizeMovesEstimatesLittle guards against one complete request with sizes far off, after
+// which the other requests of its route are expected to cost many times more or less.
+func TestOneFalseSizeMovesEstimatesLittle(t *testing.T) {
+	m, now := workload.New(), start
+	size := workload.Size{PromptTokens: 2000, OutputHint: 340}
+	call := func(key workload.Key, size workload.Size) {
+		e := m.Estimate(key, &size, 10)
+		j := m.Start(now, workload.Start{Key: key, Size: size, Estimate: e, Target: 1, Slots: 64, Batch: 10})
+		for range 40 {
+			now = now.Add(30 * time.Millisecond)
+			m.Events(now, j, 1)
+		}
+		m.Complete(now, j, false)
+	}
+	for range 100 {
+		call(engineKey, size)
+	}
+	hostile, other := engineKey, engineKey
+	hostile.Account, other.Account = "hostile", "other"
+	call(hostile, workload.Size{PromptTokens: 1 << 24, OutputHint: 1 << 24})
+	must.Between(t, 1900, m.Estimate(other, &workload.Size{}, 10).Tokens, 3000)
+	must.Between(t, 30, m.Estimate(other, &size, 10).Events, 50)
+}
