--- a/internal/core/workload/workload_test.go
+++ b/internal/core/workload/workload_test.go
@@ -222,3 +222,65 @@
 	m.Paces(start, func(fleet.Ref, float64) { targets++ })
 	must.LessEq(t, 2048, targets)
 }
+
+// TestFalseTokenCountsDoNotSlowTargets guards against a few requests that claim huge prompts and
+// begin at once, after which the targets of all other requests are taken for slow.
+func TestFalseTokenCountsDoNotSlowTargets(t *testing.T) {
+	m, now := workload.New(), start
+	usual := func(n int) {
+		for range n {
+			_, now = run(m, now, engineCall{key: engineKey, size: workload.Size{PromptTokens: 2000}, target: 1, events: 10, speed: 1, batch: 10})
+		}
+	}
+	usual(50)
+	before, _ := m.Speed(now, 1)
+	for range 3 {
+		key, size := engineKey, workload.Size{PromptTokens: 1 << 24}
+		key.Account = "hostile"
+		j := m.Start(now, workload.Start{Key: key, Size: size, Estimate: m.Estimate(key, &size, 10), Target: 2, Slots: 64, Batch: 10})
+		now = now.Add(50 * time.Millisecond)
+		m.Events(now, j, 1)
+		j.Drop()
+	}
+	usual(10)
+	after, _ := m.Speed(now, 1)
+	must.Greater(t, 0.93*before, after)
+}
+
+// TestHintAboveTheMostOutput guards against outputs that are learned from a whole hint and
+// predicted from one that is bounded by the most tokens of output.
+func TestHintAboveTheMostOutput(t *testing.T) {
+	m, now := workload.New(), start
+	size := workload.Size{PromptTokens: 2000, MaxOutput: 100, OutputHint: 100_000}
+	for range 50 {
+		_, now = run(m, now, engineCall{key: engineKey, size: size, target: 1, events: 12, speed: 1, batch: 10})
+	}
+	honest := workload.Size{PromptTokens: 2000, MaxOutput: 1000, OutputHint: 100}
+	must.Between(t, 10, m.Estimate(engineKey, &honest, 10).Events, 14)
+	honest.OutputHint = 1000
+	must.Between(t, 50, m.Estimate(engineKey, &honest, 10).Events, 140)
+}
+
+// TestOneFalseSizeMovesEstimatesLittle guards against one complete request with sizes far off, after
+// which the other requests of its route are expected to cost many times more or less.
+func TestOneFalseSizeMovesEstimatesLittle(t *testing.T) {
+	m, now := workload.New(), start
+	size := workload.Size{PromptTokens: 2000, OutputHint: 340}
+	call := func(key workload.Key, size workload.Size) {
+		e := m.Estimate(key, &size, 10)
+		j := m.Start(now, workload.Start{Key: key, Size: size, Estimate: e, Target: 1, Slots: 64, Batch: 10})
+		for range 40 {
+			now = now.Add(30 * time.Millisecond)
+			m.Events(now, j, 1)
+		}
+		m.Complete(now, j, false)
+	}
+	for range 100 {
+		call(engineKey, size)
+	}
+	hostile, other := engineKey, engineKey
+	hostile.Account, other.Account = "hostile", "other"
+	call(hostile, workload.Size{PromptTokens: 1 << 24, OutputHint: 1 << 24})
+	must.Between(t, 1900, m.Estimate(other, &workload.Size{}, 10).Tokens, 3000)
+	must.Between(t, 30, m.Estimate(other, &size, 10).Events, 50)
+}
--- a/internal/service/slots/grantor.go
+++ b/internal/service/slots/grantor.go
@@ -21,6 +21,9 @@
 	maxHold = time.Second
 	// maxTargets bounds the targets that one query may name.
 	maxTargets = 1024
+	// maxDeadline bounds the time to the deadline of a query, and so the life of a grant that is
+	// not returned.
+	maxDeadline = 2 * time.Minute
 )
 
 // queue is the queue of one service, at its grantor.
@@ -97,7 +100,7 @@
 // that it waits, and keeps its place for a moment.
 func (q *queue) ask(ctx context.Context, from fleet.VM, m *placeQuery) placeReply {
 	asked := q.host.clock.Now()
-	d, answer := q.begin(asked, from, m)
+	d, answer := q.begin(ctx, asked, from, m)
 	if answer == nil {
 		return newReply(d, 0)
 	}
@@ -114,14 +117,18 @@
 	return newReply(d, q.host.clock.Now().Sub(asked))
 }
 
-// begin asks the grantor. It returns a channel if the query has to wait.
-func (q *queue) begin(now time.Time, from fleet.VM, m *placeQuery) (slotqueue.Decision, chan slotqueue.Decision) {
+// begin asks the grantor. It returns a channel if the query has to wait. A query that was canceled
+// takes no slot: its release may have come before, if this process was paused.
+func (q *queue) begin(ctx context.Context, now time.Time, from fleet.VM, m *placeQuery) (slotqueue.Decision, chan slotqueue.Decision) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if ctx.Err() != nil {
+		return slotqueue.Decision{Request: m.ID}, nil
+	}
 	q.refresh(now)
 	d := q.grantor.Ask(now, slotqueue.Request{
 		ID: m.ID, From: from, Account: m.Account, Priority: m.Priority, Returning: m.Returning, Repeatable: m.Repeatable,
-		Objective: now.Add(duration(m.Objective)), Deadline: now.Add(duration(m.Deadline)), Targets: m.Targets,
+		Objective: now.Add(duration(m.Objective)), Deadline: now.Add(min(duration(m.Deadline), maxDeadline)), Targets: m.Targets,
 	})
 	q.changed(now)
 	if d.State != slotqueue.Waiting {
--- a/internal/service/slots/requester.go
+++ b/internal/service/slots/requester.go
@@ -159,7 +159,7 @@
 	}
 	s.metrics.failed(string(e.Code))
 	timedOut := e.Code == call.CodeCanceled || e.Code == call.CodeDeadline
-	if timedOut {
+	if timedOut || e.Run != call.RunNot {
 		s.giveUp(p)
 	}
 	if left := q.Objective.Sub(now); !timedOut || left > time.Duration((1-nextShare)*float64(q.Objective.Sub(asked))) {
@@ -169,21 +169,22 @@
 	return true
 }
 
-// giveUp tells the grantor that nobody waits for its answer any more. A grant that is on its way
-// is so returned.
+// giveUp tells the grantor that nobody waits for its answer any more. A grant that is on its way,
+// or whose answer was lost, is so returned.
 func (s *Service) giveUp(p *Placement) { s.sendRelease(p, Result{}) }
 
 // decided takes the decision of a grantor. A grant that is too old is returned, and a grantor that
 // does not know the targets yet decides nothing.
 func (s *Service) decided(now, asked time.Time, q *Query, p *Placement, reply placeReply) {
 	p.Position, p.Predicted = reply.Position, duration(reply.Predicted)
-	age := now.Sub(asked) - duration(reply.Held)
+	held := min(max(duration(reply.Held), 0), now.Sub(asked))
+	usableUntil := asked.Add(held + maxGrantAge)
 	switch {
-	case reply.State == slotqueue.Granted && age > maxGrantAge:
+	case reply.State == slotqueue.Granted && now.After(usableUntil):
 		s.giveUp(p)
 		s.metrics.placed("late_grant")
 	case reply.State == slotqueue.Granted:
-		p.Outcome, p.Target = Granted, reply.Target
+		p.Outcome, p.Target, p.UsableUntil = Granted, reply.Target, usableUntil
 		s.metrics.placed("granted")
 	case reply.Reason == slotqueue.NoTarget:
 		s.metrics.placed("unknown_target")
