--- a/internal/core/slotqueue/grantor_test.go
+++ b/internal/core/slotqueue/grantor_test.go
@@ -183,3 +183,54 @@
 	must.Len(t, 1, next)
 	must.Eq(t, 10, next[0].Request)
 }
+
+// TestShortPauseOfAllTargetsRefusesNobody guards against a queue that is refused as too late since
+// all targets have turned a request away and get none for a few milliseconds.
+func TestShortPauseOfAllTargetsRefusesNobody(t *testing.T) {
+	now := time.Unix(0, 0)
+	g := NewGrantor()
+	g.SetTargets(now, []Target{{Ref: 1, Slots: 6}, {Ref: 2, Slots: 6}, {Ref: 3, Slots: 6}})
+	ask := func(id uint64) Decision {
+		return g.Ask(now, Request{ID: id, Account: "a", Objective: now.Add(150 * time.Millisecond), Deadline: now.Add(time.Second), Targets: []fleet.Ref{1, 2, 3}})
+	}
+	for id := uint64(1); id <= 18; id++ {
+		must.Eq(t, Granted, ask(id).State)
+	}
+	now = now.Add(time.Millisecond)
+	for id := uint64(1); id <= 18; id++ {
+		g.Release(now, Release{Request: id, Rejected: true})
+	}
+	must.Eq(t, Waiting, ask(100).State)
+	now = now.Add(minRejectPause)
+	decisions := g.Check(now)
+	must.Len(t, 1, decisions)
+	must.Eq(t, Granted, decisions[0].State)
+}
+
+// TestSilentTargetGetsNoProbesInSuccession guards against a silent target that keeps getting
+// requests which other targets have to take over.
+func TestSilentTargetGetsNoProbesInSuccession(t *testing.T) {
+	now := time.Unix(0, 0)
+	g := NewGrantor()
+	g.SetTargets(now, []Target{{Ref: 1, Slots: 6}, {Ref: 2, Slots: 6}})
+	probes := 0
+	for id := uint64(1); id <= 2000; id++ {
+		now = now.Add(5 * time.Millisecond)
+		d := g.Ask(now, Request{
+			ID: id, From: fleet.VM(rune('a' + id%16)), Account: "a", Repeatable: true,
+			Objective: now.Add(300 * time.Millisecond), Deadline: now.Add(3 * time.Second), Targets: []fleet.Ref{1, 2},
+		})
+		switch {
+		case d.State != Granted:
+		case d.Target == 1:
+			probes++
+			now = now.Add(600 * time.Millisecond)
+			g.Check(now)
+			g.Release(now, Release{Request: id}) // another target took over
+		default:
+			g.Release(now, Release{Request: id, Took: 30 * time.Millisecond})
+		}
+	}
+	// One for each pause of 200 ms, in which 40 requests come, and a few until it is paused.
+	must.LessEq(t, 2000/40+5, probes, must.Sprint("of 2,000 requests"))
+}
--- a/internal/service/slots/service_test.go
+++ b/internal/service/slots/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -190,3 +191,49 @@
 		must.Zero(t, g.outstanding(), must.Sprint("it is returned"))
 	})
 }
+
+// TestCanceledQueryTakesNoSlot guards against a grantor that was frozen: when it wakes it reads the
+// query, its cancel and the release, and may handle the query last. The slot would be held until
+// the deadline of the request.
+func TestCanceledQueryTakesNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newService(t, peertest.NewHub(time.Millisecond), "g", "g")
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		g.release(&placeRelease{ID: 7, Service: "plain"})
+		reply := g.ask(ctx, "s", newQuery(time.Now(), newTestQuery(), 7))
+		must.NotEq(t, slotqueue.Granted, reply.State)
+		must.Zero(t, g.outstanding())
+	})
+}
+
+// TestGrantsOfFarDeadlinesExpire guards against a router that asks with a deadline of weeks and
+// never returns its grants, which would shut out the targets for everybody.
+func TestGrantsOfFarDeadlinesExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newService(t, peertest.NewHub(time.Millisecond), "g", "g")
+		q := newQuery(time.Now(), newTestQuery(), 7)
+		q.Deadline, q.Objective = math.MaxInt32, math.MaxInt32
+		must.Eq(t, slotqueue.Granted, g.ask(t.Context(), "s", q).State)
+		time.Sleep(10 * time.Minute)
+		must.Zero(t, g.outstanding())
+	})
+}
+
+// TestLostAnswerReturnsItsGrant guards against slots that stay taken until the deadline, since the
+// connection ended after the grantor had decided and before the answer arrived.
+func TestLostAnswerReturnsItsGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hub := peertest.NewHub(time.Millisecond)
+		g := newService(t, hub, "g", "g")
+		s := newService(t, hub, "s", "g")
+		g.peers.HandleQuery(peer.KindPlace, func(ctx context.Context, from fleet.VM, payload []byte) ([]byte, error) {
+			_, err := g.handlePlace(ctx, from, payload)
+			must.NoError(t, err)
+			return nil, &call.Error{Code: call.CodeUnavailable, Run: call.RunUnknown}
+		})
+		must.Eq(t, ChooseSelf, s.Place(t.Context(), newTestQuery()).Outcome)
+		time.Sleep(10 * time.Millisecond)
+		must.Zero(t, g.outstanding())
+	})
+}
