Start where segments can't be bounded

Cause: a listener and each outgoing connection failed if the kernel refused TCP_MAXSEG, so that a router did not start. Listeners use multipath TCP where it is enabled, whose sockets do not take the option on all kernels, and a filter of system calls may refuse it. The option only makes bounded buffers faster on the loopback interface.

Change: the option is set where that is possible.

TestListensWithoutSegmentLimit fails before. For outgoing connections there is no test.

--- a/internal/httpserve/connlimits.go
+++ b/internal/httpserve/connlimits.go
@@ -294,16 +294,14 @@
 }
 
 // limitSegments bounds the segments of the connections that a listener accepts.
-func limitSegments(ln net.Listener) error {
+func limitSegments(ln net.Listener) {
 	tcp, ok := ln.(*net.TCPListener)
 	if !ok {
-		return nil
+		return
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return err
+	if raw, err := tcp.SyscallConn(); err == nil {
+		kernel.LimitSegments(raw)
 	}
-	return kernel.LimitSegments(raw)
 }
 
 // limitBuffers bounds the buffers of a client's connection.
@@ -339,9 +337,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := limitSegments(ln); err != nil {
-		return nil, errors.Join(err, ln.Close())
-	}
+	limitSegments(ln)
 	return &trackedListener{Listener: ln, conns: n.conns}, nil
 }
 
--- a/internal/httpserve/connlimits_test.go
+++ b/internal/httpserve/connlimits_test.go
@@ -1,6 +1,7 @@
 package httpserve
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"testing"
@@ -126,3 +127,24 @@
 	s.closeIdle(time.Hour)
 	must.True(t, c.wasClosed())
 }
+
+// closedListeners is a network whose listeners take no options, as under a filter of system calls
+// or with a protocol that has no segments.
+type closedListeners struct{ kernel.SystemNetwork }
+
+// Listen returns a closed listener.
+func (n closedListeners) Listen(ctx context.Context, network, address string) (net.Listener, error) {
+	ln, err := n.SystemNetwork.Listen(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return ln, ln.Close()
+}
+
+// TestListensWithoutSegmentLimit guards against a server that does not start where the segments of
+// connections can't be bounded.
+func TestListensWithoutSegmentLimit(t *testing.T) {
+	n := &trackedNetwork{Network: closedListeners{}, conns: newConns(kernel.SystemClock{}, ConnLimits{})}
+	_, err := n.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+}
--- a/internal/kernel/env.go
+++ b/internal/kernel/env.go
@@ -128,7 +128,8 @@
 }
 
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	return errors.Join(setTimeout(c, userTimeout), LimitSegments(c))
+	LimitSegments(c)
+	return setTimeout(c, userTimeout)
 }
 
 // maxSegmentBytes bounds the segments of a connection. Those of the loopback interface are 64 KB
@@ -137,13 +138,12 @@
 const maxSegmentBytes = 16 << 10
 
 // LimitSegments bounds the segments of a connection that is about to open, or of those that a
-// listener accepts, so that their buffers can be bounded.
-func LimitSegments(c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, maxSegmentBytes)
+// listener accepts, so that their buffers can be bounded. Where the option can't be set, such as
+// with multipath TCP or under a filter of system calls, connections work without it.
+func LimitSegments(c syscall.RawConn) {
+	_ = c.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, maxSegmentBytes)
 	})
-	return errors.Join(err, failed)
 }
 
 // setTimeout sets the user timeout of a connection.
