Name the controller of a roll-out in the terms of the field

Responses are reported, not told. No behaviour changes; tests of core/rollout, service/rollout and telemetry pass.

--- a/internal/core/rollout/controller.go
+++ b/internal/core/rollout/controller.go
@@ -63,10 +63,10 @@
 	knownAt, heardAt time.Time
 	phase            Phase
 	closed, live     bool
-	// toldBy is the process that has told all its responses since the order.
-	toldBy  fleet.Incarnation
-	running int
-	longest time.Duration
+	// reportedBy is the process that has reported all its responses since the order.
+	reportedBy fleet.Incarnation
+	running    int
+	longest    time.Duration
 }
 
 // Controller drives one roll-out. It is not safe for concurrent use.
@@ -223,14 +223,14 @@
 	return reply
 }
 
-// compare takes the responses of a report. What a router has told to earlier controllers counts
+// compare takes the responses of a report. What a router has reported to earlier controllers counts
 // once for each of its processes.
 func (c *Controller) compare(m *member, r *Report) {
-	if c.phase.Final() || r.Term != c.record.Term || r.Whole && m.toldBy == r.Incarnation {
+	if c.phase.Final() || r.Term != c.record.Term || r.Whole && m.reportedBy == r.Incarnation {
 		return
 	}
 	if r.Whole {
-		m.toldBy = r.Incarnation
+		m.reportedBy = r.Incarnation
 	}
 	for i := range r.Cells {
 		c.test.Add(&r.Cells[i])
--- a/internal/core/rollout/tracker.go
+++ b/internal/core/rollout/tracker.go
@@ -51,16 +51,16 @@
 	gate  *Gate
 	// seenAt is the time at which the order was seen.
 	seenAt time.Time
-	// cells are the responses that were not told yet, sent those in the last report, told those
-	// before. toldTerm is the term of the controller that was told all.
-	cells, sent, told cells
-	toldTerm          int64
-	urgent            int
+	// cells are the responses that were not reported yet, sent those in the last report, reported those
+	// before. reportedTerm is the term of the controller that got all.
+	cells, sent, reported cells
+	reportedTerm          int64
+	urgent                int
 }
 
 // NewTracker returns a tracker without an order.
 func NewTracker() *Tracker {
-	return &Tracker{loads: make(map[string]*versionLoad), cells: make(cells), sent: make(cells), told: make(cells)}
+	return &Tracker{loads: make(map[string]*versionLoad), cells: make(cells), sent: make(cells), reported: make(cells)}
 }
 
 // SetOrder takes an order. It does nothing if the order is known.
@@ -70,7 +70,7 @@
 		return false
 	}
 	before := t.gate
-	t.gate, t.seenAt, t.cells, t.told, t.toldTerm = NewGate(now, o, rng), now, make(cells), make(cells), 0
+	t.gate, t.seenAt, t.cells, t.reported, t.reportedTerm = NewGate(now, o, rng), now, make(cells), make(cells), 0
 	t.sent = make(cells)
 	if before != nil && before.order.To != o.To && !before.ended(Done) {
 		t.gate.excluded = append(slices.Clone(before.excluded), before.order.To)
@@ -158,7 +158,7 @@
 	}
 }
 
-// Report returns the next report. The responses in it are not told again to the same controller.
+// Report returns the next report. The responses in it are not reported again to the same controller.
 func (t *Tracker) Report(now time.Time, process fleet.Incarnation) Report {
 	g := t.gate
 	r := Report{
@@ -183,25 +183,25 @@
 	if !g.heard || g.reply.Phase.Final() {
 		return r
 	}
-	t.told.merge(t.sent)
+	t.reported.merge(t.sent)
 	t.sent, t.cells = t.cells, make(cells)
 	r.Cells = t.sent.list()
-	if t.toldTerm != g.reply.Term {
+	if t.reportedTerm != g.reply.Term {
 		whole := make(cells)
-		whole.merge(t.told)
+		whole.merge(t.reported)
 		whole.merge(t.sent)
-		t.toldTerm, r.Whole, r.Cells = g.reply.Term, true, whole.list()
+		t.reportedTerm, r.Whole, r.Cells = g.reply.Term, true, whole.list()
 	}
 	return r
 }
 
-// Restore lets the responses of a report that was not sent be told again.
+// Restore lets the responses of a report that was not sent be reported again.
 func (t *Tracker) Restore(r *Report) {
 	if t.gate == nil || !t.gate.order.Same(r.Order) {
 		return
 	}
 	if r.Whole {
-		t.toldTerm = 0
+		t.reportedTerm = 0
 		return
 	}
 	t.cells.merge(t.sent)
--- a/internal/service/rollout/control.go
+++ b/internal/service/rollout/control.go
@@ -41,7 +41,7 @@
 	// status is the last one that was written, under the term statusTerm.
 	status     Status
 	statusTerm int64
-	// seen is the end of the topic since seenAt, for a router that may not take the office yet.
+	// seen is the end of the topic since seenAt, for a router that may not take over yet.
 	seen   Position
 	seenAt time.Time
 	// holder is another router that drives the roll-out, as far as the record shows.
@@ -63,7 +63,7 @@
 	if c == nil {
 		if !k.busy && !now.Before(k.notBefore) && s.first(now, st.service) == s.self {
 			k.busy = true
-			go s.takeOffice(ctx, st)
+			go s.takeOver(ctx, st)
 		}
 		return
 	}
@@ -179,12 +179,12 @@
 	}
 }
 
-// stepDown ends the office of this router. The caller holds the lock.
+// stepDown ends the control by this router. The caller holds the lock.
 func (s *Service) stepDown(st *state, why string) {
 	s.logger.WithFields(logrus.Fields{"service": st.service, "reason": why, "term": st.control.controller.Record().Term}).
 		Info("This router no longer drives the roll-out.")
 	s.count("rollout.stepped_down")
-	st.control = control{notBefore: s.clock.Now().Add(officeRetry), busy: st.control.busy}
+	st.control = control{notBefore: s.clock.Now().Add(takeoverRetry), busy: st.control.busy}
 }
 
 // isCutOff reports whether this router hears no more than half of the listed ones, so that others
--- a/internal/service/rollout/records.go
+++ b/internal/service/rollout/records.go
@@ -12,11 +12,11 @@
 const (
 	// logTimeout limits one step with the log, which may take several calls.
 	logTimeout = 1500 * time.Millisecond
-	// logRetry is the time after a failed one, officeRetry that after another router was found
+	// logRetry is the time after a failed one, takeoverRetry that after another router was found
 	// to drive the roll-out.
-	logRetry    = 250 * time.Millisecond
-	officeRetry = time.Second
-	// quietTime is the time without a new record after which a router takes the office although
+	logRetry      = 250 * time.Millisecond
+	takeoverRetry = time.Second
+	// quietTime is the time without a new record after which a router takes over although
 	// another one may hold it. quietRetry is the time between looks at the record meanwhile.
 	quietTime  = 5 * time.Second
 	quietRetry = time.Second
@@ -42,8 +42,8 @@
 	}
 }
 
-// takeOffice makes this router the one that drives the roll-out, unless another one is.
-func (s *Service) takeOffice(ctx context.Context, st *state) {
+// takeOver makes this router the one that drives the roll-out, unless another one is.
+func (s *Service) takeOver(ctx context.Context, st *state) {
 	ctx, cancel := s.limited(ctx)
 	defer cancel()
 	record, at, err := s.log.ReadRollout(ctx, st.service)
@@ -80,15 +80,15 @@
 		c.Written(s.clock.Now(), next)
 	}
 	st.control = control{controller: c, at: at, writtenAt: s.clock.Now(), logged: next.Phase, restored: false}
-	s.count("rollout.offices")
+	s.count("rollout.takeovers")
 	s.logger.WithFields(st.fields(&next)).WithField("took_over", record != nil).Info("This router drives the roll-out.")
 }
 
 // errOldOrder is the error of an order that is older than that of the record.
 var errOldOrder = errors.New("the record is of a later order")
 
-// waits reports whether this router must not take the office yet: another one that is alive holds
-// it, or this one hears so few that it can't tell. The caller holds the lock.
+// waits reports whether this router must not take over yet: another one that is alive
+// is the controller, or this one hears so few that it can't tell. The caller holds the lock.
 func (s *Service) waits(now time.Time, st *state, record *rollout.Record, at Position) bool {
 	k := &st.control
 	k.holder = ""
@@ -169,7 +169,7 @@
 }
 
 // review reads the record after another one was appended, or after the log was restored from a
-// copy: this router steps down if another one has the office, and writes again what was lost.
+// copy: this router steps down if another one is the controller, and writes again what was lost.
 func (s *Service) review(ctx context.Context, st *state, c *rollout.Controller) {
 	ctx, cancel := s.limited(ctx)
 	defer cancel()
@@ -194,7 +194,7 @@
 		c.Rewrite(outranked)
 	case record.Phase.Final() && phase == record.Phase && own.Phase == record.Phase:
 	case record.Writer != s.self && record.Term >= own.Term && (!restored || !own.Phase.Final()):
-		s.stepDown(st, "another router has the office")
+		s.stepDown(st, "another router is the controller")
 		return
 	case record.Term < own.Term || outranked > own.Term || record.Phase < own.Phase || record.Granted < own.Granted:
 		c.Rewrite(max(outranked, record.Term))
@@ -205,7 +205,7 @@
 }
 
 // writeStatus writes the status of a roll-out. It reads the end of the topic before it checks that
-// this router still has the office, and a router that takes the office writes the status too: so
+// this router is still the controller, and a router that takes over writes the status too: so
 // one that was replaced meanwhile can't write any more.
 func (s *Service) writeStatus(ctx context.Context, st *state, c *rollout.Controller, want Status) {
 	ctx, cancel := s.limited(ctx)
--- a/internal/service/rollout/report.go
+++ b/internal/service/rollout/report.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// reportFailed handles a report without a reply. What it told is told again unless it may have
+// reportFailed handles a report without a reply. What it held is reported again unless it may have
 // arrived. The caller holds the lock.
 func (s *Service) reportFailed(st *state, to fleet.VM, report *rollout.Report, err error) {
 	s.count("rollout.reports.failed")
--- a/internal/service/telemetry/describe.go
+++ b/internal/service/telemetry/describe.go
@@ -52,7 +52,7 @@
 	{name: "forward.work_pace", help: "Pace of all known targets in relation to the usual one of their service.", unit: "percent"},
 	{name: "rollout.reports", help: "Reports on a roll-out to the router that drives it, by outcome.", label: "outcome"},
 	{name: "rollout.served", help: "Reports on roll-outs that this router has answered as the one that drives them."},
-	{name: "rollout.offices", help: "Roll-outs that this router has begun to drive."},
+	{name: "rollout.takeovers", help: "Roll-outs that this router has begun to drive."},
 	{name: "rollout.stepped_down", help: "Roll-outs that another router drives in place of this one."},
 	{name: "rollout.decisions", help: "Decisions on roll-outs that this router drives, by phase.", label: "phase"},
 	{name: "rollout.conflicts", help: "Records and status of roll-outs not written since another router had written."},
