Give up an order that waits for a slot when its caller leaves

Cause: requests that may have side effects run on without their caller from the start. Since orders wait for slots, up to their deadline, one whose caller had left took a slot and reached a target seconds later (found by review).

Change: the wait for a slot ends with the caller. Once sent, an order is completed as before.

Result: TestQueuedOrderEndsWithItsCaller failed before the change (3 s in place of 100 ms) and passes; tests of forward and slots pass.

--- a/internal/service/forward/plain.go
+++ b/internal/service/forward/plain.go
@@ -58,7 +58,9 @@
 	var placed *slots.Placement
 	for range maxPlaceQueries {
 		targets := r.placeable(now, versions)
-		p := r.s.placer.Place(ctx, r.placeQuery(targets))
+		waiting, cancel := r.untilCallerLeaves(ctx)
+		p := r.s.placer.Place(waiting, r.placeQuery(targets))
+		cancel()
 		placed = &p
 		r.s.site.AwaitCurrent(ctx)
 		now = r.s.clock.Now()
@@ -90,6 +92,17 @@
 	return s, available
 }
 
+// untilCallerLeaves returns a context that ends with ctx or when the caller leaves. A request that
+// may have side effects is completed for a caller that has left only once it was sent.
+func (r *request) untilCallerLeaves(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(r.caller, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // pickTarget picks one target.
 func pickTarget(ref fleet.Ref) picker {
 	return func(eligible []*sitestate.AvailableTarget) int {
--- a/internal/service/forward/plain_test.go
+++ b/internal/service/forward/plain_test.go
@@ -44,7 +44,7 @@
 			placer := new(grantingPlacer)
 			r := sentRequest(&routing.Route{Kind: routing.Unsafe, Attempts: 1}, new(twoTargets))
 			clear(r.tried)
-			r.service = &routing.Service{Name: "plain"}
+			r.service, r.caller = &routing.Service{Name: "plain"}, t.Context()
 			r.s.placer, r.s.picker = placer, slotqueue.NewPicker(rand.New(rand.NewPCG(1, 1)))
 			r.s.site = pausedSite{twoTargets: new(twoTargets), reads: reads}
 			s, _ := r.choose(t.Context(), time.Now())
@@ -54,3 +54,30 @@
 		}
 	})
 }
+
+// waitingPlacer lets each request wait until it is given up.
+type waitingPlacer struct{ grantingPlacer }
+
+func (*waitingPlacer) Place(ctx context.Context, _ *slots.Query) slots.Placement {
+	<-ctx.Done()
+	return slots.Placement{Outcome: slots.Refused, Reason: slotqueue.TooLate}
+}
+
+// TestQueuedOrderEndsWithItsCaller guards against an order that waits for a slot, and takes it,
+// long after its caller has left: orders go on without their callers once they were sent.
+func TestQueuedOrderEndsWithItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		caller, leave := context.WithCancel(t.Context())
+		r := sentRequest(&routing.Route{Kind: routing.Unsafe, Attempts: 1}, new(twoTargets))
+		clear(r.tried)
+		r.service, r.caller = &routing.Service{Name: "plain"}, caller
+		r.s.placer, r.s.picker = new(waitingPlacer), slotqueue.NewPicker(rand.New(rand.NewPCG(1, 1)))
+		time.AfterFunc(100*time.Millisecond, leave)
+		began := time.Now()
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), 3*time.Second)
+		defer cancel()
+		s, _ := r.choose(ctx, began)
+		must.Eq(t, "", s.target())
+		must.Eq(t, 100*time.Millisecond, time.Since(began))
+	})
+}
--- a/internal/service/forward/serve.go
+++ b/internal/service/forward/serve.go
@@ -27,6 +27,8 @@
 	*Call
 	s     *Service
 	reply ResponseWriter
+	// caller ends when the caller leaves.
+	caller context.Context
 	// version is the version of the configuration that applies, zero if there is
 	// none.
 	version int64
@@ -81,7 +83,7 @@
 	}()
 	ctx, span := s.tracer.Start(tracing.Continue(ctx, c.Header.Get(traceHeader)), Name)
 	defer span.End()
-	r := &request{Call: c, s: s, reply: reply, cur: new(send), tried: make(map[fleet.Target]bool), lastSentID: c.LastEventID}
+	r := &request{Call: c, s: s, reply: reply, caller: ctx, cur: new(send), tried: make(map[fleet.Target]bool), lastSentID: c.LastEventID}
 	if refusal, ok := r.admit(); !ok {
 		r.refuse(refusal)
 		return
