--- a/review/drive2/gone.go
+++ b/review/drive2/gone.go
@@ -35,7 +35,7 @@
 		"Name": "printq", "HealthPath": "/health", "MaxConns": 110, "Protocol": "h1", "ColdS": 0.0, "ColdPerS": 0.0,
 	}})
 	for i, zone := range zones {
-		w := &worker{id: fmt.Sprintf("i-%d", i+1), service: "printq", zone: zone, slots: 6, work: goneWork, version: "1"}
+		w := &worker{id: fmt.Sprintf("i-%d", i+1), service: "printq", zone: zone, slots: 6, queue: 24, work: goneWork, version: "1"}
 		if err := s.addWorker(w); err != nil {
 			return failed, err
 		}
--- a/review/drive2/main.go
+++ b/review/drive2/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(s *site, trouble bool) (int, error){
 	"order": playOrder,
 	"gone":  playGone,
+	"drain": playDrain,
 }
 
 func main() { os.Exit(run()) }
--- a/review/drive2/order.go
+++ b/review/drive2/order.go
@@ -67,7 +67,7 @@
 		"Engine": map[string]any{"Slots": 64, "KvCapacity": 447171, "Models": []any{map[string]any{"Name": "m"}}},
 	}})
 	for i := range 4 {
-		w := &worker{id: fmt.Sprintf("i-%d", i+1), service: "copydesk", zone: zones[i%len(zones)], slots: 64, events: orderEvents, gap: orderGap, cold: 3 * time.Second, version: "1"}
+		w := &worker{id: fmt.Sprintf("i-%d", i+1), service: "copydesk", zone: zones[i%len(zones)], slots: 64, queue: 192, events: orderEvents, gap: orderGap, cold: 3 * time.Second, version: "1"}
 		if err := s.addWorker(w); err != nil {
 			return failed, err
 		}
--- a/review/drive2/site.go
+++ b/review/drive2/site.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -140,10 +141,14 @@
 // given holds the addresses that were given out.
 var given = make(map[string]bool)
 
+// loopback is the address of all that this process starts: its own one, so that cases that run at
+// the same time don't take each other's ports.
+var loopback = fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()>>16&63, os.Getpid()>>8&255, 1+os.Getpid()&127)
+
 // freeAddress returns a loopback address with a free port.
 func freeAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		address := fmt.Sprintf("%s:%d", loopback, firstPort+rand.IntN(lastPort-firstPort))
 		if given[address] {
 			continue
 		}
@@ -297,7 +302,9 @@
 
 // request is one client attempt.
 type request struct {
-	ID, Path  string
+	ID, Path string
+	// Method is POST if it is empty.
+	Method    string
 	Deadline  time.Duration
 	Prompt    string
 	Body      []byte
@@ -307,11 +314,14 @@
 
 // build returns the HTTP request for a router.
 func (q *request) build(ctx context.Context, address string) *http.Request {
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+q.Path, io.NopCloser(strings.NewReader(string(q.Body))))
+	r, err := http.NewRequestWithContext(ctx, cmp.Or(q.Method, http.MethodPost), "http://"+address+q.Path, io.NopCloser(strings.NewReader(string(q.Body))))
 	if err != nil {
 		panic(err)
 	}
 	r.ContentLength = int64(len(q.Body))
+	if len(q.Body) == 0 {
+		r.Body = http.NoBody
+	}
 	r.Host = host
 	r.Header.Set("X-Request-Id", q.ID)
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(q.Deadline.Milliseconds()))
--- a/review/drive2/worker.go
+++ b/review/drive2/worker.go
@@ -20,7 +20,8 @@
 	site          *site
 	id            string
 	service, zone string
-	slots         int
+	// slots is the number of requests that run at once, queue that of those that wait.
+	slots, queue int
 	// events and gap shape a stream, work is the time of a plain request.
 	events int
 	gap    time.Duration
@@ -33,13 +34,14 @@
 	version string
 	born    int64
 	seq     int
-	// restarted is true from the second process on.
-	restarted bool
-	running   int
-	server    *http.Server
-	conns     map[net.Conn]bool
-	ended     chan struct{}
-	arrived   []arrival
+	// restarted is true from the second process on, leaving once the worker is to stop.
+	restarted, leaving bool
+	// held counts the requests that run or wait.
+	held    int
+	server  *http.Server
+	conns   map[net.Conn]bool
+	ended   chan struct{}
+	arrived []arrival
 }
 
 // arrival is a request that reached a worker.
@@ -67,9 +69,9 @@
 		return err
 	}
 	w.mu.Lock()
-	w.born, w.seq, w.running = time.Now().UnixMilli(), 0, 0
+	w.born, w.seq, w.held = time.Now().UnixMilli(), 0, 0
 	w.conns, w.ended = make(map[net.Conn]bool), make(chan struct{})
-	p := &process{worker: w, version: w.version, born: w.born, ended: w.ended}
+	p := &process{worker: w, version: w.version, born: w.born, ended: w.ended, free: make(chan struct{}, w.slots)}
 	w.server = &http.Server{Handler: p, ConnState: w.track}
 	server, ended := w.server, w.ended
 	w.mu.Unlock()
@@ -101,16 +103,7 @@
 // register writes the entry now and with each heartbeat, as far as the store takes it.
 func (w *worker) register(ended chan struct{}) {
 	for {
-		if !w.site.gate.isSilent() {
-			w.mu.Lock()
-			w.seq++
-			entry := map[string]any{
-				"Service": w.service, "Addr": w.address, "Zone": w.zone, "Version": w.version, "Slots": w.slots,
-				"State": "ready", "ColdLeftMs": w.coldLeft(), "Seq": w.seq, "born": w.born,
-			}
-			w.mu.Unlock()
-			w.site.store.PutJSON("keyed.servers", w.id, entry)
-		}
+		w.put()
 		select {
 		case <-ended:
 			return
@@ -119,6 +112,45 @@
 	}
 }
 
+// put writes the entry, if the store takes it.
+func (w *worker) put() {
+	if w.site.gate.isSilent() {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.seq++
+	w.site.store.PutJSON("keyed.servers", w.id, map[string]any{
+		"Service": w.service, "Addr": w.address, "Zone": w.zone, "Version": w.version, "Slots": w.slots,
+		"State": w.state(), "ColdLeftMs": w.coldLeft(), "Seq": w.seq, "born": w.born,
+	})
+}
+
+// state returns the state that the entry tells. The caller holds the lock.
+func (w *worker) state() string {
+	if w.leaving {
+		return "draining"
+	}
+	return "ready"
+}
+
+// leave reports that the worker is to stop, and returns once the store has accepted that. The
+// worker goes on serving.
+func (w *worker) leave() {
+	w.mu.Lock()
+	w.leaving = true
+	w.mu.Unlock()
+	w.put()
+	w.site.record.printf("worker %s is draining, as the store has accepted", w.id)
+}
+
+// isLeaving reports whether the worker is to stop.
+func (w *worker) isLeaving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving
+}
+
 // coldLeft returns how many milliseconds the worker stays cold. One that was there from the
 // beginning is warm.
 func (w *worker) coldLeft() int64 {
@@ -164,6 +196,8 @@
 	version string
 	born    int64
 	ended   chan struct{}
+	// free holds a value for each slot that is taken.
+	free chan struct{}
 }
 
 // ServeHTTP answers as the pages say.
@@ -189,23 +223,37 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	last := r.Header.Get("Last-Event-Id")
 	w.mu.Lock()
-	if w.running >= w.slots {
-		w.mu.Unlock()
+	full := w.held >= w.slots+w.queue
+	if !full {
+		w.held++
+		w.arrived = append(w.arrived, arrival{ID: id, At: time.Now(), Version: p.version, Last: last})
+	}
+	w.mu.Unlock()
+	if full {
 		h.Set("X-Not-Run", "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.running++
-	last := r.Header.Get("Last-Event-Id")
-	w.arrived = append(w.arrived, arrival{ID: id, At: time.Now(), Version: p.version, Last: last})
-	w.mu.Unlock()
 	defer func() {
 		w.mu.Lock()
-		w.running--
+		w.held--
 		w.mu.Unlock()
 	}()
+	select {
+	case p.free <- struct{}{}:
+		defer func() { <-p.free }()
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	case <-p.ended:
+		panic(http.ErrAbortHandler)
+	}
+	h.Set("X-Server-Load", p.load())
 	w.site.record.printf("worker %s (%s) runs %s, %d bytes, deadline %s ms, after event %q", w.id, p.version, id, len(body), r.Header.Get("X-Deadline-Ms"), last)
+	if w.isLeaving() {
+		h.Set("Server-Leaving", "1")
+	}
 	h.Set("X-Response-Stamp", fmt.Sprintf("%s.%s", w.id, id))
 	if r.Header.Get("X-Prompt-Prefix") == "" {
 		p.wait(r, w.work)
@@ -215,6 +263,15 @@
 	p.stream(out, r, last)
 }
 
+// load returns what the worker tells of its load: requests that run and that wait, and its slots.
+func (p *process) load() string {
+	w := p.worker
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	running := min(w.held, w.slots)
+	return fmt.Sprintf("%d,%d,%d", running, w.held-running, w.slots)
+}
+
 // stream sends the events after the last one that the client has.
 func (p *process) stream(out http.ResponseWriter, r *http.Request, last string) {
 	w := p.worker
