--- a/review/drive2/main.go
+++ b/review/drive2/main.go
@@ -21,6 +21,7 @@
 	"order": playOrder,
 	"gone":  playGone,
 	"drain": playDrain,
+	"crowd": playCrowd,
 }
 
 func main() { os.Exit(run()) }
--- a/review/drive2/site.go
+++ b/review/drive2/site.go
@@ -21,6 +21,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/zinniafork/zinniafork/internal/standin/keyedlog"
 )
 
@@ -32,6 +34,9 @@
 	region  = "tt-north"
 )
 
+// maxFds is MaxFds of the deployment: the descriptors that a router may have.
+const maxFds = 4100
+
 var zones = []string{"pos", "chag", "arima"}
 
 // recorder writes record.txt.
@@ -205,7 +210,7 @@
 	for _, r := range s.routers {
 		ip, port, _ := net.SplitHostPort(r.inner)
 		text, err := settingsOf(map[string]string{
-			"Limits.MemoryMb": "284", "Limits.MaxFds": "4100", "Limits.CpuShare": "0.4",
+			"Limits.MemoryMb": "284", "Limits.MaxFds": fmt.Sprint(maxFds), "Limits.CpuShare": "0.4",
 			"Listen.Control": r.control, "Listen.Front": r.front, "Listen.Ready": r.ready, "Listen.Directory": r.directory,
 			"Zone": r.zone, "Region": region, "Seeds|json": string(seedList), "Bootstrap": "true", "Platform.Addr": s.address,
 			"Bounds.BudgetRatio": "0.2", "Bounds.BudgetSlack": "58", "Bounds.BudgetWindowS": "10", "Bounds.StableWindowMs": "3000",
@@ -238,6 +243,9 @@
 	if err := r.cmd.Start(); err != nil {
 		return err
 	}
+	if err := unix.Prlimit(r.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: maxFds, Max: maxFds}, nil); err != nil {
+		return err
+	}
 	done := make(chan struct{})
 	r.done = done
 	go func() { _ = r.cmd.Wait(); close(done) }()
