--- a/review/drive2/crowd.go
+++ b/review/drive2/crowd.go
@@ -12,12 +12,15 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
 // Figures of the case.
 const (
 	crowdConns = 4200
+	// crowdSpare is the number of descriptors that this process needs besides.
+	crowdSpare = 300
 	// crowdAgain is the time after which a client of the crowd asks again.
 	crowdAgain = 4 * time.Second
 	// crowdTime is the time for which callers try, crowdCallers their number.
@@ -55,6 +58,10 @@
 
 // playCrowd lets a crowd of clients ask the directory of one router and keep their connections.
 func playCrowd(s *site, trouble bool) (int, error) {
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Cur < crowdConns+crowdSpare {
+		return failed, fmt.Errorf("this process may open %d descriptors, %v", own.Cur, err)
+	}
 	s.publish([]route{
 		{Name: "r-status", Host: host, PathPrefix: "/status/", Kind: "safe", Service: "printq", TimeoutMs: 1000, TargetLatencyMs: 150, Priority: 2, Attempts: 2},
 	}, []map[string]any{{
--- a/review/drive2/main.go
+++ b/review/drive2/main.go
@@ -18,10 +18,11 @@
 
 // cases are the cases by name. Each returns an exit code.
 var cases = map[string]func(s *site, trouble bool) (int, error){
-	"order": playOrder,
-	"gone":  playGone,
-	"drain": playDrain,
-	"crowd": playCrowd,
+	"order":  playOrder,
+	"gone":   playGone,
+	"drain":  playDrain,
+	"crowd":  playCrowd,
+	"bodies": playBodies,
 }
 
 func main() { os.Exit(run()) }
